--- /dev/null
+++ b/src/bin/salttally-drill/wire.rs
@@ -0,0 +1,448 @@
+//! The bench's words, read into and written from the module's own.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::str::FromStr;
+
+use salttally::interface::*;
+use serde::Deserialize;
+use thiserror::Error;
+
+/// What is wrong with the input, and where.
+#[derive(Debug, Error)]
+#[error("line {line}, {field}: {what}")]
+pub struct WireError {
+    line: u64,
+    field: String,
+    what: String,
+}
+
+impl WireError {
+    /// An error in this field of this line.
+    pub fn new(line: u64, field: &str, what: &str) -> Self {
+        WireError { line, field: field.to_owned(), what: what.to_owned() }
+    }
+}
+
+/// A message: its name and its fields.
+pub struct Line<'a> {
+    /// Name of the message.
+    pub name: &'a str,
+    fields: Vec<(&'a str, &'a str)>,
+    at: u64,
+}
+
+impl<'a> Line<'a> {
+    /// Splits a line into its parts; a field of free text takes the rest of the line.
+    pub fn parse(text: &'a str, at: u64) -> Result<Self, WireError> {
+        let (name, mut rest) = text.split_once(' ').unwrap_or((text, ""));
+        let mut fields = Vec::new();
+        while !rest.is_empty() {
+            let key = rest.split_once('=').map_or(rest, |(key, _)| key);
+            if matches!(key, "facts" | "reason_text") {
+                fields.push((key, rest.get(key.len() + 1..).unwrap_or("")));
+                break;
+            }
+            let (part, tail) = rest.split_once(' ').unwrap_or((rest, ""));
+            let pair =
+                part.split_once('=').ok_or_else(|| WireError::new(at, part, "not of the form name=value"))?;
+            fields.push(pair);
+            rest = tail;
+        }
+        Ok(Line { name, fields, at })
+    }
+
+    /// An error in a field of this line.
+    pub fn bad(&self, field: &str, what: &str) -> WireError {
+        WireError::new(self.at, field, what)
+    }
+
+    fn find(&self, field: &str) -> Option<&'a str> {
+        self.fields.iter().find(|(key, _)| *key == field).map(|(_, value)| *value)
+    }
+
+    /// A field that must be there, as it stands.
+    pub fn text(&self, field: &str) -> Result<&'a str, WireError> {
+        self.find(field).ok_or_else(|| self.bad(field, &format!("missing in {}", self.name)))
+    }
+
+    /// A number that must be there.
+    pub fn number<T: FromStr>(&self, field: &str) -> Result<T, WireError> {
+        self.text(field)?.parse().map_err(|_| self.bad(field, "not a number of the right kind"))
+    }
+
+    fn optional<T: FromStr>(&self, field: &str) -> Result<Option<T>, WireError> {
+        self.find(field).map(|_| self.number(field)).transpose()
+    }
+
+    fn real(&self, field: &str) -> Result<f64, WireError> {
+        let value: f64 = self.number(field)?;
+        if value.is_finite() {
+            Ok(value)
+        } else {
+            Err(self.bad(field, "not a finite number"))
+        }
+    }
+
+    /// A time in milliseconds that must be there.
+    pub fn time(&self, field: &str) -> Result<Micros, WireError> {
+        self.real(field).map(micros)
+    }
+
+    /// A whole number that may be written with a fraction, as some of the wire's are.
+    fn whole(&self, field: &str) -> Result<u32, WireError> {
+        self.real(field).map(|value| value.max(0.0) as u32)
+    }
+
+    fn flag(&self, field: &str) -> Result<bool, WireError> {
+        match self.find(field) {
+            None | Some("0") => Ok(false),
+            Some("1") => Ok(true),
+            Some(_) => Err(self.bad(field, "neither 1 nor 0")),
+        }
+    }
+
+    fn session(&self) -> Result<SessionId, WireError> {
+        self.text("corr").map(|id| SessionId(id.into()))
+    }
+
+    fn server(&self) -> Result<ServerId, WireError> {
+        self.number("server").map(ServerId)
+    }
+
+    fn report(&self) -> Result<Vec<f64>, WireError> {
+        let Some(row) = self.find("pressure") else {
+            return Ok(Vec::new());
+        };
+        let parse = |value: &str| value.parse().map_err(|_| self.bad("pressure", "not a row of numbers"));
+        row.split(',').filter(|value| !value.is_empty()).map(parse).collect()
+    }
+
+    fn outcome(&self) -> Result<Outcome, WireError> {
+        Ok(match self.text("disposition")? {
+            "Ok" => Outcome::Ok,
+            "Failed" => Outcome::Failed,
+            "QueueFull" => Outcome::Full,
+            "TimedOut" => Outcome::TimedOut,
+            "ConnectError" => Outcome::NoConnection,
+            "ResetByPeer" => Outcome::Broken,
+            "Canceled" => Outcome::Withdrawn,
+            "Ignored" => Outcome::NotSent,
+            _ => return Err(self.bad("disposition", "unknown outcome")),
+        })
+    }
+
+    fn request(&self) -> Result<Request, WireError> {
+        Ok(Request {
+            session: self.session()?,
+            class: self.number("class")?,
+            viewer: ViewerId(self.number("path_key")?),
+            title: TitleId(self.optional("programme")?.unwrap_or(0)),
+            patience: self.time("patience_left_ms")?,
+            length: self.find("cost_ms").map(|_| self.time("cost_ms")).transpose()?,
+            first_cell: self.whole("start_cell")?,
+            cell_count: self.whole("spread")?,
+            top_rung: self.whole("top_rung")? as usize,
+            moved: self.flag("back_from_move")?,
+            again: self.flag("returned")?,
+        })
+    }
+}
+
+fn micros(ms: f64) -> Micros {
+    (ms.max(0.0) * 1000.0).round() as Micros
+}
+
+fn ms(time: Micros) -> f64 {
+    time as f64 / 1000.0
+}
+
+/// Reads a line of a server list.
+pub fn entry(line: &Line<'_>) -> Result<ServerEntry, WireError> {
+    if line.name != "server" {
+        return Err(line.bad(line.name, "a server line was due"));
+    }
+    Ok(ServerEntry {
+        server: line.server()?,
+        zone: line.optional("region_part")?.unwrap_or(0),
+        kind: line.optional("sku")?.unwrap_or(0),
+        cell: line.optional("position")?.unwrap_or(0),
+        state: match line.text("state")? {
+            "in_service" => ServerState::Ready,
+            "terminating" => ServerState::Draining,
+            "terminated" => ServerState::Gone,
+            _ => return Err(line.bad("state", "unknown state")),
+        },
+        units: line.find("units").map(|_| line.real("units")).transpose()?.unwrap_or(1.0),
+        started: match line.find("started_at_ms") {
+            None => None,
+            Some(_) => Some(line.time("started_at_ms")?).filter(|at| *at > 0),
+        },
+    })
+}
+
+/// Reads an event of an instance that is up.
+pub fn event(line: &Line<'_>, lists: &BTreeMap<u64, Vec<ServerEntry>>) -> Result<Event, WireError> {
+    Ok(match line.name {
+        "targets" => {
+            let kind = match line.text("kind")? {
+                "incr" => ListKind::Changes,
+                "total" => ListKind::Whole,
+                "warm_copy" => ListKind::Remembered,
+                "lost" => return Ok(Event::Servers(ListKind::Lost, Vec::new())),
+                _ => return Err(line.bad("kind", "unknown kind of list")),
+            };
+            let list = lists.get(&line.number("sheet")?).ok_or_else(|| line.bad("sheet", "unknown list"))?;
+            Event::Servers(kind, list.clone())
+        }
+        "order" => Event::Request(line.request()?),
+        "taken_over" => Event::Resumed(line.request()?, line.server()?),
+        "begun" => Event::Started {
+            session: line.session()?,
+            server: line.server()?,
+            took: line.time("cost_time_ms")?,
+        },
+        "attempt_end" => Event::Ended {
+            session: line.session()?,
+            attempt: line.number("attempt")?,
+            server: line.server()?,
+            outcome: line.outcome()?,
+            last: line.flag("last")?,
+            report: line.report()?,
+        },
+        "timed_out_client" => Event::Left(line.session()?),
+        "signal" => {
+            let amount = line.real("amount")?;
+            let note = match line.number::<u32>("topic")? {
+                1 => Note::Delivered(amount),
+                2 => Note::Rung(amount.max(0.0) as usize),
+                3 => Note::Link(amount),
+                4 => Note::Uplink(amount),
+                _ => return Err(line.bad("topic", "unknown type of note")),
+            };
+            Event::Note { session: line.session()?, server: line.server()?, note }
+        }
+        "pong" => Event::Probed { server: line.server()?, outcome: line.outcome()?, report: line.report()? },
+        "from_peer" => {
+            let text = line.text("msg")?;
+            let digits = if text == "-" { "" } else { text };
+            let byte = |at: usize| digits.get(at..at + 2).and_then(|pair| u8::from_str_radix(pair, 16).ok());
+            let bytes: Option<Vec<u8>> = (0..digits.len()).step_by(2).map(byte).collect();
+            Event::Peer(bytes.ok_or_else(|| line.bad("msg", "not hex digits"))?)
+        }
+        "elapsed" => Event::Wake(line.number("tag")?),
+        _ => return Err(line.bad(line.name, "unknown message")),
+    })
+}
+
+/// Writes an action of a front.
+pub fn write_action(out: &mut String, front: &str, action: &Action) {
+    let written = match action {
+        Action::SetUp(session, server, time_out) => {
+            writeln!(
+                out,
+                "pass_on i={front} corr={} server={} patience_ms={}",
+                session.0,
+                server.0,
+                ms(*time_out)
+            )
+        }
+        Action::SetRung(session, rung) => {
+            writeln!(out, "step_to i={front} corr={} level={rung}", session.0)
+        }
+        Action::Move(session) => writeln!(out, "go_away i={front} corr={}", session.0),
+        Action::Refuse(session, wait) => {
+            writeln!(out, "bounce i={front} corr={} hold_off_ms={}", session.0, ms(*wait))
+        }
+        Action::Fail(session) => writeln!(out, "abort i={front} corr={}", session.0),
+        Action::Probe(server) => writeln!(out, "poll i={front} server={}", server.0),
+        Action::FollowList => writeln!(out, "track i={front} on=1"),
+        Action::WakeAt(tag, at) => writeln!(out, "wake_at i={front} tag={tag} time_ms={}", ms(*at)),
+        Action::Log(text) => writeln!(out, "record i={front} reason_text={}", text.replace('\n', " ")),
+    };
+    debug_assert!(written.is_ok(), "writing to a string does not fail");
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Facts {
+    balancers: u32,
+    position: u32,
+    zone: u32,
+    classes: Vec<ClassFacts>,
+    domain: Domain,
+    discovery: String,
+    load_report: LoadReport,
+    policy_limits: Limits,
+    prices: Prices,
+    safety: Safety,
+}
+
+#[derive(Deserialize)]
+struct ClassFacts {
+    aim_ms: f64,
+    effect: String,
+    #[serde(default)]
+    group: String,
+    #[serde(default)]
+    window_ms: f64,
+    gain: f64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Domain {
+    change_costs_s: f64,
+    is_live: Vec<bool>,
+    kb_per_weight: f64,
+    kind_streams: Vec<f64>,
+    links_kb: f64,
+    lowest_rung: Vec<usize>,
+    positions: u32,
+    racks: u32,
+    rate_factor: Vec<f64>,
+    refuses_from: f64,
+    reports_every_ms: f64,
+    rung_kb: Vec<f64>,
+    seats: Vec<f64>,
+    seen_after_ms: f64,
+    shared_adds: Option<f64>,
+    top_by_class: Vec<usize>,
+    uplink_kb: f64,
+    worth_by_rung: Vec<f64>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct LoadReport {
+    names: Vec<String>,
+    source: String,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Limits {
+    max_attempts: Option<u32>,
+    max_retry_after_ms: f64,
+    probes: bool,
+    retry_after: bool,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Prices {
+    cross_zone: f64,
+    moves: f64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Safety {
+    ask_within_ms: f64,
+    budget_free: f64,
+    cold_from: Option<f64>,
+    drain_grace_ms: f64,
+    fall_ms: f64,
+    fall_multiple: f64,
+    look_back_ms: Option<f64>,
+    resend_ratio: f64,
+    warm_up_ms: f64,
+}
+
+impl Default for Facts {
+    fn default() -> Self {
+        Facts {
+            balancers: 1,
+            position: 0,
+            zone: 0,
+            classes: Vec::new(),
+            domain: Domain::default(),
+            discovery: String::new(),
+            load_report: LoadReport::default(),
+            policy_limits: Limits::default(),
+            prices: Prices::default(),
+            safety: Safety::default(),
+        }
+    }
+}
+
+/// Reads the settings that come with the start of an instance.
+pub fn settings(line: &Line<'_>) -> Result<Settings, WireError> {
+    let facts: Facts =
+        serde_json::from_str(line.text("facts")?).map_err(|e| line.bad("facts", &e.to_string()))?;
+    let domain = facts.domain;
+    let top_of_ladder = domain.rung_kb.len().saturating_sub(1);
+    let classes = facts.classes.iter().enumerate().map(|(at, class)| {
+        Ok(Class {
+            aim: micros(class.aim_ms),
+            effect: match class.effect.as_str() {
+                "idempotent" => Effect::Safe,
+                "deduplicated" => Effect::Deduplicated,
+                "at_most_once" => Effect::Once,
+                _ => return Err(line.bad("facts", &format!("unknown effect {}", class.effect))),
+            },
+            group: match class.group.as_str() {
+                "zone" => Group::Zone,
+                "cell" => Group::Cell,
+                _ => Group::All,
+            },
+            window: micros(class.window_ms),
+            gain: class.gain,
+            floor: domain.lowest_rung.get(at).copied().unwrap_or(0),
+            top: domain.top_by_class.get(at).copied().unwrap_or(top_of_ladder),
+            rate_factor: domain.rate_factor.get(at).copied().unwrap_or(1.0),
+            seats: domain.seats.get(at).map_or(0, |seats| *seats as usize),
+            live: domain.is_live.get(at).copied().unwrap_or(false),
+        })
+    });
+    let rung = |(at, kb): (usize, &f64)| Rung {
+        kb: *kb,
+        worth: domain.worth_by_rung.get(at).copied().unwrap_or(1.0),
+    };
+    let safety = facts.safety;
+    let field = |name: &String| match name.as_str() {
+        "active" => ReportField::Streams,
+        "cpu" => ReportField::LinkCapped,
+        "x0" => ReportField::Link,
+        "x1" => ReportField::Uplink,
+        _ => ReportField::Other,
+    };
+    let reported = facts.load_report.source != "none";
+    let limits = facts.policy_limits;
+    Ok(Settings {
+        fronts: facts.balancers,
+        place: facts.position,
+        zone: facts.zone,
+        classes: classes.collect::<Result<_, _>>()?,
+        ladder: domain.rung_kb.iter().enumerate().map(rung).collect(),
+        cells: domain.positions,
+        racks: domain.racks,
+        link_kb_per_unit: domain.kb_per_weight,
+        links_kb: domain.links_kb,
+        uplink_kb: domain.uplink_kb,
+        kind_streams: domain.kind_streams.iter().map(|streams| *streams as u32).collect(),
+        refuses_from: domain.refuses_from,
+        note_every: micros(domain.reports_every_ms),
+        note_age: micros(domain.seen_after_ms),
+        shared_adds: domain.shared_adds.unwrap_or(1.0),
+        change_cost_s: domain.change_costs_s,
+        reports: if reported { facts.load_report.names.iter().map(field).collect() } else { Vec::new() },
+        max_attempts: limits.max_attempts.unwrap_or(u32::MAX),
+        probes: limits.probes,
+        max_hold_off: if limits.retry_after { micros(limits.max_retry_after_ms) } else { 0 },
+        drain_grace: micros(safety.drain_grace_ms),
+        warm_up: micros(safety.warm_up_ms),
+        cold_from: safety.cold_from.unwrap_or(1.0),
+        fall_multiple: safety.fall_multiple,
+        fall_window: micros(safety.fall_ms),
+        list_on_demand: facts.discovery == "ask",
+        ask_within: micros(safety.ask_within_ms),
+        budget: safety.look_back_ms.map(|window| Budget {
+            window: micros(window),
+            free: safety.budget_free,
+            share: safety.resend_ratio,
+        }),
+        move_price: facts.prices.moves,
+        cross_price: facts.prices.cross_zone,
+    })
+}
--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,1005 @@
+//! All decisions of salttally; the words used here (settings, events, actions) are in `src/interface.rs`.
+//!
+//! Read from the top: REM, then the guarded send and answer paths, the load account, the rungs, health,
+//! the pace of cold servers, and last the events. A front's `Brain` knows only what its own events told it.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+
+use crate::interface::*;
+
+/// One second.
+const SECOND: Micros = 1_000_000;
+/// REM's Min.th, share of the link: over the rungs' aim, so that moves stay the answer to a lasting crowd.
+const MIN_TH: f64 = 0.92;
+/// REM's Max.th, share of the link: just past the point from which delivery falls short.
+const MAX_TH: f64 = 1.06;
+/// REM's p_max where a move is free; the told price of a move takes from it.
+const P_MAX: f64 = 0.8;
+/// One move per server in this time: the load account must see the last one first.
+const MOVE_SPACING: Micros = 5 * SECOND;
+/// One move per session in this time; a viewer is not passed around.
+const SESSION_MOVE_SPACING: Micros = 30 * SECOND;
+/// A move pays only if the session is expected to play this long yet.
+const MOVE_WORTHY: f64 = 12.0;
+/// A plan for a moved viewer is kept this long: well over the gap of any move.
+const PLAN_KEPT: Micros = 5 * SECOND;
+/// Share of link or uplink that rungs are fitted to; the rest is for rates that vary by the second.
+const AIM: f64 = 0.88;
+/// From this share on playing sessions are stepped down to `AIM`.
+const HIGH: f64 = 0.96;
+/// Below this share playing sessions may be stepped up; the gap to `AIM` is the hysteresis.
+const LOW: f64 = 0.80;
+/// Under this delivered share a link or uplink is short.
+const SHORT: f64 = 0.98;
+/// A newcomer may push a playing session down if it earns this many times more for each kB.
+const PUSH: f64 = 1.4;
+/// A step up must earn this many times what the change costs.
+const STEP_PAYS: f64 = 2.5;
+/// Expected length of a session in seconds until sessions have been seen to end.
+const LENGTH: f64 = 30.0;
+/// Age of a load report that comes with an answer: refreshed now and then, and under way.
+const REPORT_AGE: Micros = SECOND / 2;
+/// First time out for a server whose set-up failed; doubles with each further failure.
+const OUT_FIRST: Micros = 2 * SECOND;
+/// Longest time out: a server that has healed is found again within this.
+const OUT_LONGEST: Micros = 8 * SECOND;
+/// A server is doubted this long after its last failure.
+const DOUBT: Micros = 15 * SECOND;
+/// Part of the aim that an attempt gets while another could follow within the aim.
+const ATTEMPT_PART: f64 = 0.45;
+/// Regular look at waiting sessions and steps up.
+const TICK: Micros = SECOND / 10;
+/// A held session is answered at least this long before its client gives up.
+const ANSWER_MARGIN: Micros = SECOND / 10;
+
+/// Why a server may not be sent a session now.
+enum Bar {
+    Never,
+    Until(Micros),
+}
+
+struct Server {
+    entry: ServerEntry,
+    link_kb: f64,
+    /// Share asked of the link as last heard, and the moment it speaks of.
+    asked: Option<(f64, Micros)>,
+    /// Own changes of demand, kB a second.
+    changes: VecDeque<(Micros, f64)>,
+    own_kb: f64,
+    stepped_up: Micros,
+    moved_at: Option<Micros>,
+    failures: u32,
+    failed_at: Option<Micros>,
+    out_until: Micros,
+    /// Start of its warm-up where it is told, seen or feared.
+    cold_since: Option<Micros>,
+    cold_slot: Option<Micros>,
+}
+
+struct Rack {
+    asked: Option<(f64, Micros)>,
+    /// What its uplink carries over what is told of the mean; learnt from short delivery.
+    scale: f64,
+}
+
+struct Session {
+    request: Request,
+    taken: Micros,
+    deadline: Micros,
+    rung: usize,
+    attempts: u32,
+    /// The attempt that is out or plays: its place and server.
+    at: Option<ServerId>,
+    playing: Option<Micros>,
+    tried: Vec<ServerId>,
+    /// A set-up that may have run, and when it was sent.
+    ran: Option<(ServerId, Micros)>,
+    sent: Micros,
+    answered: bool,
+    wait_until: Option<Micros>,
+    moving: bool,
+}
+
+/// The session controller of one front.
+pub struct Brain {
+    set: Settings,
+    rng: Pcg32,
+    now: Micros,
+    servers: BTreeMap<ServerId, Server>,
+    racks: Vec<Rack>,
+    sessions: BTreeMap<SessionId, Session>,
+    /// Where moved viewers go when they come back, and who has been moved lately.
+    plans: BTreeMap<ViewerId, (ServerId, Micros)>,
+    lengths: Vec<f64>,
+    taken: VecDeque<Micros>,
+    further: VecDeque<Micros>,
+    /// True until the list is known to be fresh: servers of unknown age count as cold.
+    unsure: bool,
+    ticking: bool,
+}
+
+impl Brain {
+    /// A front that has just started and knows nothing but its settings.
+    pub fn new(set: Settings, seed: u64) -> Self {
+        let racks = (0..set.racks).map(|_| Rack { asked: None, scale: 1.0 }).collect();
+        let lengths = vec![LENGTH; set.classes.len()];
+        Brain {
+            set,
+            rng: Pcg32::seed_from_u64(seed),
+            now: 0,
+            servers: BTreeMap::new(),
+            racks,
+            sessions: BTreeMap::new(),
+            plans: BTreeMap::new(),
+            lengths,
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            unsure: true,
+            ticking: false,
+        }
+    }
+
+    // ---- REM: random early migration ----
+
+    /// REM's probability of moving a session away, by the load of the chosen holder.
+    pub fn move_probability(&self, load: f64) -> f64 {
+        let p_max = P_MAX * (1.0 - 4.0 * self.set.move_price).clamp(0.1, 1.0);
+        if load < MIN_TH {
+            0.0
+        } else if load < MAX_TH {
+            p_max * (load - MIN_TH) / (MAX_TH - MIN_TH)
+        } else {
+            1.0
+        }
+    }
+
+    /// The ordinary path of a session: the least loaded holder, and REM's move when that one is loaded.
+    fn place(&mut self, id: &SessionId, out: &mut Vec<Action>) {
+        let Some(session) = self.sessions.get(id) else {
+            return;
+        };
+        let viewer = session.request.viewer;
+        let planned =
+            self.plans.get(&viewer).filter(|plan| session.request.moved && plan.1 + PLAN_KEPT > self.now);
+        if let Some((server, _)) = planned.copied() {
+            if session.attempts == 0 && self.barred(id, server).is_none() {
+                return self.send(id, server, out);
+            }
+        }
+        let Some(chosen) = self.least_loaded(id) else {
+            return self.no_holder(id, out);
+        };
+        let load = self.load(chosen);
+        let draw = f64::from(self.rng.next_u32()) / 4_294_967_296.0;
+        if draw < self.move_probability(load) && !self.shift(chosen, out) && load >= 1.0 {
+            // No move possible and full: refused, unless the rungs there can make the room.
+            let room = self.link_room(chosen, 1.0) + self.can_free(chosen);
+            if room < self.kb(id, self.floor(id)) {
+                return self.refuse(id, out);
+            }
+        }
+        self.send(id, chosen, out);
+    }
+
+    /// Moves one own session off the server to the least loaded holder below Min.th, if there is one.
+    fn shift(&mut self, from: ServerId, out: &mut Vec<Action>) -> bool {
+        let Some(server) = self.servers.get(&from) else {
+            return false;
+        };
+        if server.moved_at.is_some_and(|at| at + MOVE_SPACING > self.now) {
+            return false;
+        }
+        let mut best: Option<(f64, SessionId, ServerId)> = None;
+        for (id, session) in &self.sessions {
+            let recent = |at: Micros| at + SESSION_MOVE_SPACING > self.now;
+            let moved = self.plans.get(&session.request.viewer).is_some_and(|plan| recent(plan.1));
+            if session.at != Some(from) || session.playing.is_none() || session.moving || moved {
+                continue;
+            }
+            let left = self.left(session);
+            // The most demand for the longest time, at one price for any session.
+            let value = left * self.kb(id, session.rung);
+            if left < MOVE_WORTHY || best.as_ref().is_some_and(|(most, _, _)| value <= *most) {
+                continue;
+            }
+            let holder = self.holders(&session.request).into_iter().filter(|to| {
+                *to != from && self.tier(*to) == 0 && self.load(*to) < MIN_TH && self.pace(*to).is_none()
+            });
+            let least = holder.min_by(|a, b| self.load(*a).total_cmp(&self.load(*b)));
+            if let Some(to) = least {
+                best = Some((value, id.clone(), to));
+            }
+        }
+        let Some((_, id, to)) = best else { return false };
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return false;
+        };
+        session.moving = true;
+        self.plans.insert(session.request.viewer, (to, self.now));
+        if let Some(server) = self.servers.get_mut(&from) {
+            server.moved_at = Some(self.now);
+        }
+        out.push(Action::Move(id));
+        true
+    }
+
+    /// The least loaded holder that may be sent this session; doubted ones only when there is no other.
+    fn least_loaded(&self, id: &SessionId) -> Option<ServerId> {
+        let session = self.sessions.get(id)?;
+        let free =
+            self.holders(&session.request).into_iter().filter(|server| self.barred(id, *server).is_none());
+        let rank = |server: &ServerId| {
+            let again = u32::from(session.tried.contains(server));
+            let away = self.servers.get(server).is_some_and(|s| s.entry.zone != self.set.zone);
+            let bias = if away { self.set.cross_price } else { 0.0 };
+            (self.tier(*server), again, self.load(*server) + bias)
+        };
+        let ranked = free.map(|server| (rank(&server), server));
+        let least = ranked.min_by(|(a, _), (b, _)| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
+        least.map(|(_, server)| server)
+    }
+
+    /// Listed servers that hold the title.
+    fn holders(&self, request: &Request) -> Vec<ServerId> {
+        let cells = self.set.cells.max(1);
+        let holds =
+            |cell: u32| (cell % cells + cells - request.first_cell % cells) % cells < request.cell_count;
+        self.servers.iter().filter(|(_, s)| holds(s.entry.cell)).map(|(id, _)| *id).collect()
+    }
+
+    // ---- The one way to a server, and the one way to an answer ----
+
+    /// Why this session must not be sent to this server now. All rules on sending stand here.
+    fn barred(&self, id: &SessionId, to: ServerId) -> Option<Bar> {
+        let (Some(session), Some(server)) = (self.sessions.get(id), self.servers.get(&to)) else {
+            return Some(Bar::Never);
+        };
+        let Some(class) = self.set.classes.get(session.request.class) else {
+            return Some(Bar::Never);
+        };
+        let top = session.request.top_rung.min(class.top);
+        let over = session.answered || session.at.is_some() || self.now >= session.deadline;
+        if over || top < class.floor || server.entry.state != ServerState::Ready {
+            return Some(Bar::Never);
+        }
+        if !self.holders(&session.request).contains(&to) || session.attempts >= self.set.max_attempts {
+            return Some(Bar::Never);
+        }
+        if let Some((ran, sent)) = session.ran {
+            let same = |get: fn(&ServerEntry) -> u32| {
+                self.servers.get(&ran).is_some_and(|s| get(&s.entry) == get(&server.entry))
+            };
+            let known = match class.group {
+                Group::All => true,
+                Group::Zone => same(|entry| entry.zone),
+                Group::Cell => same(|entry| entry.cell),
+            };
+            match class.effect {
+                Effect::Safe => {}
+                Effect::Deduplicated if known && self.now < sent + class.window => {}
+                _ => return Some(Bar::Never),
+            }
+        }
+        if class.seats > 0 {
+            let title = (session.request.title, session.request.class);
+            let same = |s: &&Session| s.at.is_some() && (s.request.title, s.request.class) == title;
+            if self.sessions.values().filter(same).count() >= class.seats {
+                return Some(Bar::Never);
+            }
+        }
+        if let (Some(budget), true) = (self.set.budget, session.attempts > 0) {
+            let recent =
+                |row: &VecDeque<Micros>| row.iter().filter(|at| **at + budget.window > self.now).count();
+            let further = self.further.iter().filter(|at| **at + budget.window >= self.now).count();
+            if (further + 1) as f64 > budget.free + budget.share * recent(&self.taken) as f64 {
+                return Some(Bar::Never);
+            }
+        }
+        self.pace(to).map(Bar::Until)
+    }
+
+    /// Sends the session, if no rule bars it.
+    fn send(&mut self, id: &SessionId, to: ServerId, out: &mut Vec<Action>) {
+        if self.barred(id, to).is_some() {
+            return self.no_holder(id, out);
+        }
+        let rung = self.fit(id, to, out);
+        let kb = self.kb(id, rung);
+        let now = self.now;
+        let slot = self.cold_turn(to).map(|(slot, _)| slot);
+        let Some(session) = self.sessions.get_mut(id) else {
+            return;
+        };
+        let Some(class) = self.set.classes.get(session.request.class) else {
+            return;
+        };
+        let to_aim = (session.taken + class.aim).saturating_sub(now);
+        let whole = session.deadline.saturating_sub(now);
+        // A time-out of a safe attempt leaves time for another within the aim; one that cannot be sent again
+        // ends with the aim, since a later start earns nothing and a later failure is priced.
+        let time_out = match class.effect {
+            Effect::Once => to_aim,
+            _ if session.attempts + 1 >= self.set.max_attempts => to_aim,
+            _ => ((class.aim as f64 * ATTEMPT_PART) as Micros).min(to_aim),
+        };
+        let time_out = if time_out < class.aim / 5 { class.aim } else { time_out }.min(whole);
+        if session.attempts > 0 {
+            self.further.push_back(now);
+        }
+        session.attempts += 1;
+        session.at = Some(to);
+        session.sent = now;
+        session.rung = rung;
+        session.wait_until = None;
+        session.tried.push(to);
+        if let Some(server) = self.servers.get_mut(&to) {
+            server.cold_slot = slot.or(server.cold_slot);
+        }
+        self.add(to, kb);
+        out.push(Action::SetRung(id.clone(), rung));
+        out.push(Action::SetUp(id.clone(), to, time_out));
+    }
+
+    /// No holder may be sent the session now: it waits for its turn at a cold one within its aim, or is refused.
+    fn no_holder(&mut self, id: &SessionId, out: &mut Vec<Action>) {
+        let Some(session) = self.sessions.get(id) else {
+            return;
+        };
+        let aim = self.set.classes.get(session.request.class).map_or(0, |class| class.aim);
+        let last = (session.taken + aim / 2).min(session.deadline.saturating_sub(ANSWER_MARGIN));
+        let turns =
+            self.holders(&session.request).into_iter().filter_map(|server| match self.barred(id, server) {
+                Some(Bar::Until(at)) if at < last && self.tier(server) < 2 => Some(at),
+                _ => None,
+            });
+        let Some(turn) = turns.min() else {
+            return self.refuse(id, out);
+        };
+        if let Some(session) = self.sessions.get_mut(id) {
+            session.wait_until = Some(turn);
+        }
+        out.push(Action::WakeAt(1, turn));
+    }
+
+    /// The final answer: a refusal with a hold-off, or a failure where a set-up may have run that must not be
+    /// offered again.
+    fn refuse(&mut self, id: &SessionId, out: &mut Vec<Action>) {
+        let Some(session) = self.sessions.get_mut(id) else {
+            return;
+        };
+        if session.answered || session.playing.is_some() {
+            return;
+        }
+        let class = self.set.classes.get(session.request.class);
+        let may_have_run = session.ran.is_some() || session.at.is_some();
+        let harmless = class.is_none_or(|class| match class.effect {
+            Effect::Safe => true,
+            Effect::Deduplicated => class.group == Group::All,
+            Effect::Once => false,
+        });
+        session.answered = true;
+        let over = session.at.is_none();
+        out.push(if harmless || !may_have_run {
+            Action::Refuse(id.clone(), self.set.max_hold_off)
+        } else {
+            Action::Fail(id.clone())
+        });
+        if over {
+            self.sessions.remove(id);
+        }
+    }
+
+    // ---- Load account ----
+
+    /// Load of a server as REM sees it: of its link or of its rack's uplink, whichever is fuller.
+    fn load(&self, id: ServerId) -> f64 {
+        self.link_load(id).max(self.rack_of(id).map_or(0.0, |rack| self.rack_load(rack)))
+    }
+
+    /// Share of the told link that is asked: the latest report, and own changes since.
+    fn link_load(&self, id: ServerId) -> f64 {
+        let Some(server) = self.servers.get(&id) else {
+            return 0.0;
+        };
+        let link = self.link(server);
+        match server.asked {
+            Some((asked, at)) => {
+                let since: f64 = server.changes.iter().filter(|c| c.0 > at).map(|c| c.1).sum();
+                (asked + since / link).max(server.own_kb / link * 0.7)
+            }
+            None => server.own_kb * f64::from(self.set.fronts.max(1)) / link,
+        }
+    }
+
+    fn link(&self, server: &Server) -> f64 {
+        let cold = self.cold(server).is_some();
+        server.link_kb.max(1.0) * if cold { self.set.cold_from.clamp(0.1, 1.0) } else { 1.0 }
+    }
+
+    fn rack_of(&self, id: ServerId) -> Option<usize> {
+        self.servers.get(&id).map(|s| s.entry.rack(self.set.racks))?
+    }
+
+    fn uplink(&self, rack: usize) -> f64 {
+        self.racks.get(rack).map_or(1.0, |r| (self.set.uplink_kb * r.scale).max(1.0))
+    }
+
+    /// Share of the rack's uplink that is asked: measured where it is told, else summed over its links.
+    fn rack_load(&self, rack: usize) -> f64 {
+        let Some(state) = self.racks.get(rack) else {
+            return 0.0;
+        };
+        if self.set.uplink_kb <= 0.0 {
+            return 0.0;
+        }
+        let members = self.servers.iter().filter(|(_, s)| s.entry.rack(self.set.racks) == Some(rack));
+        match state.asked {
+            Some((asked, at)) => {
+                let since = |s: &Server| s.changes.iter().filter(|c| c.0 > at).map(|c| c.1).sum::<f64>();
+                asked + members.map(|(_, s)| since(s)).sum::<f64>() / self.uplink(rack)
+            }
+            None => {
+                members.map(|(id, s)| self.link_load(*id) * self.link(s)).sum::<f64>() / self.uplink(rack)
+            }
+        }
+    }
+
+    /// Books a change of own demand at a server.
+    fn add(&mut self, id: ServerId, kb: f64) {
+        let now = self.now;
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.own_kb = (server.own_kb + kb).max(0.0);
+            server.changes.push_back((now, kb));
+            while server.changes.front().is_some_and(|c| c.0 + 30 * SECOND < now) {
+                server.changes.pop_front();
+            }
+        }
+    }
+
+    /// Takes in a figure on a link as it was at a moment.
+    fn hear_link(&mut self, id: ServerId, asked: f64, at: Micros) {
+        if let Some(server) = self.servers.get_mut(&id) {
+            if asked.is_finite() && server.asked.is_none_or(|old| old.1 <= at) {
+                server.asked = Some((asked.clamp(0.0, 10.0), at));
+            }
+        }
+    }
+
+    fn hear_uplink(&mut self, id: ServerId, asked: f64, at: Micros) {
+        let Some(rack) = self.rack_of(id).and_then(|rack| self.racks.get_mut(rack)) else {
+            return;
+        };
+        if asked.is_finite() && rack.asked.is_none_or(|old| old.1 <= at) {
+            rack.asked = Some((asked.clamp(0.0, 10.0), at));
+        }
+    }
+
+    /// Takes in a load report that came with an answer.
+    fn hear_report(&mut self, id: ServerId, report: &[f64]) {
+        let at = self.now.saturating_sub(REPORT_AGE);
+        for (field, value) in self.set.reports.clone().into_iter().zip(report.iter().copied()) {
+            match field {
+                // A capped figure at its cap hides by how much the link is over.
+                ReportField::LinkCapped if value >= SHORT => {
+                    let known = self.link_load(id);
+                    self.hear_link(id, known.max(1.0), at);
+                }
+                ReportField::LinkCapped | ReportField::Link => self.hear_link(id, value, at),
+                ReportField::Uplink => self.hear_uplink(id, value, at),
+                ReportField::Streams | ReportField::Other => {}
+            }
+        }
+    }
+
+    /// Short delivery: the link is over by that much, or if it is known not to be full, the rack's uplink.
+    fn hear_delivered(&mut self, id: ServerId, share: f64) {
+        let at = self.now.saturating_sub(self.set.note_age);
+        if !(0.01..SHORT).contains(&share) {
+            return;
+        }
+        let over = 1.0 / share;
+        let fresh = self.set.note_every * 2 + SECOND;
+        let seen =
+            self.servers.get(&id).and_then(|s| s.asked).is_some_and(|asked| asked.1 + fresh > self.now);
+        match self.rack_of(id) {
+            Some(rack) if seen && self.link_load(id) < 0.97 => {
+                let measured = self.racks.get(rack).is_some_and(|r| r.asked.is_some());
+                let load = self.rack_load(rack);
+                if let (false, Some(state)) = (measured, self.racks.get_mut(rack)) {
+                    if load < over {
+                        state.scale = (state.scale * load / over).clamp(0.4, 1.5);
+                    }
+                }
+            }
+            _ if self.link_load(id) < over => self.hear_link(id, over, at),
+            _ => {}
+        }
+    }
+
+    // ---- Rungs ----
+
+    fn floor(&self, id: &SessionId) -> usize {
+        let class = self.sessions.get(id).and_then(|s| self.set.classes.get(s.request.class));
+        class.map_or(0, |class| class.floor)
+    }
+
+    fn top(&self, session: &Session) -> usize {
+        let class = self.set.classes.get(session.request.class).map_or(0, |class| class.top);
+        session.request.top_rung.min(class).min(self.set.ladder.len().saturating_sub(1))
+    }
+
+    /// Rate of the session at a rung.
+    fn kb(&self, id: &SessionId, rung: usize) -> f64 {
+        self.sessions.get(id).map_or(0.0, |session| self.rate(session, rung))
+    }
+
+    fn rate(&self, session: &Session, rung: usize) -> f64 {
+        let factor = self.set.classes.get(session.request.class).map_or(1.0, |class| class.rate_factor);
+        self.set.ladder.get(rung).map_or(0.0, |r| r.kb * factor)
+    }
+
+    /// Worth of a second at a rung.
+    fn worth(&self, session: &Session, rung: usize) -> f64 {
+        let gain = self.set.classes.get(session.request.class).map_or(1.0, |class| class.gain);
+        self.set.ladder.get(rung).map_or(0.0, |r| r.worth * gain)
+    }
+
+    /// Seconds that the session is expected to play yet.
+    fn left(&self, session: &Session) -> f64 {
+        let mean = self.lengths.get(session.request.class).copied().unwrap_or(LENGTH);
+        let age = (self.now - session.playing.unwrap_or(self.now)) as f64 / SECOND as f64;
+        match session.request.length {
+            // A hint is rough: a session past it plays on for a while.
+            Some(length) => (length as f64 / SECOND as f64 - age).max(0.15 * mean),
+            None => mean,
+        }
+    }
+
+    /// Worth for each kB between a rung and the next above, a second.
+    fn slope(&self, session: &Session, rung: usize) -> f64 {
+        let kb = self.rate(session, rung + 1) - self.rate(session, rung);
+        (self.worth(session, rung + 1) - self.worth(session, rung)) / kb.max(1.0)
+    }
+
+    fn link_room(&self, id: ServerId, aim: f64) -> f64 {
+        self.servers.get(&id).map_or(0.0, |s| (aim - self.link_load(id)) * self.link(s))
+    }
+
+    /// kB a second that server and rack can take below a share.
+    fn room(&self, id: ServerId, aim: f64) -> f64 {
+        let rack = self.rack_of(id).map_or(f64::MAX, |rack| (aim - self.rack_load(rack)) * self.uplink(rack));
+        self.link_room(id, aim).min(rack)
+    }
+
+    fn can_free(&self, at: ServerId) -> f64 {
+        let there = self.sessions.iter().filter(|(_, s)| s.at == Some(at) && s.playing.is_some());
+        there.map(|(id, s)| self.rate(s, s.rung) - self.rate(s, self.floor(id))).sum()
+    }
+
+    /// The own playing session whose step down loses the least worth for each kB, and that loss.
+    fn cheapest(&self, within: impl Fn(&Session) -> bool) -> Option<(SessionId, f64)> {
+        let steps = self
+            .sessions
+            .iter()
+            .filter(|(id, s)| s.playing.is_some() && !s.moving && s.rung > self.floor(id) && within(s));
+        let loss = |s: &Session| {
+            let gain = self.set.classes.get(s.request.class).map_or(1.0, |class| class.gain);
+            let kb = self.rate(s, s.rung) - self.rate(s, s.rung - 1);
+            self.slope(s, s.rung - 1) + gain * self.set.change_cost_s / self.left(s).max(1.0) / kb.max(1.0)
+        };
+        let losses = steps.map(|(id, s)| (id, loss(s)));
+        losses.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(id, loss)| (id.clone(), loss))
+    }
+
+    /// The rung for a newcomer: as high as the room allows, with room made by sessions that earn less for it.
+    fn fit(&mut self, id: &SessionId, to: ServerId, out: &mut Vec<Action>) -> usize {
+        let mut rung = self.floor(id);
+        let mut room = self.room(to, AIM) - self.kb(id, rung);
+        loop {
+            let Some(session) = self.sessions.get(id) else {
+                return rung;
+            };
+            let fits = room >= 0.0;
+            let next = self.kb(id, rung + 1) - self.kb(id, rung);
+            let value = self.slope(session, rung);
+            if fits && rung >= self.top(session) {
+                return rung;
+            }
+            if fits && next <= room {
+                rung += 1;
+                room -= next;
+                continue;
+            }
+            match self.cheapest(|s| s.at == Some(to)) {
+                Some((other, loss)) if !fits || loss * PUSH < value => room += self.step(&other, false, out),
+                _ => return rung,
+            }
+        }
+    }
+
+    /// Steps a playing session by one rung; the demand that this frees.
+    fn step(&mut self, id: &SessionId, up: bool, out: &mut Vec<Action>) -> f64 {
+        let Some(session) = self.sessions.get(id) else {
+            return 0.0;
+        };
+        let to = if up { session.rung + 1 } else { session.rung.saturating_sub(1) };
+        let (Some(at), before) = (session.at, self.kb(id, session.rung)) else {
+            return 0.0;
+        };
+        if to > self.top(session) || to < self.floor(id) {
+            return 0.0;
+        }
+        let change = self.kb(id, to) - before;
+        if let Some(session) = self.sessions.get_mut(id) {
+            session.rung = to;
+        }
+        self.add(at, change);
+        out.push(Action::SetRung(id.clone(), to));
+        -change
+    }
+
+    /// Steps own sessions down where a link or uplink is too full. All fronts hear of it at the same time, so
+    /// each takes only its own sessions' share of the excess.
+    fn relieve(&mut self, at: ServerId, out: &mut Vec<Action>) {
+        let load = self.link_load(at);
+        if load > HIGH {
+            let own = self.servers.get(&at).map_or(0.0, |s| s.own_kb);
+            self.step_down(own * (1.0 - AIM / load), load > 1.0, |_, s| s == at, out);
+        }
+        let Some(rack) = self.rack_of(at) else { return };
+        let load = self.rack_load(rack);
+        if load > HIGH {
+            let members = self.servers.values().filter(|s| s.entry.rack(self.set.racks) == Some(rack));
+            let own: f64 = members.map(|s| s.own_kb).sum();
+            let inside = |brain: &Brain, s: ServerId| brain.rack_of(s) == Some(rack);
+            self.step_down(own * (1.0 - AIM / load), load > 1.0, inside, out);
+        }
+    }
+
+    fn step_down(
+        &mut self,
+        mut need: f64,
+        short: bool,
+        inside: impl Fn(&Brain, ServerId) -> bool,
+        out: &mut Vec<Action>,
+    ) {
+        while need > 0.0 {
+            let Some((id, _)) = self.cheapest(|s| s.at.is_some_and(|at| inside(self, at))) else {
+                return;
+            };
+            let Some(session) = self.sessions.get(&id) else {
+                return;
+            };
+            let frees = self.kb(&id, session.rung) - self.kb(&id, session.rung - 1);
+            // A part of a step is drawn for, so that the fronts together free what is needed.
+            let draw = f64::from(self.rng.next_u32()) / 4_294_967_296.0;
+            if !short && need < frees * draw {
+                return;
+            }
+            need -= self.step(&id, false, out);
+        }
+    }
+
+    /// Steps own sessions up where there is lasting room and the time left pays for the change.
+    fn raise(&mut self, out: &mut Vec<Action>) {
+        let fronts = f64::from(self.set.fronts.max(1));
+        for at in self.servers.keys().copied().collect::<Vec<_>>() {
+            let Some(server) = self.servers.get(&at) else {
+                continue;
+            };
+            let heard = server.asked.is_some_and(|asked| asked.1 > server.stepped_up);
+            if !heard || server.entry.state != ServerState::Ready || self.load(at) > LOW {
+                continue;
+            }
+            let room = self.room(at, AIM);
+            let gain = |(id, s): (&SessionId, &Session)| {
+                let class = self.set.classes.get(s.request.class)?;
+                let kb = self.rate(s, s.rung + 1) - self.rate(s, s.rung);
+                let more = (self.worth(s, s.rung + 1) - self.worth(s, s.rung)) * self.left(s);
+                let pays = more > STEP_PAYS * self.set.change_cost_s * class.gain;
+                let able = s.playing.is_some() && !s.moving && s.at == Some(at) && s.rung < self.top(s);
+                (able && pays && kb <= room).then(|| (id.clone(), kb, self.slope(s, s.rung)))
+            };
+            let best = self.sessions.iter().filter_map(gain).max_by(|a, b| a.2.total_cmp(&b.2));
+            let Some((id, kb, _)) = best else { continue };
+            let draw = f64::from(self.rng.next_u32()) / 4_294_967_296.0;
+            if let Some(server) = self.servers.get_mut(&at) {
+                server.stepped_up = self.now;
+            }
+            if room / fronts > kb * draw {
+                self.step(&id, true, out);
+            }
+        }
+    }
+
+    // ---- Health ----
+
+    /// 0: trusted; 1: has failed not long ago; 2: out for now.
+    fn tier(&self, id: ServerId) -> u32 {
+        let Some(server) = self.servers.get(&id) else {
+            return 2;
+        };
+        if server.out_until > self.now {
+            2
+        } else {
+            u32::from(server.failures > 0 && server.failed_at.is_some_and(|at| at + DOUBT > self.now))
+        }
+    }
+
+    /// One record of trouble from all that ends badly: errors, silence, broken connections.
+    fn failed(&mut self, id: ServerId, down: bool) {
+        let now = self.now;
+        let Some(server) = self.servers.get_mut(&id) else {
+            return;
+        };
+        server.failures = (server.failures + 1).min(8);
+        server.failed_at = Some(now);
+        let time = (OUT_FIRST << (server.failures - 1).min(4)).min(OUT_LONGEST);
+        server.out_until = server.out_until.max(now + time);
+        if down {
+            // It may be back at any time, and cold: what the list says of its age is void.
+            server.cold_since = Some(now);
+        }
+    }
+
+    fn worked(&mut self, id: ServerId) {
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.failures = server.failures.saturating_sub(1);
+            server.out_until = 0;
+        }
+    }
+
+    // ---- Pace of cold servers ----
+
+    /// When the warm-up of a server began, if it may be cold.
+    fn cold(&self, server: &Server) -> Option<Micros> {
+        let told = server.entry.started.or(if self.unsure { Some(self.now) } else { None });
+        let since = server.cold_since.max(told);
+        since.filter(|at| at + self.set.warm_up > self.now)
+    }
+
+    /// The slot of a cold server that is now, and its length. The fronts take slots in turn by their place, so
+    /// that together they stay within half the pace that makes it fall, without a word between them.
+    fn cold_turn(&self, id: ServerId) -> Option<(Micros, Micros)> {
+        let server = self.servers.get(&id)?;
+        self.cold(server)?;
+        let kind = server.entry.kind as usize;
+        let streams = self.set.kind_streams.get(kind).copied().unwrap_or(1).max(1);
+        let pace =
+            f64::from(streams) * self.set.cold_from.max(0.05) * (self.set.fall_multiple / 2.0).max(0.5);
+        let slot = ((self.set.warm_up as f64 / pace) as Micros).max(1);
+        Some((self.now / slot, slot))
+    }
+
+    /// When this front may next send to the server, if not now.
+    fn pace(&self, id: ServerId) -> Option<Micros> {
+        let (now, length) = self.cold_turn(id)?;
+        let server = self.servers.get(&id)?;
+        let fronts = u64::from(self.set.fronts.max(1));
+        let place = u64::from(self.set.place) % fronts;
+        if now % fronts == place && server.cold_slot != Some(now) {
+            return None;
+        }
+        let ahead = (place + fronts - now % fronts) % fronts;
+        Some((now + if ahead == 0 { fronts } else { ahead }) * length)
+    }
+
+    // ---- Events ----
+
+    /// Takes in one event; what is to be done is added to `out`.
+    pub fn handle(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        match event {
+            Event::Servers(kind, entries) => self.list(*kind, entries, out),
+            Event::Request(request) => {
+                self.taken.push_back(self.now);
+                let session = Session::new(request, self.now);
+                self.sessions.insert(request.session.clone(), session);
+                self.place(&request.session, out);
+            }
+            Event::Resumed(request, server) => {
+                let mut session = Session::new(request, self.now);
+                session.at = Some(*server);
+                session.attempts = 1;
+                session.playing = Some(self.now);
+                self.sessions.insert(request.session.clone(), session);
+                let rung = self.floor(&request.session);
+                self.set_known_rung(&request.session, rung, 0.0);
+                self.unsure = false;
+            }
+            Event::Started { session, server, .. } => {
+                self.worked(*server);
+                if let Some(session) = self.sessions.get_mut(session) {
+                    session.playing = Some(self.now);
+                }
+            }
+            Event::Ended { session, attempt, server, outcome, last, report } => {
+                self.hear_report(*server, report);
+                self.ended(session, *attempt, *outcome, *last, out);
+                self.relieve(*server, out);
+            }
+            Event::Left(id) => {
+                if let Some(session) = self.sessions.get_mut(id) {
+                    session.answered = true;
+                    if session.at.is_none() {
+                        self.sessions.remove(id);
+                    }
+                }
+            }
+            Event::Note { session, server, note } => {
+                let fresh = self.sessions.get(session).is_some_and(|s| s.playing == Some(self.now));
+                let at = if fresh { self.now } else { self.now.saturating_sub(self.set.note_age) };
+                match note {
+                    Note::Delivered(share) => self.hear_delivered(*server, *share),
+                    Note::Rung(rung) => {
+                        let before = self.sessions.get(session).map_or(0.0, |s| self.rate(s, s.rung));
+                        self.set_known_rung(session, *rung, before);
+                    }
+                    Note::Link(asked) => self.hear_link(*server, *asked, at),
+                    Note::Uplink(asked) => self.hear_uplink(*server, *asked, at),
+                }
+                self.relieve(*server, out);
+            }
+            Event::Probed { server, report, .. } => self.hear_report(*server, report),
+            Event::Peer(_) => {}
+            Event::Wake(tag) => self.tick(*tag, out),
+        }
+        if !self.ticking {
+            self.ticking = true;
+            out.push(Action::WakeAt(0, self.now + TICK));
+        }
+    }
+
+    fn set_known_rung(&mut self, id: &SessionId, rung: usize, before: f64) {
+        let Some(session) = self.sessions.get_mut(id) else {
+            return;
+        };
+        session.rung = rung;
+        if let Some(at) = session.at {
+            let kb = self.kb(id, rung);
+            self.add(at, kb - before);
+        }
+    }
+
+    fn ended(&mut self, id: &SessionId, attempt: u32, outcome: Outcome, last: bool, out: &mut Vec<Action>) {
+        let Some(session) = self.sessions.get_mut(id) else {
+            return;
+        };
+        let (Some(at), true) = (session.at, attempt + 1 == session.attempts) else {
+            return;
+        };
+        let (playing, answered) = (session.playing, session.answered);
+        session.at = None;
+        if !outcome.never_ran() {
+            session.ran = Some((at, session.sent));
+        }
+        let (class, rung) = (session.request.class, session.rung);
+        let kb = self.kb(id, rung);
+        self.add(at, -kb);
+        let draining = self.servers.get(&at).is_some_and(|s| s.entry.state != ServerState::Ready);
+        match outcome {
+            Outcome::Ok => {
+                if let (Some(since), Some(mean)) = (playing, self.lengths.get_mut(class)) {
+                    *mean += 0.05 * ((self.now - since) as f64 / SECOND as f64 - *mean);
+                }
+            }
+            Outcome::Full => {
+                let known = self.link_load(at);
+                if !draining && self.set.refuses_from > 0.0 {
+                    self.hear_link(at, known.max(self.set.refuses_from), self.now);
+                } else {
+                    self.failed(at, false);
+                }
+            }
+            Outcome::Failed => self.failed(at, false),
+            Outcome::TimedOut | Outcome::NoConnection | Outcome::Broken if !draining => self.failed(at, true),
+            _ => {}
+        }
+        if playing.is_some() || last || answered {
+            self.sessions.remove(id);
+        } else {
+            self.place(id, out);
+        }
+    }
+
+    fn list(&mut self, kind: ListKind, entries: &[ServerEntry], out: &mut Vec<Action>) {
+        if kind == ListKind::Lost {
+            out.push(Action::WakeAt(2, self.now + SECOND / 2));
+            return;
+        }
+        if kind == ListKind::Remembered {
+            if self.set.list_on_demand {
+                out.push(Action::FollowList);
+            }
+        } else {
+            self.unsure = false;
+        }
+        if kind != ListKind::Changes {
+            let listed = |id: &ServerId| entries.iter().any(|entry| entry.server == *id);
+            self.servers.retain(|id, _| listed(id));
+        }
+        for entry in entries {
+            if entry.state == ServerState::Gone {
+                self.servers.remove(&entry.server);
+                continue;
+            }
+            let link_kb = (entry.units * self.set.link_kb_per_unit).max(1.0);
+            let server =
+                self.servers.entry(entry.server).or_insert_with(|| Server::new(entry.clone(), link_kb));
+            let restarted = entry.started > server.entry.started;
+            if restarted {
+                // A new process: what was known of the old one does not count.
+                *server = Server::new(entry.clone(), link_kb);
+            }
+            server.link_kb = link_kb;
+            server.entry = entry.clone();
+        }
+    }
+
+    fn tick(&mut self, tag: u64, out: &mut Vec<Action>) {
+        if tag == 2 {
+            out.push(Action::FollowList);
+            return;
+        }
+        let due = |s: &Session| s.wait_until.is_some_and(|at| at <= self.now);
+        let waiting: Vec<SessionId> =
+            self.sessions.iter().filter(|(_, s)| due(s)).map(|(id, _)| id.clone()).collect();
+        for id in waiting {
+            self.place(&id, out);
+        }
+        if tag == 0 {
+            self.ticking = false;
+            self.raise(out);
+            let now = self.now;
+            self.plans.retain(|_, plan| plan.1 + SESSION_MOVE_SPACING > now);
+            let window = self.set.budget.map_or(0, |budget| budget.window);
+            for row in [&mut self.taken, &mut self.further] {
+                while row.front().is_some_and(|at| at + window < now) {
+                    row.pop_front();
+                }
+            }
+        }
+    }
+}
+
+impl Server {
+    fn new(entry: ServerEntry, link_kb: f64) -> Self {
+        Server {
+            entry,
+            link_kb,
+            asked: None,
+            changes: VecDeque::new(),
+            own_kb: 0.0,
+            stepped_up: 0,
+            moved_at: None,
+            failures: 0,
+            failed_at: None,
+            out_until: 0,
+            cold_since: None,
+            cold_slot: None,
+        }
+    }
+}
+
+impl Session {
+    fn new(request: &Request, now: Micros) -> Self {
+        Session {
+            request: request.clone(),
+            taken: now,
+            deadline: now + request.patience,
+            rung: 0,
+            attempts: 0,
+            at: None,
+            playing: None,
+            tried: Vec::new(),
+            ran: None,
+            sent: now,
+            answered: false,
+            wait_until: None,
+            moving: false,
+        }
+    }
+}
