Figures of a moment count once

Cause: short delivery was counted against the rack's present load again with each note, and each front went on stepping down until its own share alone had cured the whole excess.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -70,6 +70,8 @@
     changes: VecDeque<(Micros, f64)>,
     own_kb: f64,
     stepped_up: Micros,
+    /// When own sessions were last stepped down here; older figures don't count again.
+    relieved: Micros,
     moved_at: Option<Micros>,
     failures: u32,
     failed_at: Option<Micros>,
@@ -81,8 +83,10 @@
 
 struct Rack {
     asked: Option<(f64, Micros)>,
-    /// What its uplink carries over what is told of the mean; learnt from short delivery.
+    /// What its uplink carries over what is told of the mean; learnt from short delivery, and when.
     scale: f64,
+    short_at: Micros,
+    relieved: Micros,
 }
 
 struct Session {
@@ -124,7 +128,8 @@
 impl Brain {
     /// A front that has just started and knows nothing but its settings.
     pub fn new(set: Settings, seed: u64) -> Self {
-        let racks = (0..set.racks).map(|_| Rack { asked: None, scale: 1.0 }).collect();
+        let racks =
+            (0..set.racks).map(|_| Rack { asked: None, scale: 1.0, short_at: 0, relieved: 0 }).collect();
         let lengths = vec![LENGTH; set.classes.len()];
         Brain {
             set,
@@ -427,6 +432,10 @@
         self.racks.get(rack).map_or(1.0, |r| (self.set.uplink_kb * r.scale).max(1.0))
     }
 
+    fn members(&self, rack: usize) -> impl Iterator<Item = (&ServerId, &Server)> {
+        self.servers.iter().filter(move |(_, s)| s.entry.rack(self.set.racks) == Some(rack))
+    }
+
     /// Share of the rack's uplink that is asked: measured where it is told, else summed over its links.
     fn rack_load(&self, rack: usize) -> f64 {
         let Some(state) = self.racks.get(rack) else {
@@ -435,7 +444,7 @@
         if self.set.uplink_kb <= 0.0 {
             return 0.0;
         }
-        let members = self.servers.iter().filter(|(_, s)| s.entry.rack(self.set.racks) == Some(rack));
+        let members = self.members(rack);
         match state.asked {
             Some((asked, at)) => {
                 let since = |s: &Server| s.changes.iter().filter(|c| c.0 > at).map(|c| c.1).sum::<f64>();
@@ -506,11 +515,17 @@
             self.servers.get(&id).and_then(|s| s.asked).is_some_and(|asked| asked.1 + fresh > self.now);
         match self.rack_of(id) {
             Some(rack) if seen && self.link_load(id) < 0.97 => {
-                let measured = self.racks.get(rack).is_some_and(|r| r.asked.is_some());
-                let load = self.rack_load(rack);
-                if let (false, Some(state)) = (measured, self.racks.get_mut(rack)) {
-                    if load < over {
+                let since: f64 = self
+                    .members(rack)
+                    .flat_map(|(_, s)| s.changes.iter())
+                    .filter(|c| c.0 > at)
+                    .map(|c| c.1)
+                    .sum();
+                let load = self.rack_load(rack) - since / self.uplink(rack);
+                if let Some(state) = self.racks.get_mut(rack) {
+                    if state.asked.is_none() && at > state.relieved {
                         state.scale = (state.scale * load / over).clamp(0.4, 1.5);
+                        state.short_at = at;
                     }
                 }
             }
@@ -645,17 +660,24 @@
     /// each takes only its own sessions' share of the excess.
     fn relieve(&mut self, at: ServerId, out: &mut Vec<Action>) {
         let load = self.link_load(at);
-        if load > HIGH {
-            let own = self.servers.get(&at).map_or(0.0, |s| s.own_kb);
-            self.step_down(own * (1.0 - AIM / load), load > 1.0, |_, s| s == at, out);
+        let Some(server) = self.servers.get(&at) else { return };
+        if load > HIGH && server.asked.is_some_and(|asked| asked.1 > server.relieved) {
+            self.step_down(server.own_kb * (1.0 - AIM / load), load > 1.0, |_, s| s == at, out);
+            if let Some(server) = self.servers.get_mut(&at) {
+                server.relieved = self.now;
+            }
         }
         let Some(rack) = self.rack_of(at) else { return };
-        let load = self.rack_load(rack);
-        if load > HIGH {
-            let members = self.servers.values().filter(|s| s.entry.rack(self.set.racks) == Some(rack));
-            let own: f64 = members.map(|s| s.own_kb).sum();
+        let (load, summed) = (self.rack_load(rack), self.set.note_every + self.set.note_age);
+        let Some(state) = self.racks.get(rack) else { return };
+        let heard = state.asked.map_or(state.short_at.max(self.now.saturating_sub(summed)), |asked| asked.1);
+        if load > HIGH && heard > state.relieved {
+            let own: f64 = self.members(rack).map(|(_, s)| s.own_kb).sum();
             let inside = |brain: &Brain, s: ServerId| brain.rack_of(s) == Some(rack);
             self.step_down(own * (1.0 - AIM / load), load > 1.0, inside, out);
+            if let Some(state) = self.racks.get_mut(rack) {
+                state.relieved = self.now;
+            }
         }
     }
 
@@ -954,6 +976,12 @@
             self.ticking = false;
             self.raise(out);
             let now = self.now;
+            for rack in &mut self.racks {
+                // Nothing short for a while: the uplink may carry more than was thought.
+                if rack.short_at + 4 * SECOND < now && rack.scale < 1.0 {
+                    rack.scale += 0.001;
+                }
+            }
             self.plans.retain(|_, plan| plan.1 + SESSION_MOVE_SPACING > now);
             let window = self.set.budget.map_or(0, |budget| budget.window);
             for row in [&mut self.taken, &mut self.further] {
@@ -974,6 +1002,7 @@
             changes: VecDeque::new(),
             own_kb: 0.0,
             stepped_up: 0,
+            relieved: 0,
             moved_at: None,
             failures: 0,
             failed_at: None,
