One change of rung for any number of steps; a dwell before a step up

Cause: a change costs the same for one rung or three, and rungs that follow every report swing. Full places no longer count as link load.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,7 +3,7 @@
 //! Read from the top: REM, then the guarded send and answer paths, the load account, the rungs, health,
 //! the pace of cold servers, and last the events. A front's `Brain` knows only what its own events told it.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -35,9 +35,13 @@
 /// Under this delivered share a link or uplink is short.
 const SHORT: f64 = 0.98;
 /// A newcomer may push a playing session down if it earns this many times more for each kB.
-const PUSH: f64 = 1.4;
+const PUSH: f64 = 2.0;
 /// A step up must earn this many times what the change costs.
 const STEP_PAYS: f64 = 2.5;
+/// No step up so soon after another change; a rung that swings costs at each turn.
+const DWELL: Micros = 8 * SECOND;
+/// Share up to which steps up may fill a link or uplink.
+const RAISE_TO: f64 = 0.84;
 /// Expected length of a session in seconds until sessions have been seen to end.
 const LENGTH: f64 = 30.0;
 /// Age of a load report that comes with an answer: refreshed now and then, and under way.
@@ -46,6 +50,8 @@
 const OUT_FIRST: Micros = 2 * SECOND;
 /// Longest time out: a server that has healed is found again within this.
 const OUT_LONGEST: Micros = 8 * SECOND;
+/// A server that turned a set-up away is sent others last for this long.
+const FULL: Micros = SECOND;
 /// A server is doubted this long after its last failure.
 const DOUBT: Micros = 15 * SECOND;
 /// Part of the aim that an attempt gets while another could follow within the aim.
@@ -74,6 +80,7 @@
     relieved: Micros,
     moved_at: Option<Micros>,
     failures: u32,
+    full_until: Micros,
     failed_at: Option<Micros>,
     out_until: Micros,
     /// Start of its warm-up where it is told, seen or feared.
@@ -105,6 +112,8 @@
     answered: bool,
     wait_until: Option<Micros>,
     moving: bool,
+    /// Latest change of its rung.
+    changed: Micros,
 }
 
 /// The session controller of one front.
@@ -123,6 +132,8 @@
     /// True until the list is known to be fresh: servers of unknown age count as cold.
     unsure: bool,
     ticking: bool,
+    /// Sessions stepped by the event in hand; each is told once, whatever the number of steps.
+    stepped: BTreeSet<SessionId>,
 }
 
 impl Brain {
@@ -144,6 +155,7 @@
             further: VecDeque::new(),
             unsure: true,
             ticking: false,
+            stepped: BTreeSet::new(),
         }
     }
 
@@ -237,7 +249,8 @@
         let free =
             self.holders(&session.request).into_iter().filter(|server| self.barred(id, *server).is_none());
         let rank = |server: &ServerId| {
-            let again = u32::from(session.tried.contains(server));
+            let full = self.servers.get(server).is_some_and(|s| s.full_until > self.now);
+            let again = u32::from(full || session.tried.contains(server));
             let away = self.servers.get(server).is_some_and(|s| s.entry.zone != self.set.zone);
             let bias = if away { self.set.cross_price } else { 0.0 };
             (self.tier(*server), again, self.load(*server) + bias)
@@ -311,7 +324,7 @@
         if self.barred(id, to).is_some() {
             return self.no_holder(id, out);
         }
-        let rung = self.fit(id, to, out);
+        let rung = self.fit(id, to);
         let kb = self.kb(id, rung);
         let now = self.now;
         let slot = self.cold_turn(to).map(|(slot, _)| slot);
@@ -603,14 +616,16 @@
         let loss = |s: &Session| {
             let gain = self.set.classes.get(s.request.class).map_or(1.0, |class| class.gain);
             let kb = self.rate(s, s.rung) - self.rate(s, s.rung - 1);
-            self.slope(s, s.rung - 1) + gain * self.set.change_cost_s / self.left(s).max(1.0) / kb.max(1.0)
+            // The change is paid once for any number of steps.
+            let change = if s.changed == self.now { 0.0 } else { gain * self.set.change_cost_s };
+            self.slope(s, s.rung - 1) + change / self.left(s).max(1.0) / kb.max(1.0)
         };
         let losses = steps.map(|(id, s)| (id, loss(s)));
         losses.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(id, loss)| (id.clone(), loss))
     }
 
     /// The rung for a newcomer: as high as the room allows, with room made by sessions that earn less for it.
-    fn fit(&mut self, id: &SessionId, to: ServerId, out: &mut Vec<Action>) -> usize {
+    fn fit(&mut self, id: &SessionId, to: ServerId) -> usize {
         let mut rung = self.floor(id);
         let mut room = self.room(to, AIM) - self.kb(id, rung);
         loop {
@@ -629,40 +644,36 @@
                 continue;
             }
             match self.cheapest(|s| s.at == Some(to)) {
-                Some((other, loss)) if !fits || loss * PUSH < value => room += self.step(&other, false, out),
+                Some((other, loss)) if !fits || loss * PUSH < value => {
+                    let lower = self.sessions.get(&other).map_or(0, |s| s.rung.saturating_sub(1));
+                    room += self.step(&other, lower)
+                }
                 _ => return rung,
             }
         }
     }
 
-    /// Steps a playing session by one rung; the demand that this frees.
-    fn step(&mut self, id: &SessionId, up: bool, out: &mut Vec<Action>) -> f64 {
-        let Some(session) = self.sessions.get(id) else {
-            return 0.0;
-        };
-        let to = if up { session.rung + 1 } else { session.rung.saturating_sub(1) };
-        let (Some(at), before) = (session.at, self.kb(id, session.rung)) else {
-            return 0.0;
-        };
-        if to > self.top(session) || to < self.floor(id) {
-            return 0.0;
-        }
-        let change = self.kb(id, to) - before;
-        if let Some(session) = self.sessions.get_mut(id) {
-            session.rung = to;
+    /// Sets another rung for a playing session; the demand that this frees.
+    fn step(&mut self, id: &SessionId, to: usize) -> f64 {
+        let (freed, now) =
+            (self.sessions.get(id).map_or(0.0, |s| self.rate(s, s.rung) - self.rate(s, to)), self.now);
+        let Some(session) = self.sessions.get_mut(id) else { return 0.0 };
+        session.rung = to;
+        session.changed = now;
+        if let Some(at) = session.at {
+            self.add(at, -freed);
         }
-        self.add(at, change);
-        out.push(Action::SetRung(id.clone(), to));
-        -change
+        self.stepped.insert(id.clone());
+        freed
     }
 
     /// Steps own sessions down where a link or uplink is too full. All fronts hear of it at the same time, so
     /// each takes only its own sessions' share of the excess.
-    fn relieve(&mut self, at: ServerId, out: &mut Vec<Action>) {
+    fn relieve(&mut self, at: ServerId) {
         let load = self.link_load(at);
         let Some(server) = self.servers.get(&at) else { return };
         if load > HIGH && server.asked.is_some_and(|asked| asked.1 > server.relieved) {
-            self.step_down(server.own_kb * (1.0 - AIM / load), load > 1.0, |_, s| s == at, out);
+            self.step_down(server.own_kb * (1.0 - AIM / load), load > 1.0, |_, s| s == at);
             if let Some(server) = self.servers.get_mut(&at) {
                 server.relieved = self.now;
             }
@@ -674,20 +685,14 @@
         if load > HIGH && heard > state.relieved {
             let own: f64 = self.members(rack).map(|(_, s)| s.own_kb).sum();
             let inside = |brain: &Brain, s: ServerId| brain.rack_of(s) == Some(rack);
-            self.step_down(own * (1.0 - AIM / load), load > 1.0, inside, out);
+            self.step_down(own * (1.0 - AIM / load), load > 1.0, inside);
             if let Some(state) = self.racks.get_mut(rack) {
                 state.relieved = self.now;
             }
         }
     }
 
-    fn step_down(
-        &mut self,
-        mut need: f64,
-        short: bool,
-        inside: impl Fn(&Brain, ServerId) -> bool,
-        out: &mut Vec<Action>,
-    ) {
+    fn step_down(&mut self, mut need: f64, short: bool, inside: impl Fn(&Brain, ServerId) -> bool) {
         while need > 0.0 {
             let Some((id, _)) = self.cheapest(|s| s.at.is_some_and(|at| inside(self, at))) else {
                 return;
@@ -701,12 +706,13 @@
             if !short && need < frees * draw {
                 return;
             }
-            need -= self.step(&id, false, out);
+            let lower = session.rung - 1;
+            need -= self.step(&id, lower);
         }
     }
 
     /// Steps own sessions up where there is lasting room and the time left pays for the change.
-    fn raise(&mut self, out: &mut Vec<Action>) {
+    fn raise(&mut self) {
         let fronts = f64::from(self.set.fronts.max(1));
         for at in self.servers.keys().copied().collect::<Vec<_>>() {
             let Some(server) = self.servers.get(&at) else {
@@ -716,23 +722,26 @@
             if !heard || server.entry.state != ServerState::Ready || self.load(at) > LOW {
                 continue;
             }
-            let room = self.room(at, AIM);
-            let gain = |(id, s): (&SessionId, &Session)| {
+            let room = self.room(at, RAISE_TO);
+            let step = |(id, s): (&SessionId, &Session)| {
                 let class = self.set.classes.get(s.request.class)?;
-                let kb = self.rate(s, s.rung + 1) - self.rate(s, s.rung);
-                let more = (self.worth(s, s.rung + 1) - self.worth(s, s.rung)) * self.left(s);
-                let pays = more > STEP_PAYS * self.set.change_cost_s * class.gain;
-                let able = s.playing.is_some() && !s.moving && s.at == Some(at) && s.rung < self.top(s);
-                (able && pays && kb <= room).then(|| (id.clone(), kb, self.slope(s, s.rung)))
+                let kb = |rung| self.rate(s, rung) - self.rate(s, s.rung);
+                let fits = |rung: &usize| kb(*rung) <= room;
+                let to = (s.rung + 1..=self.top(s)).take_while(fits).last()?;
+                let more = self.worth(s, to) - self.worth(s, s.rung);
+                let pays = more * self.left(s) > STEP_PAYS * self.set.change_cost_s * class.gain;
+                let able =
+                    s.playing.is_some() && !s.moving && s.at == Some(at) && s.changed + DWELL < self.now;
+                (able && pays).then(|| (id.clone(), to, kb(to), more / kb(to).max(1.0)))
             };
-            let best = self.sessions.iter().filter_map(gain).max_by(|a, b| a.2.total_cmp(&b.2));
-            let Some((id, kb, _)) = best else { continue };
+            let best = self.sessions.iter().filter_map(step).max_by(|a, b| a.3.total_cmp(&b.3));
+            let Some((id, to, kb, _)) = best else { continue };
             let draw = f64::from(self.rng.next_u32()) / 4_294_967_296.0;
             if let Some(server) = self.servers.get_mut(&at) {
                 server.stepped_up = self.now;
             }
             if room / fronts > kb * draw {
-                self.step(&id, true, out);
+                self.step(&id, to);
             }
         }
     }
@@ -841,7 +850,7 @@
             Event::Ended { session, attempt, server, outcome, last, report } => {
                 self.hear_report(*server, report);
                 self.ended(session, *attempt, *outcome, *last, out);
-                self.relieve(*server, out);
+                self.relieve(*server);
             }
             Event::Left(id) => {
                 if let Some(session) = self.sessions.get_mut(id) {
@@ -863,12 +872,17 @@
                     Note::Link(asked) => self.hear_link(*server, *asked, at),
                     Note::Uplink(asked) => self.hear_uplink(*server, *asked, at),
                 }
-                self.relieve(*server, out);
+                self.relieve(*server);
             }
             Event::Probed { server, report, .. } => self.hear_report(*server, report),
             Event::Peer(_) => {}
             Event::Wake(tag) => self.tick(*tag, out),
         }
+        for id in std::mem::take(&mut self.stepped) {
+            if let Some(session) = self.sessions.get(&id) {
+                out.push(Action::SetRung(id, session.rung));
+            }
+        }
         if !self.ticking {
             self.ticking = true;
             out.push(Action::WakeAt(0, self.now + TICK));
@@ -908,12 +922,15 @@
                     *mean += 0.05 * ((self.now - since) as f64 / SECOND as f64 - *mean);
                 }
             }
+            Outcome::Full if draining => self.failed(at, false),
             Outcome::Full => {
+                // Its link is full, or if that is known not to be so, its places are.
                 let known = self.link_load(at);
-                if !draining && self.set.refuses_from > 0.0 {
+                if self.set.refuses_from > 0.0 && known > HIGH * self.set.refuses_from {
                     self.hear_link(at, known.max(self.set.refuses_from), self.now);
-                } else {
-                    self.failed(at, false);
+                }
+                if let Some(server) = self.servers.get_mut(&at) {
+                    server.full_until = self.now + FULL;
                 }
             }
             Outcome::Failed => self.failed(at, false),
@@ -974,7 +991,7 @@
         }
         if tag == 0 {
             self.ticking = false;
-            self.raise(out);
+            self.raise();
             let now = self.now;
             for rack in &mut self.racks {
                 // Nothing short for a while: the uplink may carry more than was thought.
@@ -1005,6 +1022,7 @@
             relieved: 0,
             moved_at: None,
             failures: 0,
+            full_until: 0,
             failed_at: None,
             out_until: 0,
             cold_since: None,
@@ -1029,6 +1047,7 @@
             answered: false,
             wait_until: None,
             moving: false,
+            changed: 0,
         }
     }
 }
