--- a/src/brain.rs
+++ b/src/brain.rs
@@ -13,9 +13,9 @@
 /// One second.
 const SECOND: Micros = 1_000_000;
 /// REM's Min.th, share of the link: over the rungs' aim, so that moves stay the answer to a lasting crowd.
-const MIN_TH: f64 = 0.92;
+const MIN_TH: f64 = 0.8;
 /// REM's Max.th, share of the link: just past the point from which delivery falls short.
-const MAX_TH: f64 = 1.06;
+const MAX_TH: f64 = 1.0;
 /// REM's p_max where a move is free; the told price of a move takes from it.
 const P_MAX: f64 = 0.8;
 /// One move per server in this time: the load account must see the last one first.
@@ -31,15 +31,13 @@
 /// From this share on playing sessions are stepped down to `AIM`.
 const HIGH: f64 = 0.96;
 /// Below this share playing sessions may be stepped up; the gap to `AIM` is the hysteresis.
-const LOW: f64 = 0.80;
+const LOW: f64 = 0.72;
 /// Under this delivered share a link or uplink is short.
 const SHORT: f64 = 0.98;
-/// A newcomer may push a playing session down if it earns this many times more for each kB.
-const PUSH: f64 = 2.0;
 /// A step up must earn this many times what the change costs.
-const STEP_PAYS: f64 = 2.5;
+const STEP_PAYS: f64 = 5.0;
 /// No step up so soon after another change; a rung that swings costs at each turn.
-const DWELL: Micros = 8 * SECOND;
+const DWELL: Micros = 15 * SECOND;
 /// Share up to which steps up may fill a link or uplink.
 const RAISE_TO: f64 = 0.84;
 /// Expected length of a session in seconds until sessions have been seen to end.
@@ -73,7 +71,9 @@
     /// Share asked of the link as last heard, and the moment it speaks of.
     asked: Option<(f64, Micros)>,
     /// Own changes of demand, kB a second.
-    changes: VecDeque<(Micros, f64)>,
+    changes: VecDeque<(Micros, f64, i32)>,
+    /// Streams that it ran as last reported, and when.
+    streams: Option<(f64, Micros)>,
     own_kb: f64,
     stepped_up: Micros,
     /// When own sessions were last stepped down here; older figures don't count again.
@@ -194,7 +194,7 @@
         if draw < self.move_probability(load) && !self.shift(chosen, out) && load >= 1.0 {
             // No move possible and full: refused, unless the rungs there can make the room.
             let room = self.link_room(chosen, 1.0) + self.can_free(chosen);
-            if room < self.kb(id, self.floor(id)) {
+            if self.places(chosen) >= 1.0 || room < self.kb(id, self.floor(id)) {
                 return self.refuse(id, out);
             }
         }
@@ -249,8 +249,7 @@
         let free =
             self.holders(&session.request).into_iter().filter(|server| self.barred(id, *server).is_none());
         let rank = |server: &ServerId| {
-            let full = self.servers.get(server).is_some_and(|s| s.full_until > self.now);
-            let again = u32::from(full || session.tried.contains(server));
+            let again = u32::from(session.tried.contains(server));
             let away = self.servers.get(server).is_some_and(|s| s.entry.zone != self.set.zone);
             let bias = if away { self.set.cross_price } else { 0.0 };
             (self.tier(*server), again, self.load(*server) + bias)
@@ -356,7 +355,7 @@
         if let Some(server) = self.servers.get_mut(&to) {
             server.cold_slot = slot.or(server.cold_slot);
         }
-        self.add(to, kb);
+        self.add(to, kb, 1);
         out.push(Action::SetRung(id.clone(), rung));
         out.push(Action::SetUp(id.clone(), to, time_out));
     }
@@ -414,7 +413,24 @@
 
     /// Load of a server as REM sees it: of its link or of its rack's uplink, whichever is fuller.
     fn load(&self, id: ServerId) -> f64 {
-        self.link_load(id).max(self.rack_of(id).map_or(0.0, |rack| self.rack_load(rack)))
+        self.link_load(id).max(self.rack_of(id).map_or(0.0, |rack| self.rack_load(rack))).max(self.places(id))
+    }
+
+    /// Share of its places that a server has in use: full if it said so just now, else as reported with own
+    /// changes since, else by own sessions.
+    fn places(&self, id: ServerId) -> f64 {
+        let Some(server) = self.servers.get(&id) else { return 0.0 };
+        let Some(places) = self.set.kind_streams.get(server.entry.kind as usize) else { return 0.0 };
+        let own = self.sessions.values().filter(|s| s.at == Some(id)).count() as f64;
+        let used = match server.streams {
+            _ if server.full_until > self.now => return 1.0,
+            Some((used, at)) => {
+                let since = server.changes.iter().filter(|c| c.0 > at);
+                used + since.map(|c| f64::from(c.2)).sum::<f64>()
+            }
+            None => own,
+        };
+        used.max(own) / f64::from((*places).max(1))
     }
 
     /// Share of the told link that is asked: the latest report, and own changes since.
@@ -470,11 +486,11 @@
     }
 
     /// Books a change of own demand at a server.
-    fn add(&mut self, id: ServerId, kb: f64) {
+    fn add(&mut self, id: ServerId, kb: f64, streams: i32) {
         let now = self.now;
         if let Some(server) = self.servers.get_mut(&id) {
             server.own_kb = (server.own_kb + kb).max(0.0);
-            server.changes.push_back((now, kb));
+            server.changes.push_back((now, kb, streams));
             while server.changes.front().is_some_and(|c| c.0 + 30 * SECOND < now) {
                 server.changes.pop_front();
             }
@@ -511,7 +527,12 @@
                 }
                 ReportField::LinkCapped | ReportField::Link => self.hear_link(id, value, at),
                 ReportField::Uplink => self.hear_uplink(id, value, at),
-                ReportField::Streams | ReportField::Other => {}
+                ReportField::Streams => {
+                    if let Some(server) = self.servers.get_mut(&id) {
+                        server.streams = Some((value, at));
+                    }
+                }
+                ReportField::Other => {}
             }
         }
     }
@@ -634,7 +655,6 @@
             };
             let fits = room >= 0.0;
             let next = self.kb(id, rung + 1) - self.kb(id, rung);
-            let value = self.slope(session, rung);
             if fits && rung >= self.top(session) {
                 return rung;
             }
@@ -644,7 +664,7 @@
                 continue;
             }
             match self.cheapest(|s| s.at == Some(to)) {
-                Some((other, loss)) if !fits || loss * PUSH < value => {
+                Some((other, _)) if !fits => {
                     let lower = self.sessions.get(&other).map_or(0, |s| s.rung.saturating_sub(1));
                     room += self.step(&other, lower)
                 }
@@ -661,7 +681,7 @@
         session.rung = to;
         session.changed = now;
         if let Some(at) = session.at {
-            self.add(at, -freed);
+            self.add(at, -freed, 0);
         }
         self.stepped.insert(id.clone());
         freed
@@ -896,7 +916,7 @@
         session.rung = rung;
         if let Some(at) = session.at {
             let kb = self.kb(id, rung);
-            self.add(at, kb - before);
+            self.add(at, kb - before, 0);
         }
     }
 
@@ -914,7 +934,7 @@
         }
         let (class, rung) = (session.request.class, session.rung);
         let kb = self.kb(id, rung);
-        self.add(at, -kb);
+        self.add(at, -kb, -1);
         let draining = self.servers.get(&at).is_some_and(|s| s.entry.state != ServerState::Ready);
         match outcome {
             Outcome::Ok => {
@@ -1017,6 +1037,7 @@
             link_kb,
             asked: None,
             changes: VecDeque::new(),
+            streams: None,
             own_kb: 0.0,
             stepped_up: 0,
             relieved: 0,
