--- a/src/brain.rs
+++ b/src/brain.rs
@@ -34,6 +34,8 @@
 const LOW: f64 = 0.72;
 /// Under this delivered share a link or uplink is short.
 const SHORT: f64 = 0.98;
+/// Notes of short delivery come once a second: one older than this is over.
+const NOTE_GAP: Micros = 3 * SECOND / 2;
 /// A step up must earn this many times what the change costs.
 const STEP_PAYS: f64 = 5.0;
 /// No step up so soon after another change; a rung that swings costs at each turn.
@@ -72,6 +74,8 @@
     asked: Option<(f64, Micros)>,
     /// Own changes of demand, kB a second.
     changes: VecDeque<(Micros, f64, i32)>,
+    /// Share delivered as last heard while short, and when.
+    short: Option<(f64, Micros)>,
     /// Streams that it ran as last reported, and when.
     streams: Option<(f64, Micros)>,
     own_kb: f64,
@@ -537,34 +541,36 @@
         }
     }
 
-    /// Short delivery: the link is over by that much, or if it is known not to be full, the rack's uplink.
+    /// Short delivery: a rack's uplink is short for all its servers at once, a link alone. A single server that
+    /// stays short is over, whatever its reports say: they may be late, frozen or wrong.
+    /// Danger: one slow link taken for a full rack starves the whole rack; the other way round costs one server.
     fn hear_delivered(&mut self, id: ServerId, share: f64) {
-        let at = self.now.saturating_sub(self.set.note_age);
-        if !(0.01..SHORT).contains(&share) {
+        let (at, now) = (self.now.saturating_sub(self.set.note_age), self.now);
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        let again = server.short.is_some_and(|(_, last)| last + NOTE_GAP > now && last < now);
+        server.short = (0.01..SHORT).contains(&share).then_some((share, now));
+        if server.short.is_none() {
             return;
         }
         let over = 1.0 / share;
-        let fresh = self.set.note_every * 2 + SECOND;
-        let seen =
-            self.servers.get(&id).and_then(|s| s.asked).is_some_and(|asked| asked.1 + fresh > self.now);
-        match self.rack_of(id) {
-            Some(rack) if seen && self.link_load(id) < 0.97 => {
-                let since: f64 = self
-                    .members(rack)
-                    .flat_map(|(_, s)| s.changes.iter())
-                    .filter(|c| c.0 > at)
-                    .map(|c| c.1)
-                    .sum();
-                let load = self.rack_load(rack) - since / self.uplink(rack);
-                if let Some(state) = self.racks.get_mut(rack) {
-                    if state.asked.is_none() && at > state.relieved {
-                        state.scale = (state.scale * load / over).clamp(0.4, 1.5);
-                        state.short_at = at;
-                    }
+        let Some(rack) = self.rack_of(id) else {
+            return self.hear_link(id, over.max(self.link_load(id)), at);
+        };
+        let using = self.members(rack).filter(|(_, s)| s.own_kb > 0.0).count();
+        let short = |s: &Server| s.short.is_some_and(|(_, last)| last + NOTE_GAP > now);
+        let short = self.members(rack).filter(|(_, s)| short(s)).count();
+        if short > 1 && short * 2 > using {
+            let changes = self.members(rack).flat_map(|(_, s)| s.changes.iter());
+            let since: f64 = changes.filter(|c| c.0 > at).map(|c| c.1).sum();
+            let load = self.rack_load(rack) - since / self.uplink(rack);
+            if let Some(state) = self.racks.get_mut(rack) {
+                if state.asked.is_none() && at > state.relieved {
+                    state.scale = (state.scale * load / over).clamp(0.4, 1.5);
+                    state.short_at = at;
                 }
             }
-            _ if self.link_load(id) < over => self.hear_link(id, over, at),
-            _ => {}
+        } else if self.link_load(id) < over && (again || self.link_load(id) > 0.9) {
+            self.hear_link(id, over, at);
         }
     }
 
@@ -1016,7 +1022,7 @@
             for rack in &mut self.racks {
                 // Nothing short for a while: the uplink may carry more than was thought.
                 if rack.short_at + 4 * SECOND < now && rack.scale < 1.0 {
-                    rack.scale += 0.001;
+                    rack.scale += 0.002;
                 }
             }
             self.plans.retain(|_, plan| plan.1 + SESSION_MOVE_SPACING > now);
@@ -1037,6 +1043,7 @@
             link_kb,
             asked: None,
             changes: VecDeque::new(),
+            short: None,
             streams: None,
             own_kb: 0.0,
             stepped_up: 0,
