--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,6 +26,8 @@
 const MOVE_WORTHY: f64 = 12.0;
 /// A plan for a moved viewer is kept this long: well over the gap of any move.
 const PLAN_KEPT: Micros = 5 * SECOND;
+/// From this share and a move's price on, a server whose rungs are all down sheds a session: stalls cost more.
+const SHED: f64 = 1.05;
 /// Share of link or uplink that rungs are fitted to; the rest is for rates that vary by the second.
 const AIM: f64 = 0.88;
 /// From this share on playing sessions are stepped down to `AIM`.
@@ -569,7 +571,10 @@
                     state.short_at = at;
                 }
             }
-        } else if self.link_load(id) < over && (again || self.link_load(id) > 0.9) {
+        } else if self.link_load(id) < over
+            && self.rack_load(rack) < HIGH
+            && (again || self.link_load(id) > 0.9)
+        {
             self.hear_link(id, over, at);
         }
     }
@@ -695,11 +700,16 @@
 
     /// Steps own sessions down where a link or uplink is too full. All fronts hear of it at the same time, so
     /// each takes only its own sessions' share of the excess.
-    fn relieve(&mut self, at: ServerId) {
+    fn relieve(&mut self, at: ServerId, out: &mut Vec<Action>) {
         let load = self.link_load(at);
         let Some(server) = self.servers.get(&at) else { return };
         if load > HIGH && server.asked.is_some_and(|asked| asked.1 > server.relieved) {
-            self.step_down(server.own_kb * (1.0 - AIM / load), load > 1.0, |_, s| s == at);
+            let left = self.step_down(server.own_kb * (1.0 - AIM / load), load > 1.0, |_, s| s == at);
+            // Exception to REM: the ladder is used up and the link still short, so one session moves as it would
+            // above Max.th, though no newcomer has come. Danger: a crowd on few holders starves all of them.
+            if left > 0.0 && load >= SHED + self.set.move_price {
+                self.shift(at, out);
+            }
             if let Some(server) = self.servers.get_mut(&at) {
                 server.relieved = self.now;
             }
@@ -718,23 +728,20 @@
         }
     }
 
-    fn step_down(&mut self, mut need: f64, short: bool, inside: impl Fn(&Brain, ServerId) -> bool) {
+    fn step_down(&mut self, mut need: f64, short: bool, inside: impl Fn(&Brain, ServerId) -> bool) -> f64 {
         while need > 0.0 {
-            let Some((id, _)) = self.cheapest(|s| s.at.is_some_and(|at| inside(self, at))) else {
-                return;
-            };
-            let Some(session) = self.sessions.get(&id) else {
-                return;
-            };
+            let Some((id, _)) = self.cheapest(|s| s.at.is_some_and(|at| inside(self, at))) else { break };
+            let Some(session) = self.sessions.get(&id) else { break };
             let frees = self.kb(&id, session.rung) - self.kb(&id, session.rung - 1);
             // A part of a step is drawn for, so that the fronts together free what is needed.
             let draw = f64::from(self.rng.next_u32()) / 4_294_967_296.0;
             if !short && need < frees * draw {
-                return;
+                return 0.0;
             }
             let lower = session.rung - 1;
             need -= self.step(&id, lower);
         }
+        need
     }
 
     /// Steps own sessions up where there is lasting room and the time left pays for the change.
@@ -876,7 +883,7 @@
             Event::Ended { session, attempt, server, outcome, last, report } => {
                 self.hear_report(*server, report);
                 self.ended(session, *attempt, *outcome, *last, out);
-                self.relieve(*server);
+                self.relieve(*server, out);
             }
             Event::Left(id) => {
                 if let Some(session) = self.sessions.get_mut(id) {
@@ -898,7 +905,7 @@
                     Note::Link(asked) => self.hear_link(*server, *asked, at),
                     Note::Uplink(asked) => self.hear_uplink(*server, *asked, at),
                 }
-                self.relieve(*server);
+                self.relieve(*server, out);
             }
             Event::Probed { server, report, .. } => self.hear_report(*server, report),
             Event::Peer(_) => {}
