--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,6 +36,12 @@
 const LOW: f64 = 0.72;
 /// Under this delivered share a link or uplink is short.
 const SHORT: f64 = 0.98;
+/// From this load on an uplink that delivers in full is taken to carry more than was thought.
+const LEARN_FROM: f64 = 0.90;
+/// How fast, as a share of the told uplink per tick.
+const LEARN: f64 = 0.01;
+/// An uplink must have delivered in full for so long.
+const QUIET: Micros = 3 * SECOND;
 /// Notes of short delivery come once a second: one older than this is over.
 const NOTE_GAP: Micros = 3 * SECOND / 2;
 /// A step up must earn this many times what the change costs.
@@ -721,7 +727,12 @@
         if load > HIGH && heard > state.relieved {
             let own: f64 = self.members(rack).map(|(_, s)| s.own_kb).sum();
             let inside = |brain: &Brain, s: ServerId| brain.rack_of(s) == Some(rack);
-            self.step_down(own * (1.0 - AIM / load), load > 1.0, inside);
+            let left = self.step_down(own * (1.0 - AIM / load), load > 1.0, inside);
+            if left > 0.0 && load >= SHED + self.set.move_price {
+                for server in self.members(rack).map(|(id, _)| *id).collect::<Vec<_>>() {
+                    self.shift(server, out);
+                }
+            }
             if let Some(state) = self.racks.get_mut(rack) {
                 state.relieved = self.now;
             }
@@ -855,6 +866,9 @@
 
     /// Takes in one event; what is to be done is added to `out`.
     pub fn handle(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
+        if self.now == 0 {
+            self.racks.iter_mut().for_each(|rack| rack.short_at = now);
+        }
         self.now = self.now.max(now);
         match event {
             Event::Servers(kind, entries) => self.list(*kind, entries, out),
@@ -1026,10 +1040,12 @@
             self.ticking = false;
             self.raise();
             let now = self.now;
-            for rack in &mut self.racks {
-                // Nothing short for a while: the uplink may carry more than was thought.
-                if rack.short_at + 4 * SECOND < now && rack.scale < 1.0 {
-                    rack.scale += 0.002;
+            for at in 0..self.racks.len() {
+                // No short delivery for a while: the uplink carries what it is asked, and perhaps more.
+                let full = self.rack_load(at) > LEARN_FROM && self.members(at).any(|(_, s)| s.own_kb > 0.0);
+                let Some(rack) = self.racks.get_mut(at) else { continue };
+                if rack.short_at + QUIET < now && (full || rack.scale < 1.0) {
+                    rack.scale = (rack.scale + if full { LEARN } else { LEARN / 5.0 }).min(1.5);
                 }
             }
             self.plans.retain(|_, plan| plan.1 + SESSION_MOVE_SPACING > now);
