--- a/src/brain.rs
+++ b/src/brain.rs
@@ -9,6 +9,7 @@
 use rand_pcg::Pcg32;
 
 use crate::interface::*;
+use crate::state::{hear, Rack, Server, Session};
 
 /// One second.
 const SECOND: Micros = 1_000_000;
@@ -52,6 +53,13 @@
 const RAISE_TO: f64 = 0.84;
 /// Expected length of a session in seconds until sessions have been seen to end.
 const LENGTH: f64 = 30.0;
+/// An uplink is never taken to carry less or more than these multiples of the told mean.
+const SCALE_MIN: f64 = 0.4;
+const SCALE_MAX: f64 = 1.5;
+/// Own changes are kept this long; a figure on a link is never older while sessions play there.
+const CHANGES_KEPT: Micros = 30 * SECOND;
+/// A link carries at least this part of what own sessions ask of it: true rates lie under the ladder's too.
+const OWN_PART: f64 = 0.7;
 /// Age of a load report that comes with an answer: refreshed now and then, and under way.
 const REPORT_AGE: Micros = SECOND / 2;
 /// First time out for a server whose set-up failed; doubles with each further failure.
@@ -60,6 +68,8 @@
 const OUT_LONGEST: Micros = 8 * SECOND;
 /// A server that turned a set-up away is sent others last for this long.
 const FULL: Micros = SECOND;
+/// Part of the pace that makes a cold server fall which all fronts together may use.
+const COLD_PART: f64 = 0.5;
 /// A server is doubted this long after its last failure.
 const DOUBT: Micros = 15 * SECOND;
 /// Part of the aim that an attempt gets while another could follow within the aim.
@@ -75,59 +85,6 @@
     Until(Micros),
 }
 
-struct Server {
-    entry: ServerEntry,
-    link_kb: f64,
-    /// Share asked of the link as last heard, and the moment it speaks of.
-    asked: Option<(f64, Micros)>,
-    /// Own changes of demand, kB a second.
-    changes: VecDeque<(Micros, f64, i32)>,
-    /// Share delivered as last heard while short, and when.
-    short: Option<(f64, Micros)>,
-    /// Streams that it ran as last reported, and when.
-    streams: Option<(f64, Micros)>,
-    own_kb: f64,
-    stepped_up: Micros,
-    /// When own sessions were last stepped down here; older figures don't count again.
-    relieved: Micros,
-    moved_at: Option<Micros>,
-    failures: u32,
-    full_until: Micros,
-    failed_at: Option<Micros>,
-    out_until: Micros,
-    /// Start of its warm-up where it is told, seen or feared.
-    cold_since: Option<Micros>,
-    cold_slot: Option<Micros>,
-}
-
-struct Rack {
-    asked: Option<(f64, Micros)>,
-    /// What its uplink carries over what is told of the mean; learnt from short delivery, and when.
-    scale: f64,
-    short_at: Micros,
-    relieved: Micros,
-}
-
-struct Session {
-    request: Request,
-    taken: Micros,
-    deadline: Micros,
-    rung: usize,
-    attempts: u32,
-    /// The attempt that is out or plays: its place and server.
-    at: Option<ServerId>,
-    playing: Option<Micros>,
-    tried: Vec<ServerId>,
-    /// A set-up that may have run, and when it was sent.
-    ran: Option<(ServerId, Micros)>,
-    sent: Micros,
-    answered: bool,
-    wait_until: Option<Micros>,
-    moving: bool,
-    /// Latest change of its rung.
-    changed: Micros,
-}
-
 /// The session controller of one front.
 pub struct Brain {
     set: Settings,
@@ -151,8 +108,8 @@
 impl Brain {
     /// A front that has just started and knows nothing but its settings.
     pub fn new(set: Settings, seed: u64) -> Self {
-        let racks =
-            (0..set.racks).map(|_| Rack { asked: None, scale: 1.0, short_at: 0, relieved: 0 }).collect();
+        let rack = || Rack { scale: 1.0, ..Rack::default() };
+        let racks = (0..set.racks.min(set.cells)).map(|_| rack()).collect();
         let lengths = vec![LENGTH; set.classes.len()];
         Brain {
             set,
@@ -185,12 +142,14 @@
         }
     }
 
+    fn draw(&mut self) -> f64 {
+        f64::from(self.rng.next_u32()) / 4_294_967_296.0
+    }
+
     /// The ordinary path of a session: the least loaded holder, and REM's move when that one is loaded.
     fn place(&mut self, id: &SessionId, out: &mut Vec<Action>) {
-        let Some(session) = self.sessions.get(id) else {
-            return;
-        };
-        let viewer = session.request.viewer;
+        let Some(session) = self.sessions.get(id) else { return };
+        let (viewer, floor) = (session.request.viewer, self.rate(session, session.class.floor));
         let planned =
             self.plans.get(&viewer).filter(|plan| session.request.moved && plan.1 + PLAN_KEPT > self.now);
         if let Some((server, _)) = planned.copied() {
@@ -198,15 +157,13 @@
                 return self.send(id, server, out);
             }
         }
-        let Some(chosen) = self.least_loaded(id) else {
-            return self.no_holder(id, out);
-        };
+        let Some(chosen) = self.least_loaded(id) else { return self.no_holder(id, out) };
         let load = self.load(chosen);
-        let draw = f64::from(self.rng.next_u32()) / 4_294_967_296.0;
+        let draw = self.draw();
         if draw < self.move_probability(load) && !self.shift(chosen, out) && load >= 1.0 {
             // No move possible and full: refused, unless the rungs there can make the room.
             let room = self.link_room(chosen, 1.0) + self.can_free(chosen);
-            if self.places(chosen) >= 1.0 || room < self.kb(id, self.floor(id)) {
+            if self.places(chosen) >= 1.0 || room < floor {
                 return self.refuse(id, out);
             }
         }
@@ -215,9 +172,7 @@
 
     /// Moves one own session off the server to the least loaded holder below Min.th, if there is one.
     fn shift(&mut self, from: ServerId, out: &mut Vec<Action>) -> bool {
-        let Some(server) = self.servers.get(&from) else {
-            return false;
-        };
+        let Some(server) = self.servers.get(&from) else { return false };
         if server.moved_at.is_some_and(|at| at + MOVE_SPACING > self.now) {
             return false;
         }
@@ -230,7 +185,7 @@
             }
             let left = self.left(session);
             // The most demand for the longest time, at one price for any session.
-            let value = left * self.kb(id, session.rung);
+            let value = left * self.rate(session, session.rung);
             if left < MOVE_WORTHY || best.as_ref().is_some_and(|(most, _, _)| value <= *most) {
                 continue;
             }
@@ -243,9 +198,7 @@
             }
         }
         let Some((_, id, to)) = best else { return false };
-        let Some(session) = self.sessions.get_mut(&id) else {
-            return false;
-        };
+        let Some(session) = self.sessions.get_mut(&id) else { return false };
         session.moving = true;
         self.plans.insert(session.request.viewer, (to, self.now));
         if let Some(server) = self.servers.get_mut(&from) {
@@ -286,10 +239,7 @@
         let (Some(session), Some(server)) = (self.sessions.get(id), self.servers.get(&to)) else {
             return Some(Bar::Never);
         };
-        let Some(class) = self.set.classes.get(session.request.class) else {
-            return Some(Bar::Never);
-        };
-        let top = session.request.top_rung.min(class.top);
+        let (class, top) = (&session.class, self.top(session));
         let over = session.answered || session.at.is_some() || self.now >= session.deadline;
         if over || top < class.floor || server.entry.state != ServerState::Ready {
             return Some(Bar::Never);
@@ -336,15 +286,11 @@
             return self.no_holder(id, out);
         }
         let rung = self.fit(id, to);
-        let kb = self.kb(id, rung);
+        let kb = self.sessions.get(id).map_or(0.0, |s| self.rate(s, rung));
         let now = self.now;
         let slot = self.cold_turn(to).map(|(slot, _)| slot);
-        let Some(session) = self.sessions.get_mut(id) else {
-            return;
-        };
-        let Some(class) = self.set.classes.get(session.request.class) else {
-            return;
-        };
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        let class = &session.class;
         let to_aim = (session.taken + class.aim).saturating_sub(now);
         let whole = session.deadline.saturating_sub(now);
         // A time-out of a safe attempt leaves time for another within the aim; one that cannot be sent again
@@ -374,19 +320,15 @@
 
     /// No holder may be sent the session now: it waits for its turn at a cold one within its aim, or is refused.
     fn no_holder(&mut self, id: &SessionId, out: &mut Vec<Action>) {
-        let Some(session) = self.sessions.get(id) else {
-            return;
-        };
-        let aim = self.set.classes.get(session.request.class).map_or(0, |class| class.aim);
+        let Some(session) = self.sessions.get(id) else { return };
+        let aim = session.class.aim;
         let last = (session.taken + aim / 2).min(session.deadline.saturating_sub(ANSWER_MARGIN));
         let turns =
             self.holders(&session.request).into_iter().filter_map(|server| match self.barred(id, server) {
                 Some(Bar::Until(at)) if at < last && self.tier(server) < 2 => Some(at),
                 _ => None,
             });
-        let Some(turn) = turns.min() else {
-            return self.refuse(id, out);
-        };
+        let Some(turn) = turns.min() else { return self.refuse(id, out) };
         if let Some(session) = self.sessions.get_mut(id) {
             session.wait_until = Some(turn);
         }
@@ -396,19 +338,16 @@
     /// The final answer: a refusal with a hold-off, or a failure where a set-up may have run that must not be
     /// offered again.
     fn refuse(&mut self, id: &SessionId, out: &mut Vec<Action>) {
-        let Some(session) = self.sessions.get_mut(id) else {
-            return;
-        };
+        let Some(session) = self.sessions.get_mut(id) else { return };
         if session.answered || session.playing.is_some() {
             return;
         }
-        let class = self.set.classes.get(session.request.class);
         let may_have_run = session.ran.is_some() || session.at.is_some();
-        let harmless = class.is_none_or(|class| match class.effect {
+        let harmless = match session.class.effect {
             Effect::Safe => true,
-            Effect::Deduplicated => class.group == Group::All,
+            Effect::Deduplicated => session.class.group == Group::All,
             Effect::Once => false,
-        });
+        };
         session.answered = true;
         let over = session.at.is_none();
         out.push(if harmless || !may_have_run {
@@ -447,15 +386,10 @@
 
     /// Share of the told link that is asked: the latest report, and own changes since.
     fn link_load(&self, id: ServerId) -> f64 {
-        let Some(server) = self.servers.get(&id) else {
-            return 0.0;
-        };
+        let Some(server) = self.servers.get(&id) else { return 0.0 };
         let link = self.link(server);
         match server.asked {
-            Some((asked, at)) => {
-                let since: f64 = server.changes.iter().filter(|c| c.0 > at).map(|c| c.1).sum();
-                (asked + since / link).max(server.own_kb / link * 0.7)
-            }
+            Some((asked, at)) => (asked + server.since(at) / link).max(server.own_kb / link * OWN_PART),
             None => server.own_kb * f64::from(self.set.fronts.max(1)) / link,
         }
     }
@@ -479,21 +413,14 @@
 
     /// Share of the rack's uplink that is asked: measured where it is told, else summed over its links.
     fn rack_load(&self, rack: usize) -> f64 {
-        let Some(state) = self.racks.get(rack) else {
-            return 0.0;
-        };
+        let Some(state) = self.racks.get(rack) else { return 0.0 };
         if self.set.uplink_kb <= 0.0 {
             return 0.0;
         }
-        let members = self.members(rack);
+        let (members, uplink) = (self.members(rack), self.uplink(rack));
         match state.asked {
-            Some((asked, at)) => {
-                let since = |s: &Server| s.changes.iter().filter(|c| c.0 > at).map(|c| c.1).sum::<f64>();
-                asked + members.map(|(_, s)| since(s)).sum::<f64>() / self.uplink(rack)
-            }
-            None => {
-                members.map(|(id, s)| self.link_load(*id) * self.link(s)).sum::<f64>() / self.uplink(rack)
-            }
+            Some((asked, at)) => asked + members.map(|(_, s)| s.since(at)).sum::<f64>() / uplink,
+            None => members.map(|(id, s)| self.link_load(*id) * self.link(s)).sum::<f64>() / uplink,
         }
     }
 
@@ -503,7 +430,7 @@
         if let Some(server) = self.servers.get_mut(&id) {
             server.own_kb = (server.own_kb + kb).max(0.0);
             server.changes.push_back((now, kb, streams));
-            while server.changes.front().is_some_and(|c| c.0 + 30 * SECOND < now) {
+            while server.changes.front().is_some_and(|c| c.0 + CHANGES_KEPT < now) {
                 server.changes.pop_front();
             }
         }
@@ -512,18 +439,13 @@
     /// Takes in a figure on a link as it was at a moment.
     fn hear_link(&mut self, id: ServerId, asked: f64, at: Micros) {
         if let Some(server) = self.servers.get_mut(&id) {
-            if asked.is_finite() && server.asked.is_none_or(|old| old.1 <= at) {
-                server.asked = Some((asked.clamp(0.0, 10.0), at));
-            }
+            hear(&mut server.asked, asked, at);
         }
     }
 
     fn hear_uplink(&mut self, id: ServerId, asked: f64, at: Micros) {
-        let Some(rack) = self.rack_of(id).and_then(|rack| self.racks.get_mut(rack)) else {
-            return;
-        };
-        if asked.is_finite() && rack.asked.is_none_or(|old| old.1 <= at) {
-            rack.asked = Some((asked.clamp(0.0, 10.0), at));
+        if let Some(rack) = self.rack_of(id).and_then(|rack| self.racks.get_mut(rack)) {
+            hear(&mut rack.asked, asked, at);
         }
     }
 
@@ -541,7 +463,7 @@
                 ReportField::Uplink => self.hear_uplink(id, value, at),
                 ReportField::Streams => {
                     if let Some(server) = self.servers.get_mut(&id) {
-                        server.streams = Some((value, at));
+                        hear(&mut server.streams, value, at);
                     }
                 }
                 ReportField::Other => {}
@@ -568,12 +490,11 @@
         let short = |s: &Server| s.short.is_some_and(|(_, last)| last + NOTE_GAP > now);
         let short = self.members(rack).filter(|(_, s)| short(s)).count();
         if short > 1 && short * 2 > using {
-            let changes = self.members(rack).flat_map(|(_, s)| s.changes.iter());
-            let since: f64 = changes.filter(|c| c.0 > at).map(|c| c.1).sum();
+            let since: f64 = self.members(rack).map(|(_, s)| s.since(at)).sum();
             let load = self.rack_load(rack) - since / self.uplink(rack);
             if let Some(state) = self.racks.get_mut(rack) {
                 if state.asked.is_none() && at > state.relieved {
-                    state.scale = (state.scale * load / over).clamp(0.4, 1.5);
+                    state.scale = (state.scale * load / over).clamp(SCALE_MIN, SCALE_MAX);
                     state.short_at = at;
                 }
             }
@@ -587,30 +508,18 @@
 
     // ---- Rungs ----
 
-    fn floor(&self, id: &SessionId) -> usize {
-        let class = self.sessions.get(id).and_then(|s| self.set.classes.get(s.request.class));
-        class.map_or(0, |class| class.floor)
-    }
-
-    fn top(&self, session: &Session) -> usize {
-        let class = self.set.classes.get(session.request.class).map_or(0, |class| class.top);
-        session.request.top_rung.min(class).min(self.set.ladder.len().saturating_sub(1))
+    fn top(&self, s: &Session) -> usize {
+        s.request.top_rung.min(s.class.top).min(self.set.ladder.len().saturating_sub(1))
     }
 
     /// Rate of the session at a rung.
-    fn kb(&self, id: &SessionId, rung: usize) -> f64 {
-        self.sessions.get(id).map_or(0.0, |session| self.rate(session, rung))
-    }
-
-    fn rate(&self, session: &Session, rung: usize) -> f64 {
-        let factor = self.set.classes.get(session.request.class).map_or(1.0, |class| class.rate_factor);
-        self.set.ladder.get(rung).map_or(0.0, |r| r.kb * factor)
+    fn rate(&self, s: &Session, rung: usize) -> f64 {
+        self.set.ladder.get(rung).map_or(0.0, |r| r.kb * s.class.rate_factor)
     }
 
     /// Worth of a second at a rung.
-    fn worth(&self, session: &Session, rung: usize) -> f64 {
-        let gain = self.set.classes.get(session.request.class).map_or(1.0, |class| class.gain);
-        self.set.ladder.get(rung).map_or(0.0, |r| r.worth * gain)
+    fn worth(&self, s: &Session, rung: usize) -> f64 {
+        self.set.ladder.get(rung).map_or(0.0, |r| r.worth * s.class.gain)
     }
 
     /// Seconds that the session is expected to play yet.
@@ -641,8 +550,8 @@
     }
 
     fn can_free(&self, at: ServerId) -> f64 {
-        let there = self.sessions.iter().filter(|(_, s)| s.at == Some(at) && s.playing.is_some());
-        there.map(|(id, s)| self.rate(s, s.rung) - self.rate(s, self.floor(id))).sum()
+        let there = self.sessions.values().filter(|s| s.at == Some(at) && s.playing.is_some());
+        there.map(|s| self.rate(s, s.rung) - self.rate(s, s.class.floor)).sum()
     }
 
     /// The own playing session whose step down loses the least worth for each kB, and that loss.
@@ -650,12 +559,11 @@
         let steps = self
             .sessions
             .iter()
-            .filter(|(id, s)| s.playing.is_some() && !s.moving && s.rung > self.floor(id) && within(s));
+            .filter(|(_, s)| s.playing.is_some() && !s.moving && s.rung > s.class.floor && within(s));
         let loss = |s: &Session| {
-            let gain = self.set.classes.get(s.request.class).map_or(1.0, |class| class.gain);
             let kb = self.rate(s, s.rung) - self.rate(s, s.rung - 1);
             // The change is paid once for any number of steps.
-            let change = if s.changed == self.now { 0.0 } else { gain * self.set.change_cost_s };
+            let change = if s.changed == self.now { 0.0 } else { s.class.gain * self.set.change_cost_s };
             self.slope(s, s.rung - 1) + change / self.left(s).max(1.0) / kb.max(1.0)
         };
         let losses = steps.map(|(id, s)| (id, loss(s)));
@@ -664,29 +572,22 @@
 
     /// The rung for a newcomer: as high as the room allows, with room made by sessions that earn less for it.
     fn fit(&mut self, id: &SessionId, to: ServerId) -> usize {
-        let mut rung = self.floor(id);
-        let mut room = self.room(to, AIM) - self.kb(id, rung);
+        let Some(session) = self.sessions.get(id) else { return 0 };
+        let (top, mut rung) = (self.top(session), session.class.floor);
+        let rates: Vec<f64> = (0..=top).map(|rung| self.rate(session, rung)).collect();
+        let rate = |rung: usize| rates.get(rung).copied().unwrap_or(f64::MAX);
+        let mut room = self.room(to, AIM);
         loop {
-            let Some(session) = self.sessions.get(id) else {
-                return rung;
-            };
-            let fits = room >= 0.0;
-            let next = self.kb(id, rung + 1) - self.kb(id, rung);
-            if fits && rung >= self.top(session) {
-                return rung;
-            }
-            if fits && next <= room {
+            if rate(rung) <= room {
+                if rate(rung + 1) > room {
+                    return rung;
+                }
                 rung += 1;
-                room -= next;
                 continue;
             }
-            match self.cheapest(|s| s.at == Some(to)) {
-                Some((other, _)) if !fits => {
-                    let lower = self.sessions.get(&other).map_or(0, |s| s.rung.saturating_sub(1));
-                    room += self.step(&other, lower)
-                }
-                _ => return rung,
-            }
+            let Some((other, _)) = self.cheapest(|s| s.at == Some(to)) else { return rung };
+            let lower = self.sessions.get(&other).map_or(0, |s| s.rung.saturating_sub(1));
+            room += self.step(&other, lower);
         }
     }
 
@@ -743,13 +644,12 @@
         while need > 0.0 {
             let Some((id, _)) = self.cheapest(|s| s.at.is_some_and(|at| inside(self, at))) else { break };
             let Some(session) = self.sessions.get(&id) else { break };
-            let frees = self.kb(&id, session.rung) - self.kb(&id, session.rung - 1);
+            let lower = session.rung.saturating_sub(1);
+            let frees = self.rate(session, session.rung) - self.rate(session, lower);
             // A part of a step is drawn for, so that the fronts together free what is needed.
-            let draw = f64::from(self.rng.next_u32()) / 4_294_967_296.0;
-            if !short && need < frees * draw {
+            if !short && need < frees * self.draw() {
                 return 0.0;
             }
-            let lower = session.rung - 1;
             need -= self.step(&id, lower);
         }
         need
@@ -759,28 +659,25 @@
     fn raise(&mut self) {
         let fronts = f64::from(self.set.fronts.max(1));
         for at in self.servers.keys().copied().collect::<Vec<_>>() {
-            let Some(server) = self.servers.get(&at) else {
-                continue;
-            };
+            let Some(server) = self.servers.get(&at) else { continue };
             let heard = server.asked.is_some_and(|asked| asked.1 > server.stepped_up);
             if !heard || server.entry.state != ServerState::Ready || self.load(at) > LOW {
                 continue;
             }
             let room = self.room(at, RAISE_TO);
             let step = |(id, s): (&SessionId, &Session)| {
-                let class = self.set.classes.get(s.request.class)?;
                 let kb = |rung| self.rate(s, rung) - self.rate(s, s.rung);
                 let fits = |rung: &usize| kb(*rung) <= room;
                 let to = (s.rung + 1..=self.top(s)).take_while(fits).last()?;
                 let more = self.worth(s, to) - self.worth(s, s.rung);
-                let pays = more * self.left(s) > STEP_PAYS * self.set.change_cost_s * class.gain;
+                let pays = more * self.left(s) > STEP_PAYS * self.set.change_cost_s * s.class.gain;
                 let able =
                     s.playing.is_some() && !s.moving && s.at == Some(at) && s.changed + DWELL < self.now;
                 (able && pays).then(|| (id.clone(), to, kb(to), more / kb(to).max(1.0)))
             };
             let best = self.sessions.iter().filter_map(step).max_by(|a, b| a.3.total_cmp(&b.3));
             let Some((id, to, kb, _)) = best else { continue };
-            let draw = f64::from(self.rng.next_u32()) / 4_294_967_296.0;
+            let draw = self.draw();
             if let Some(server) = self.servers.get_mut(&at) {
                 server.stepped_up = self.now;
             }
@@ -794,9 +691,7 @@
 
     /// 0: trusted; 1: has failed not long ago; 2: out for now.
     fn tier(&self, id: ServerId) -> u32 {
-        let Some(server) = self.servers.get(&id) else {
-            return 2;
-        };
+        let Some(server) = self.servers.get(&id) else { return 2 };
         if server.out_until > self.now {
             2
         } else {
@@ -807,9 +702,7 @@
     /// One record of trouble from all that ends badly: errors, silence, broken connections.
     fn failed(&mut self, id: ServerId, down: bool) {
         let now = self.now;
-        let Some(server) = self.servers.get_mut(&id) else {
-            return;
-        };
+        let Some(server) = self.servers.get_mut(&id) else { return };
         server.failures = (server.failures + 1).min(8);
         server.failed_at = Some(now);
         let time = (OUT_FIRST << (server.failures - 1).min(4)).min(OUT_LONGEST);
@@ -836,30 +729,25 @@
         since.filter(|at| at + self.set.warm_up > self.now)
     }
 
-    /// The slot of a cold server that is now, and its length. The fronts take slots in turn by their place, so
-    /// that together they stay within half the pace that makes it fall, without a word between them.
-    fn cold_turn(&self, id: ServerId) -> Option<(Micros, Micros)> {
+    /// For a server that may be cold, the slot that is now and when this front may next send, if not in it. The
+    /// fronts take slots in turn by their place, so that together they stay within a part of the pace that makes
+    /// it fall, without a word between them.
+    fn cold_turn(&self, id: ServerId) -> Option<(Micros, Option<Micros>)> {
         let server = self.servers.get(&id)?;
         self.cold(server)?;
-        let kind = server.entry.kind as usize;
-        let streams = self.set.kind_streams.get(kind).copied().unwrap_or(1).max(1);
-        let pace =
-            f64::from(streams) * self.set.cold_from.max(0.05) * (self.set.fall_multiple / 2.0).max(0.5);
-        let slot = ((self.set.warm_up as f64 / pace) as Micros).max(1);
-        Some((self.now / slot, slot))
+        let streams = self.set.kind_streams.get(server.entry.kind as usize).copied().unwrap_or(1).max(1);
+        let multiple = (self.set.fall_multiple * COLD_PART).max(COLD_PART);
+        let pace = f64::from(streams) * self.set.cold_from.max(0.05) * multiple;
+        let length = ((self.set.warm_up as f64 / pace) as Micros).max(1);
+        let (slot, fronts) = (self.now / length, u64::from(self.set.fronts.max(1)));
+        let ahead = (u64::from(self.set.place) % fronts + fronts - slot % fronts) % fronts;
+        let wait = if ahead == 0 && server.cold_slot == Some(slot) { fronts } else { ahead };
+        Some((slot, (wait > 0).then_some((slot + wait) * length)))
     }
 
     /// When this front may next send to the server, if not now.
     fn pace(&self, id: ServerId) -> Option<Micros> {
-        let (now, length) = self.cold_turn(id)?;
-        let server = self.servers.get(&id)?;
-        let fronts = u64::from(self.set.fronts.max(1));
-        let place = u64::from(self.set.place) % fronts;
-        if now % fronts == place && server.cold_slot != Some(now) {
-            return None;
-        }
-        let ahead = (place + fronts - now % fronts) % fronts;
-        Some((now + if ahead == 0 { fronts } else { ahead }) * length)
+        self.cold_turn(id)?.1
     }
 
     // ---- Events ----
@@ -872,20 +760,21 @@
         self.now = self.now.max(now);
         match event {
             Event::Servers(kind, entries) => self.list(*kind, entries, out),
-            Event::Request(request) => {
-                self.taken.push_back(self.now);
-                let session = Session::new(request, self.now);
-                self.sessions.insert(request.session.clone(), session);
-                self.place(&request.session, out);
-            }
+            Event::Request(request) => match self.set.classes.get(request.class) {
+                None => out.push(Action::Refuse(request.session.clone(), self.set.max_hold_off)),
+                Some(class) => {
+                    self.taken.push_back(self.now);
+                    self.sessions.insert(request.session.clone(), Session::new(request, class, self.now));
+                    self.place(&request.session, out);
+                }
+            },
             Event::Resumed(request, server) => {
-                let mut session = Session::new(request, self.now);
-                session.at = Some(*server);
-                session.attempts = 1;
-                session.playing = Some(self.now);
+                let Some(class) = self.set.classes.get(request.class) else { return };
+                let mut session = Session::new(request, class, self.now);
+                (session.at, session.attempts, session.playing) = (Some(*server), 1, Some(self.now));
+                let kb = self.rate(&session, session.rung);
                 self.sessions.insert(request.session.clone(), session);
-                let rung = self.floor(&request.session);
-                self.set_known_rung(&request.session, rung, 0.0);
+                self.add(*server, kb, 1);
                 self.unsure = false;
             }
             Event::Started { session, server, .. } => {
@@ -913,8 +802,10 @@
                 match note {
                     Note::Delivered(share) => self.hear_delivered(*server, *share),
                     Note::Rung(rung) => {
-                        let before = self.sessions.get(session).map_or(0.0, |s| self.rate(s, s.rung));
-                        self.set_known_rung(session, *rung, before);
+                        let Some(known) = self.sessions.get(session) else { return };
+                        let more = self.rate(known, *rung) - self.rate(known, known.rung);
+                        self.sessions.entry(session.clone()).and_modify(|s| s.rung = *rung);
+                        self.add(*server, more, 0);
                     }
                     Note::Link(asked) => self.hear_link(*server, *asked, at),
                     Note::Uplink(asked) => self.hear_uplink(*server, *asked, at),
@@ -936,31 +827,16 @@
         }
     }
 
-    fn set_known_rung(&mut self, id: &SessionId, rung: usize, before: f64) {
-        let Some(session) = self.sessions.get_mut(id) else {
-            return;
-        };
-        session.rung = rung;
-        if let Some(at) = session.at {
-            let kb = self.kb(id, rung);
-            self.add(at, kb - before, 0);
-        }
-    }
-
     fn ended(&mut self, id: &SessionId, attempt: u32, outcome: Outcome, last: bool, out: &mut Vec<Action>) {
-        let Some(session) = self.sessions.get_mut(id) else {
-            return;
-        };
-        let (Some(at), true) = (session.at, attempt + 1 == session.attempts) else {
-            return;
-        };
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        let (Some(at), true) = (session.at, attempt + 1 == session.attempts) else { return };
         let (playing, answered) = (session.playing, session.answered);
         session.at = None;
         if !outcome.never_ran() {
             session.ran = Some((at, session.sent));
         }
         let (class, rung) = (session.request.class, session.rung);
-        let kb = self.kb(id, rung);
+        let kb = self.sessions.get(id).map_or(0.0, |s| self.rate(s, rung));
         self.add(at, -kb, -1);
         let draining = self.servers.get(&at).is_some_and(|s| s.entry.state != ServerState::Ready);
         match outcome {
@@ -1012,16 +888,14 @@
                 self.servers.remove(&entry.server);
                 continue;
             }
-            let link_kb = (entry.units * self.set.link_kb_per_unit).max(1.0);
-            let server =
-                self.servers.entry(entry.server).or_insert_with(|| Server::new(entry.clone(), link_kb));
-            let restarted = entry.started > server.entry.started;
-            if restarted {
+            let server = self.servers.entry(entry.server).or_default();
+            if entry.started > server.entry.started {
                 // A new process: what was known of the old one does not count.
-                *server = Server::new(entry.clone(), link_kb);
+                *server = Server::default();
             }
-            server.link_kb = link_kb;
+            server.link_kb = (entry.units * self.set.link_kb_per_unit).max(1.0);
             server.entry = entry.clone();
+            server.entry.started = entry.started.map(|at| at.min(self.now));
         }
     }
 
@@ -1045,7 +919,7 @@
                 let full = self.rack_load(at) > LEARN_FROM && self.members(at).any(|(_, s)| s.own_kb > 0.0);
                 let Some(rack) = self.racks.get_mut(at) else { continue };
                 if rack.short_at + QUIET < now && (full || rack.scale < 1.0) {
-                    rack.scale = (rack.scale + if full { LEARN } else { LEARN / 5.0 }).min(1.5);
+                    rack.scale = (rack.scale + if full { LEARN } else { LEARN / 5.0 }).min(SCALE_MAX);
                 }
             }
             self.plans.retain(|_, plan| plan.1 + SESSION_MOVE_SPACING > now);
@@ -1058,47 +932,3 @@
         }
     }
 }
-
-impl Server {
-    fn new(entry: ServerEntry, link_kb: f64) -> Self {
-        Server {
-            entry,
-            link_kb,
-            asked: None,
-            changes: VecDeque::new(),
-            short: None,
-            streams: None,
-            own_kb: 0.0,
-            stepped_up: 0,
-            relieved: 0,
-            moved_at: None,
-            failures: 0,
-            full_until: 0,
-            failed_at: None,
-            out_until: 0,
-            cold_since: None,
-            cold_slot: None,
-        }
-    }
-}
-
-impl Session {
-    fn new(request: &Request, now: Micros) -> Self {
-        Session {
-            request: request.clone(),
-            taken: now,
-            deadline: now + request.patience,
-            rung: 0,
-            attempts: 0,
-            at: None,
-            playing: None,
-            tried: Vec::new(),
-            ran: None,
-            sent: now,
-            answered: false,
-            wait_until: None,
-            moving: false,
-            changed: 0,
-        }
-    }
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -12,7 +12,7 @@
 pub struct SessionId(pub Arc<str>);
 
 /// A media server; a restarted process keeps its id, a replacement machine has a new one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Default, Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ServerId(pub u32);
 
 /// A viewer, the same when the viewer comes again.
@@ -171,9 +171,10 @@
 }
 
 /// State of a listed server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Default, Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerState {
     /// Takes sessions.
+    #[default]
     Ready,
     /// Completes its sessions and takes no new one.
     Draining,
@@ -182,7 +183,7 @@
 }
 
 /// A line of the server list.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Default, Clone, Debug, PartialEq)]
 pub struct ServerEntry {
     /// Which server.
     pub server: ServerId,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod brain;
 pub mod interface;
+mod state;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,104 @@
+//! What the module remembers of servers, racks and sessions: plain records, no decisions.
+
+use std::collections::VecDeque;
+
+use crate::interface::*;
+
+/// A figure and the moment it speaks of.
+pub type Heard = Option<(f64, Micros)>;
+
+/// Takes a figure in, unless a later one is known.
+pub fn hear(slot: &mut Heard, value: f64, at: Micros) {
+    if value.is_finite() && slot.is_none_or(|old| old.1 <= at) {
+        *slot = Some((value.max(0.0), at));
+    }
+}
+
+/// A listed server.
+#[derive(Default)]
+pub struct Server {
+    pub entry: ServerEntry,
+    pub link_kb: f64,
+    /// Share asked of the link as last heard, and the moment it speaks of.
+    pub asked: Heard,
+    /// Own changes of demand, kB a second.
+    pub changes: VecDeque<(Micros, f64, i32)>,
+    /// Share delivered as last heard while short, and when.
+    pub short: Heard,
+    /// Streams that it ran as last reported, and when.
+    pub streams: Heard,
+    pub own_kb: f64,
+    pub stepped_up: Micros,
+    /// When own sessions were last stepped down here; older figures don't count again.
+    pub relieved: Micros,
+    pub moved_at: Option<Micros>,
+    pub failures: u32,
+    pub full_until: Micros,
+    pub failed_at: Option<Micros>,
+    pub out_until: Micros,
+    /// Start of its warm-up where it is told, seen or feared.
+    pub cold_since: Option<Micros>,
+    pub cold_slot: Option<Micros>,
+}
+
+/// The uplink that the servers of a rack share.
+#[derive(Default)]
+pub struct Rack {
+    pub asked: Heard,
+    /// What its uplink carries over what is told of the mean; learnt from short delivery, and when.
+    pub scale: f64,
+    pub short_at: Micros,
+    pub relieved: Micros,
+}
+
+/// A session from its request to its end.
+pub struct Session {
+    pub request: Request,
+    pub class: Class,
+    pub taken: Micros,
+    pub deadline: Micros,
+    pub rung: usize,
+    pub attempts: u32,
+    /// The attempt that is out or plays: its place and server.
+    pub at: Option<ServerId>,
+    pub playing: Option<Micros>,
+    pub tried: Vec<ServerId>,
+    /// A set-up that may have run, and when it was sent.
+    pub ran: Option<(ServerId, Micros)>,
+    pub sent: Micros,
+    pub answered: bool,
+    pub wait_until: Option<Micros>,
+    pub moving: bool,
+    /// Latest change of its rung.
+    pub changed: Micros,
+}
+
+impl Server {
+    /// Own change of demand here since a moment, kB a second.
+    pub fn since(&self, at: Micros) -> f64 {
+        self.changes.iter().filter(|change| change.0 > at).map(|change| change.1).sum()
+    }
+}
+
+impl Session {
+    /// A session that has just been asked for.
+    pub fn new(request: &Request, class: &Class, now: Micros) -> Self {
+        Session {
+            request: request.clone(),
+            class: class.clone(),
+            taken: now,
+            deadline: now.saturating_add(request.patience),
+            rung: class.floor,
+            attempts: 0,
+            at: None,
+            playing: None,
+            tried: Vec::new(),
+            ran: None,
+            sent: now,
+            answered: false,
+            wait_until: None,
+            moving: false,
+            changed: 0,
+        }
+    }
+}
