--- a/src/brain.rs
+++ b/src/brain.rs
@@ -149,7 +149,7 @@
     /// The ordinary path of a session: the least loaded holder, and REM's move when that one is loaded.
     fn place(&mut self, id: &SessionId, out: &mut Vec<Action>) {
         let Some(session) = self.sessions.get(id) else { return };
-        let (viewer, floor) = (session.request.viewer, self.rate(session, session.class.floor));
+        let (viewer, floor) = (session.request.viewer, session.rate(session.class.floor));
         let planned =
             self.plans.get(&viewer).filter(|plan| session.request.moved && plan.1 + PLAN_KEPT > self.now);
         if let Some((server, _)) = planned.copied() {
@@ -185,7 +185,7 @@
             }
             let left = self.left(session);
             // The most demand for the longest time, at one price for any session.
-            let value = left * self.rate(session, session.rung);
+            let value = left * session.rate(session.rung);
             if left < MOVE_WORTHY || best.as_ref().is_some_and(|(most, _, _)| value <= *most) {
                 continue;
             }
@@ -226,10 +226,8 @@
 
     /// Listed servers that hold the title.
     fn holders(&self, request: &Request) -> Vec<ServerId> {
-        let cells = self.set.cells.max(1);
-        let holds =
-            |cell: u32| (cell % cells + cells - request.first_cell % cells) % cells < request.cell_count;
-        self.servers.iter().filter(|(_, s)| holds(s.entry.cell)).map(|(id, _)| *id).collect()
+        let held = self.servers.iter().filter(|(_, s)| request.held_in(s.entry.cell, self.set.cells));
+        held.map(|(id, _)| *id).collect()
     }
 
     // ---- The one way to a server, and the one way to an answer ----
@@ -239,7 +237,7 @@
         let (Some(session), Some(server)) = (self.sessions.get(id), self.servers.get(&to)) else {
             return Some(Bar::Never);
         };
-        let (class, top) = (&session.class, self.top(session));
+        let (class, top) = (&session.class, session.top);
         let over = session.answered || session.at.is_some() || self.now >= session.deadline;
         if over || top < class.floor || server.entry.state != ServerState::Ready {
             return Some(Bar::Never);
@@ -270,10 +268,9 @@
             }
         }
         if let (Some(budget), true) = (self.set.budget, session.attempts > 0) {
-            let recent =
-                |row: &VecDeque<Micros>| row.iter().filter(|at| **at + budget.window > self.now).count();
+            let taken = self.taken.iter().filter(|at| **at + budget.window > self.now).count();
             let further = self.further.iter().filter(|at| **at + budget.window >= self.now).count();
-            if (further + 1) as f64 > budget.free + budget.share * recent(&self.taken) as f64 {
+            if (further + 1) as f64 > budget.free + budget.share * taken as f64 {
                 return Some(Bar::Never);
             }
         }
@@ -286,7 +283,7 @@
             return self.no_holder(id, out);
         }
         let rung = self.fit(id, to);
-        let kb = self.sessions.get(id).map_or(0.0, |s| self.rate(s, rung));
+        let kb = self.sessions.get(id).map_or(0.0, |s| s.rate(rung));
         let now = self.now;
         let slot = self.cold_turn(to).map(|(slot, _)| slot);
         let Some(session) = self.sessions.get_mut(id) else { return };
@@ -349,13 +346,12 @@
             Effect::Once => false,
         };
         session.answered = true;
-        let over = session.at.is_none();
         out.push(if harmless || !may_have_run {
             Action::Refuse(id.clone(), self.set.max_hold_off)
         } else {
             Action::Fail(id.clone())
         });
-        if over {
+        if session.at.is_none() {
             self.sessions.remove(id);
         }
     }
@@ -508,20 +504,6 @@
 
     // ---- Rungs ----
 
-    fn top(&self, s: &Session) -> usize {
-        s.request.top_rung.min(s.class.top).min(self.set.ladder.len().saturating_sub(1))
-    }
-
-    /// Rate of the session at a rung.
-    fn rate(&self, s: &Session, rung: usize) -> f64 {
-        self.set.ladder.get(rung).map_or(0.0, |r| r.kb * s.class.rate_factor)
-    }
-
-    /// Worth of a second at a rung.
-    fn worth(&self, s: &Session, rung: usize) -> f64 {
-        self.set.ladder.get(rung).map_or(0.0, |r| r.worth * s.class.gain)
-    }
-
     /// Seconds that the session is expected to play yet.
     fn left(&self, session: &Session) -> f64 {
         let mean = self.lengths.get(session.request.class).copied().unwrap_or(LENGTH);
@@ -533,12 +515,6 @@
         }
     }
 
-    /// Worth for each kB between a rung and the next above, a second.
-    fn slope(&self, session: &Session, rung: usize) -> f64 {
-        let kb = self.rate(session, rung + 1) - self.rate(session, rung);
-        (self.worth(session, rung + 1) - self.worth(session, rung)) / kb.max(1.0)
-    }
-
     fn link_room(&self, id: ServerId, aim: f64) -> f64 {
         self.servers.get(&id).map_or(0.0, |s| (aim - self.link_load(id)) * self.link(s))
     }
@@ -551,7 +527,7 @@
 
     fn can_free(&self, at: ServerId) -> f64 {
         let there = self.sessions.values().filter(|s| s.at == Some(at) && s.playing.is_some());
-        there.map(|s| self.rate(s, s.rung) - self.rate(s, s.class.floor)).sum()
+        there.map(|s| s.rate(s.rung) - s.rate(s.class.floor)).sum()
     }
 
     /// The own playing session whose step down loses the least worth for each kB, and that loss.
@@ -561,10 +537,10 @@
             .iter()
             .filter(|(_, s)| s.playing.is_some() && !s.moving && s.rung > s.class.floor && within(s));
         let loss = |s: &Session| {
-            let kb = self.rate(s, s.rung) - self.rate(s, s.rung - 1);
+            let kb = s.rate(s.rung) - s.rate(s.rung - 1);
             // The change is paid once for any number of steps.
             let change = if s.changed == self.now { 0.0 } else { s.class.gain * self.set.change_cost_s };
-            self.slope(s, s.rung - 1) + change / self.left(s).max(1.0) / kb.max(1.0)
+            (s.worth(s.rung) - s.worth(s.rung - 1) + change / self.left(s).max(1.0)) / kb.max(1.0)
         };
         let losses = steps.map(|(id, s)| (id, loss(s)));
         losses.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(id, loss)| (id.clone(), loss))
@@ -573,8 +549,8 @@
     /// The rung for a newcomer: as high as the room allows, with room made by sessions that earn less for it.
     fn fit(&mut self, id: &SessionId, to: ServerId) -> usize {
         let Some(session) = self.sessions.get(id) else { return 0 };
-        let (top, mut rung) = (self.top(session), session.class.floor);
-        let rates: Vec<f64> = (0..=top).map(|rung| self.rate(session, rung)).collect();
+        let (top, mut rung) = (session.top, session.class.floor);
+        let rates: Vec<f64> = (0..=top).map(|rung| session.rate(rung)).collect();
         let rate = |rung: usize| rates.get(rung).copied().unwrap_or(f64::MAX);
         let mut room = self.room(to, AIM);
         loop {
@@ -593,11 +569,9 @@
 
     /// Sets another rung for a playing session; the demand that this frees.
     fn step(&mut self, id: &SessionId, to: usize) -> f64 {
-        let (freed, now) =
-            (self.sessions.get(id).map_or(0.0, |s| self.rate(s, s.rung) - self.rate(s, to)), self.now);
         let Some(session) = self.sessions.get_mut(id) else { return 0.0 };
-        session.rung = to;
-        session.changed = now;
+        let freed = session.rate(session.rung) - session.rate(to);
+        (session.rung, session.changed) = (to, self.now);
         if let Some(at) = session.at {
             self.add(at, -freed, 0);
         }
@@ -645,7 +619,7 @@
             let Some((id, _)) = self.cheapest(|s| s.at.is_some_and(|at| inside(self, at))) else { break };
             let Some(session) = self.sessions.get(&id) else { break };
             let lower = session.rung.saturating_sub(1);
-            let frees = self.rate(session, session.rung) - self.rate(session, lower);
+            let frees = session.rate(session.rung) - session.rate(lower);
             // A part of a step is drawn for, so that the fronts together free what is needed.
             if !short && need < frees * self.draw() {
                 return 0.0;
@@ -666,10 +640,10 @@
             }
             let room = self.room(at, RAISE_TO);
             let step = |(id, s): (&SessionId, &Session)| {
-                let kb = |rung| self.rate(s, rung) - self.rate(s, s.rung);
+                let kb = |rung| s.rate(rung) - s.rate(s.rung);
                 let fits = |rung: &usize| kb(*rung) <= room;
-                let to = (s.rung + 1..=self.top(s)).take_while(fits).last()?;
-                let more = self.worth(s, to) - self.worth(s, s.rung);
+                let to = (s.rung + 1..=s.top).take_while(fits).last()?;
+                let more = s.worth(to) - s.worth(s.rung);
                 let pays = more * self.left(s) > STEP_PAYS * self.set.change_cost_s * s.class.gain;
                 let able =
                     s.playing.is_some() && !s.moving && s.at == Some(at) && s.changed + DWELL < self.now;
@@ -764,24 +738,25 @@
                 None => out.push(Action::Refuse(request.session.clone(), self.set.max_hold_off)),
                 Some(class) => {
                     self.taken.push_back(self.now);
-                    self.sessions.insert(request.session.clone(), Session::new(request, class, self.now));
+                    self.sessions.insert(
+                        request.session.clone(),
+                        Session::new(request, class, &self.set.ladder, self.now),
+                    );
                     self.place(&request.session, out);
                 }
             },
             Event::Resumed(request, server) => {
                 let Some(class) = self.set.classes.get(request.class) else { return };
-                let mut session = Session::new(request, class, self.now);
+                let mut session = Session::new(request, class, &self.set.ladder, self.now);
                 (session.at, session.attempts, session.playing) = (Some(*server), 1, Some(self.now));
-                let kb = self.rate(&session, session.rung);
+                let kb = session.rate(session.rung);
                 self.sessions.insert(request.session.clone(), session);
                 self.add(*server, kb, 1);
                 self.unsure = false;
             }
             Event::Started { session, server, .. } => {
                 self.worked(*server);
-                if let Some(session) = self.sessions.get_mut(session) {
-                    session.playing = Some(self.now);
-                }
+                self.sessions.entry(session.clone()).and_modify(|s| s.playing = Some(self.now));
             }
             Event::Ended { session, attempt, server, outcome, last, report } => {
                 self.hear_report(*server, report);
@@ -789,12 +764,9 @@
                 self.relieve(*server, out);
             }
             Event::Left(id) => {
-                if let Some(session) = self.sessions.get_mut(id) {
-                    session.answered = true;
-                    if session.at.is_none() {
-                        self.sessions.remove(id);
-                    }
-                }
+                // An attempt that is out still holds its seat until it ends.
+                self.sessions.retain(|other, s| other != id || s.at.is_some());
+                self.sessions.entry(id.clone()).and_modify(|s| s.answered = true);
             }
             Event::Note { session, server, note } => {
                 let fresh = self.sessions.get(session).is_some_and(|s| s.playing == Some(self.now));
@@ -803,7 +775,7 @@
                     Note::Delivered(share) => self.hear_delivered(*server, *share),
                     Note::Rung(rung) => {
                         let Some(known) = self.sessions.get(session) else { return };
-                        let more = self.rate(known, *rung) - self.rate(known, known.rung);
+                        let more = known.rate(*rung) - known.rate(known.rung);
                         self.sessions.entry(session.clone()).and_modify(|s| s.rung = *rung);
                         self.add(*server, more, 0);
                     }
@@ -835,8 +807,7 @@
         if !outcome.never_ran() {
             session.ran = Some((at, session.sent));
         }
-        let (class, rung) = (session.request.class, session.rung);
-        let kb = self.sessions.get(id).map_or(0.0, |s| self.rate(s, rung));
+        let (class, kb) = (session.request.class, session.rate(session.rung));
         self.add(at, -kb, -1);
         let draining = self.servers.get(&at).is_some_and(|s| s.entry.state != ServerState::Ready);
         match outcome {
@@ -872,12 +843,9 @@
             out.push(Action::WakeAt(2, self.now + SECOND / 2));
             return;
         }
-        if kind == ListKind::Remembered {
-            if self.set.list_on_demand {
-                out.push(Action::FollowList);
-            }
-        } else {
-            self.unsure = false;
+        self.unsure &= kind == ListKind::Remembered;
+        if kind == ListKind::Remembered && self.set.list_on_demand {
+            out.push(Action::FollowList);
         }
         if kind != ListKind::Changes {
             let listed = |id: &ServerId| entries.iter().any(|entry| entry.server == *id);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -370,3 +370,11 @@
         self.cell.checked_rem(racks).map(|rack| rack as usize)
     }
 }
+
+impl Request {
+    /// Whether a cell, of so many in the ring, holds the title.
+    pub fn held_in(&self, cell: u32, cells: u32) -> bool {
+        let cells = cells.max(1);
+        (cell % cells + cells - self.first_cell % cells) % cells < self.cell_count
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -55,6 +55,9 @@
 pub struct Session {
     pub request: Request,
     pub class: Class,
+    /// Highest rung that class, viewer and ladder allow.
+    pub top: usize,
+    ladder: Vec<Rung>,
     pub taken: Micros,
     pub deadline: Micros,
     pub rung: usize,
@@ -82,10 +85,12 @@
 
 impl Session {
     /// A session that has just been asked for.
-    pub fn new(request: &Request, class: &Class, now: Micros) -> Self {
+    pub fn new(request: &Request, class: &Class, ladder: &[Rung], now: Micros) -> Self {
         Session {
             request: request.clone(),
             class: class.clone(),
+            top: request.top_rung.min(class.top).min(ladder.len().saturating_sub(1)),
+            ladder: ladder.to_vec(),
             taken: now,
             deadline: now.saturating_add(request.patience),
             rung: class.floor,
@@ -101,4 +106,14 @@
             changed: 0,
         }
     }
+
+    /// Its rate at a rung, kB a second.
+    pub fn rate(&self, rung: usize) -> f64 {
+        self.ladder.get(rung).map_or(0.0, |step| step.kb * self.class.rate_factor)
+    }
+
+    /// Worth of a second of it at a rung.
+    pub fn worth(&self, rung: usize) -> f64 {
+        self.ladder.get(rung).map_or(0.0, |step| step.worth * self.class.gain)
+    }
 }
