--- a/src/bin/salttally-drill/wire.rs
+++ b/src/bin/salttally-drill/wire.rs
@@ -149,8 +149,11 @@
     }
 }
 
+/// Longer times than this mean "for ever"; sums of a few stay within a [`Micros`].
+const LONGEST_MS: f64 = 1e12;
+
 fn micros(ms: f64) -> Micros {
-    (ms.max(0.0) * 1000.0).round() as Micros
+    (ms.clamp(0.0, LONGEST_MS) * 1000.0).round() as Micros
 }
 
 fn ms(time: Micros) -> f64 {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,7 +27,7 @@
 const MOVE_WORTHY: f64 = 12.0;
 /// A plan for a moved viewer is kept this long: well over the gap of any move.
 const PLAN_KEPT: Micros = 5 * SECOND;
-/// From this share and a move's price on, a server whose rungs are all down sheds a session: stalls cost more.
+/// From this share and a move's price on, a server with all its rungs down sheds a session: stalls cost more.
 const SHED: f64 = 1.05;
 /// Share of link or uplink that rungs are fitted to; the rest is for rates that vary by the second.
 const AIM: f64 = 0.88;
@@ -285,7 +285,6 @@
         let rung = self.fit(id, to);
         let kb = self.sessions.get(id).map_or(0.0, |s| s.rate(rung));
         let now = self.now;
-        let slot = self.cold_turn(to).map(|(slot, _)| slot);
         let Some(session) = self.sessions.get_mut(id) else { return };
         let class = &session.class;
         let to_aim = (session.taken + class.aim).saturating_sub(now);
@@ -308,14 +307,14 @@
         session.wait_until = None;
         session.tried.push(to);
         if let Some(server) = self.servers.get_mut(&to) {
-            server.cold_slot = slot.or(server.cold_slot);
+            server.cold_sent = Some(now);
         }
         self.add(to, kb, 1);
         out.push(Action::SetRung(id.clone(), rung));
         out.push(Action::SetUp(id.clone(), to, time_out));
     }
 
-    /// No holder may be sent the session now: it waits for its turn at a cold one within its aim, or is refused.
+    /// No holder may be sent the session now: it waits for its turn at a cold one in its aim, or is refused.
     fn no_holder(&mut self, id: &SessionId, out: &mut Vec<Action>) {
         let Some(session) = self.sessions.get(id) else { return };
         let aim = session.class.aim;
@@ -467,9 +466,9 @@
         }
     }
 
-    /// Short delivery: a rack's uplink is short for all its servers at once, a link alone. A single server that
-    /// stays short is over, whatever its reports say: they may be late, frozen or wrong.
-    /// Danger: one slow link taken for a full rack starves the whole rack; the other way round costs one server.
+    /// Short delivery: a rack's uplink is short for all its servers at once, a link alone. A lone server
+    /// that stays short is over, whatever its reports say: they may be late, frozen or wrong. Danger: one slow
+    /// link taken for a full rack starves the whole rack; the other way round costs one server.
     fn hear_delivered(&mut self, id: ServerId, share: f64) {
         let (at, now) = (self.now.saturating_sub(self.set.note_age), self.now);
         let Some(server) = self.servers.get_mut(&id) else { return };
@@ -586,8 +585,8 @@
         let Some(server) = self.servers.get(&at) else { return };
         if load > HIGH && server.asked.is_some_and(|asked| asked.1 > server.relieved) {
             let left = self.step_down(server.own_kb * (1.0 - AIM / load), load > 1.0, |_, s| s == at);
-            // Exception to REM: the ladder is used up and the link still short, so one session moves as it would
-            // above Max.th, though no newcomer has come. Danger: a crowd on few holders starves all of them.
+            // Exception to REM: the ladder is used up and the link still short, so a session moves as it
+            // would above Max.th, though no newcomer has come. Danger: a crowd on few holders starves them all.
             if left > 0.0 && load >= SHED + self.set.move_price {
                 self.shift(at, out);
             }
@@ -703,10 +702,10 @@
         since.filter(|at| at + self.set.warm_up > self.now)
     }
 
-    /// For a server that may be cold, the slot that is now and when this front may next send, if not in it. The
-    /// fronts take slots in turn by their place, so that together they stay within a part of the pace that makes
-    /// it fall, without a word between them.
-    fn cold_turn(&self, id: ServerId) -> Option<(Micros, Option<Micros>)> {
+    /// When this front may next send to a server that may be cold, if not now. The fronts take slots in turn
+    /// by their place, so that together they use a part of the pace that makes it fall, without a word between
+    /// them. Danger: viewers that come back in a wave push over what has just started.
+    fn pace(&self, id: ServerId) -> Option<Micros> {
         let server = self.servers.get(&id)?;
         self.cold(server)?;
         let streams = self.set.kind_streams.get(server.entry.kind as usize).copied().unwrap_or(1).max(1);
@@ -715,13 +714,9 @@
         let length = ((self.set.warm_up as f64 / pace) as Micros).max(1);
         let (slot, fronts) = (self.now / length, u64::from(self.set.fronts.max(1)));
         let ahead = (u64::from(self.set.place) % fronts + fronts - slot % fronts) % fronts;
-        let wait = if ahead == 0 && server.cold_slot == Some(slot) { fronts } else { ahead };
-        Some((slot, (wait > 0).then_some((slot + wait) * length)))
-    }
-
-    /// When this front may next send to the server, if not now.
-    fn pace(&self, id: ServerId) -> Option<Micros> {
-        self.cold_turn(id)?.1
+        let soon = server.cold_sent.is_some_and(|at| at + length > self.now);
+        let wait = if ahead == 0 && soon { fronts } else { ahead };
+        (wait > 0).then_some((slot + wait) * length)
     }
 
     // ---- Events ----
--- a/src/state.rs
+++ b/src/state.rs
@@ -38,7 +38,7 @@
     pub out_until: Micros,
     /// Start of its warm-up where it is told, seen or feared.
     pub cold_since: Option<Micros>,
-    pub cold_slot: Option<Micros>,
+    pub cold_sent: Option<Micros>,
 }
 
 /// The uplink that the servers of a rack share.
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,335 @@
+//! Random legal orders of events against an independent checker of the six rules.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::{class, line, settings, SECOND, START};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use salttally::brain::Brain;
+use salttally::interface::*;
+
+/// A session as the checker sees it.
+struct Seen {
+    request: Request,
+    deadline: Micros,
+    out: Option<(ServerId, Micros)>,
+    attempts: u32,
+    may_have_run: Option<(ServerId, Micros)>,
+    playing: bool,
+    answered: bool,
+    rung: usize,
+}
+
+struct World {
+    set: Settings,
+    brain: Brain,
+    dice: Pcg32,
+    now: Micros,
+    seen: BTreeMap<SessionId, Seen>,
+    wakes: BTreeSet<(Micros, u64)>,
+    ends: BTreeSet<(Micros, SessionId, u32, ServerId)>,
+    stopped: BTreeMap<ServerId, Micros>,
+    lines: BTreeMap<ServerId, ServerEntry>,
+    cold_sends: BTreeMap<ServerId, Vec<Micros>>,
+    taken: Vec<Micros>,
+    further: Vec<Micros>,
+}
+
+impl World {
+    fn roll(&mut self, sides: u64) -> u64 {
+        u64::from(self.dice.next_u32()) % sides
+    }
+
+    fn tell(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.brain.handle(self.now, &event, &mut out);
+        for action in out {
+            self.check(action);
+        }
+    }
+
+    fn check(&mut self, action: Action) {
+        let now = self.now;
+        match action {
+            Action::WakeAt(tag, at) => {
+                self.wakes.insert((at.max(now + 1), tag));
+            }
+            Action::SetRung(id, rung) => {
+                let seen = self.seen.get_mut(&id).expect("a known session");
+                let class = &self.set.classes[seen.request.class];
+                assert!(rung >= class.floor, "rule 5: below the floor");
+                assert!(rung <= seen.request.top_rung, "above what the viewer takes");
+                seen.rung = rung;
+            }
+            Action::SetUp(id, server, time_out) => self.check_set_up(id, server, time_out),
+            Action::Move(id) => assert!(self.seen[&id].playing, "only a playing session moves"),
+            Action::Refuse(id, _) | Action::Fail(id) if self.seen[&id].playing => panic!("it plays"),
+            Action::Refuse(id, _) => {
+                let seen = &self.seen[&id];
+                let class = &self.set.classes[seen.request.class];
+                let harmless = match class.effect {
+                    Effect::Safe => true,
+                    Effect::Deduplicated => class.group == Group::All,
+                    Effect::Once => false,
+                };
+                assert!(harmless || (seen.may_have_run.is_none() && seen.out.is_none()), "rule 2: refused");
+                self.answer(&id);
+            }
+            Action::Fail(id) => self.answer(&id),
+            Action::Probe(_) | Action::FollowList | Action::Log(_) => {}
+        }
+    }
+
+    fn answer(&mut self, id: &SessionId) {
+        let seen = self.seen.get_mut(id).expect("a known session");
+        assert!(!seen.answered, "rule 1: two answers");
+        assert!(self.now <= seen.deadline + 40_000, "rule 1: too late");
+        seen.answered = true;
+    }
+
+    fn check_set_up(&mut self, id: SessionId, server: ServerId, time_out: Micros) {
+        let now = self.now;
+        let entry = self.lines.get(&server).expect("a listed server").clone();
+        let held = |title: TitleId, class: usize, all: &BTreeMap<SessionId, Seen>| {
+            all.values()
+                .filter(|s| s.request.title == title && s.request.class == class && s.out.is_some())
+                .count()
+        };
+        let (title, place) = (self.seen[&id].request.title, self.seen[&id].request.class);
+        let seats = self.set.classes[place].seats;
+        assert!(seats == 0 || held(title, place, &self.seen) < seats, "rule 5: seats");
+        if let Some(at) = self.stopped.get(&server) {
+            assert!(now <= at + self.set.drain_grace, "rule 3: drained");
+        }
+        let seen = self.seen.get_mut(&id).expect("a known session");
+        let class = &self.set.classes[place];
+        assert!(!seen.answered && !seen.playing, "a send after the end");
+        assert!(seen.out.is_none(), "rule 2: two attempts out");
+        assert!(seen.request.held_in(entry.cell, self.set.cells), "no holder");
+        assert!(seen.attempts < self.set.max_attempts, "too many attempts");
+        if let Some((ran, at)) = seen.may_have_run {
+            let before = &self.lines[&ran];
+            match class.effect {
+                Effect::Safe => {}
+                Effect::Once => panic!("rule 2: set up twice"),
+                Effect::Deduplicated => {
+                    assert!(now <= at + class.window, "rule 2: after the window");
+                    assert!(class.group != Group::Cell || before.cell == entry.cell, "rule 2: other cell");
+                    assert!(class.group != Group::Zone || before.zone == entry.zone, "rule 2: other zone");
+                }
+            }
+        }
+        if seen.attempts > 0 {
+            self.further.push(now);
+            if let Some(budget) = self.set.budget {
+                let inside =
+                    |row: &[Micros]| row.iter().filter(|at| **at + budget.window > now).count() as f64;
+                let most = budget.free + budget.share * inside(&self.taken);
+                assert!(inside(&self.further) <= most, "rule 6: over budget");
+            }
+        }
+        seen.attempts += 1;
+        seen.out = Some((server, now));
+        let time_out = if time_out == 0 { seen.deadline - now } else { time_out.min(seen.deadline - now) };
+        let attempt = seen.attempts - 1;
+        let part = 1 + self.roll(10);
+        self.ends.insert((now + time_out * part / 10, id, attempt, server));
+        if let Some(start) = entry.started.filter(|start| now < start + self.set.warm_up) {
+            let sends = self.cold_sends.entry(server).or_default();
+            sends.push(now);
+            let streams = f64::from(self.set.kind_streams[0]);
+            let pace = streams / self.set.warm_up as f64 * self.set.cold_from * self.set.fall_multiple;
+            // This front's share of the safe pace since the start, and one send of slack.
+            let most = pace * (now - start) as f64 / f64::from(self.set.fronts) + 1.0;
+            assert!(sends.iter().filter(|at| **at >= start).count() as f64 <= most, "rule 4: cold server");
+        }
+    }
+
+    fn end(&mut self, id: SessionId, attempt: u32, server: ServerId) {
+        let timed_out = self.roll(4) == 0;
+        let dice = self.roll(10);
+        let seen = self.seen.get_mut(&id).expect("a known session");
+        if seen.out.is_none() || seen.attempts != attempt + 1 {
+            return;
+        }
+        if !seen.playing && dice < 5 && !seen.answered {
+            seen.playing = true;
+            seen.answered = true;
+            let next = self.now + 1 + SECOND * self.roll(30);
+            self.ends.insert((next, id.clone(), attempt, server));
+            return self.tell(Event::Started { session: id, server, took: 1000 });
+        }
+        let outcome = match dice {
+            _ if seen.playing => [Outcome::Ok, Outcome::Broken, Outcome::Withdrawn][dice as usize % 3],
+            _ if timed_out => Outcome::TimedOut,
+            0..=5 => Outcome::Failed,
+            6 => Outcome::Full,
+            7 => Outcome::NoConnection,
+            8 => Outcome::Broken,
+            _ => Outcome::Withdrawn,
+        };
+        let sent = seen.out.take().map_or(0, |out| out.1);
+        if !outcome.never_ran() {
+            seen.may_have_run = Some((server, sent));
+        }
+        let last = seen.answered;
+        seen.playing = false;
+        let report = vec![self.roll(150) as f64 / 100.0];
+        self.tell(Event::Ended { session: id, attempt, server, outcome, last, report });
+    }
+
+    fn random_event(&mut self, number: u32) {
+        match self.roll(8) {
+            0..=3 => {
+                let session = SessionId(format!("s{number}").into());
+                let request = Request {
+                    session: session.clone(),
+                    class: self.roll(self.set.classes.len() as u64) as usize,
+                    viewer: ViewerId(self.roll(9)),
+                    title: TitleId(self.roll(3)),
+                    patience: SECOND / 10 + self.roll(4_000_000),
+                    length: Some(self.roll(60) * SECOND),
+                    first_cell: self.roll(6) as u32,
+                    cell_count: 3,
+                    top_rung: self.roll(4) as usize,
+                    moved: self.roll(5) == 0,
+                    again: false,
+                };
+                let deadline = self.now + request.patience;
+                let seen = Seen {
+                    request: request.clone(),
+                    deadline,
+                    out: None,
+                    attempts: 0,
+                    may_have_run: None,
+                    playing: false,
+                    answered: false,
+                    rung: 0,
+                };
+                self.seen.insert(session, seen);
+                self.taken.push(self.now);
+                self.tell(Event::Request(request));
+            }
+            4 => {
+                let server = ServerId(self.roll(8) as u32);
+                let state =
+                    [ServerState::Ready, ServerState::Draining, ServerState::Gone][self.roll(3) as usize];
+                let started = (self.roll(2) == 0).then_some(self.now);
+                let entry = ServerEntry { state, started, ..line(server.0) };
+                match state {
+                    ServerState::Ready => {
+                        self.stopped.remove(&server);
+                    }
+                    _ => {
+                        self.stopped.entry(server).or_insert(self.now);
+                    }
+                }
+                self.cold_sends.remove(&server);
+                self.lines.insert(server, entry.clone());
+                self.tell(Event::Servers(ListKind::Changes, vec![entry]));
+            }
+            _ => {
+                let playing: Vec<_> =
+                    self.seen.iter().filter(|(_, s)| s.playing).map(|(id, _)| id.clone()).collect();
+                if playing.is_empty() {
+                    return;
+                }
+                let session = playing[self.roll(playing.len() as u64) as usize].clone();
+                let server = self.seen[&session].out.map_or(ServerId(0), |out| out.0);
+                let value = self.roll(140) as f64 / 100.0;
+                let note = [Note::Delivered(value), Note::Link(value), Note::Uplink(value)];
+                let note = note[self.roll(3) as usize];
+                self.tell(Event::Note { session, server, note });
+            }
+        }
+    }
+
+    /// Lets time pass; all that falls due comes in order.
+    fn pass(&mut self, until: Micros) {
+        loop {
+            let wake = self.wakes.first().cloned().filter(|wake| wake.0 <= until);
+            let end = self.ends.first().cloned().filter(|end| end.0 <= until);
+            match (wake, end) {
+                (Some(wake), end) if end.as_ref().is_none_or(|end| wake.0 <= end.0) => {
+                    self.wakes.remove(&wake);
+                    self.now = self.now.max(wake.0);
+                    self.tell(Event::Wake(wake.1));
+                }
+                (_, Some(end)) => {
+                    self.ends.remove(&end);
+                    self.now = self.now.max(end.0);
+                    self.end(end.1, end.2, end.3);
+                }
+                _ => break,
+            }
+        }
+        self.now = until;
+        for seen in self.seen.values() {
+            assert!(seen.answered || self.now <= seen.deadline + 40_000, "rule 1: no answer");
+        }
+    }
+}
+
+fn world(seed: u64, kinds: u64, fronts: u32) -> World {
+    let mut paid = class(Effect::Once);
+    paid.floor = 1;
+    let mut same = class(Effect::Deduplicated);
+    same.group = [Group::All, Group::Zone, Group::Cell][(kinds % 3) as usize];
+    same.window = SECOND / 2;
+    let mut seated = class(Effect::Safe);
+    seated.seats = 1 + (kinds % 2) as usize;
+    let budget = (kinds & 4 > 0).then_some(Budget { window: 5 * SECOND, free: 2.0, share: 0.1 });
+    let set = Settings {
+        fronts,
+        classes: vec![class(Effect::Safe), paid, same, seated],
+        budget,
+        racks: (kinds % 3) as u32,
+        list_on_demand: kinds & 8 > 0,
+        reports: if kinds & 16 > 0 { vec![] } else { vec![ReportField::Link] },
+        max_hold_off: if kinds & 32 > 0 { 0 } else { SECOND },
+        ..settings()
+    };
+    let entries: Vec<_> = (0..6).map(line).collect();
+    let mut world = World {
+        brain: Brain::new(set.clone(), seed),
+        set,
+        dice: Pcg32::seed_from_u64(seed),
+        now: START,
+        seen: BTreeMap::new(),
+        wakes: BTreeSet::new(),
+        ends: BTreeSet::new(),
+        stopped: BTreeMap::new(),
+        lines: entries.iter().map(|entry| (entry.server, entry.clone())).collect(),
+        cold_sends: BTreeMap::new(),
+        taken: Vec::new(),
+        further: Vec::new(),
+    };
+    world.tell(Event::Servers(ListKind::Remembered, entries.clone()));
+    world.tell(Event::Servers(ListKind::Whole, entries));
+    world
+}
+
+#[test]
+fn no_order_of_events_breaks_a_rule() {
+    let config = Config { cases: 96, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let input = (any::<u64>(), any::<u64>(), 1..4u32);
+    let result = runner.run(&input, |(seed, kinds, fronts)| {
+        let mut world = world(seed, kinds, fronts);
+        for number in 0..400 {
+            world.random_event(number);
+            let step = world.roll(200_000);
+            world.pass(world.now + step);
+        }
+        world.pass(world.now + 60 * SECOND);
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
