--- a/src/brain.rs
+++ b/src/brain.rs
@@ -467,8 +467,8 @@
     }
 
     /// Short delivery: a rack's uplink is short for all its servers at once, a link alone. A lone server
-    /// that stays short is over, whatever its reports say: they may be late, frozen or wrong. Danger: one slow
-    /// link taken for a full rack starves the whole rack; the other way round costs one server.
+    /// that stays short is over, whatever its reports say: they may be late, frozen or wrong.
+    /// Danger: one slow link taken for a full rack starves the rack; the other way round costs one server.
     fn hear_delivered(&mut self, id: ServerId, share: f64) {
         let (at, now) = (self.now.saturating_sub(self.set.note_age), self.now);
         let Some(server) = self.servers.get_mut(&id) else { return };
@@ -585,8 +585,8 @@
         let Some(server) = self.servers.get(&at) else { return };
         if load > HIGH && server.asked.is_some_and(|asked| asked.1 > server.relieved) {
             let left = self.step_down(server.own_kb * (1.0 - AIM / load), load > 1.0, |_, s| s == at);
-            // Exception to REM: the ladder is used up and the link still short, so a session moves as it
-            // would above Max.th, though no newcomer has come. Danger: a crowd on few holders starves them all.
+            // Exception to REM: the ladder is used up and the link still short, so a session moves as above
+            // Max.th, though no newcomer has come. Danger: a crowd on few holders starves them all.
             if left > 0.0 && load >= SHED + self.set.move_price {
                 self.shift(at, out);
             }
@@ -702,9 +702,9 @@
         since.filter(|at| at + self.set.warm_up > self.now)
     }
 
-    /// When this front may next send to a server that may be cold, if not now. The fronts take slots in turn
-    /// by their place, so that together they use a part of the pace that makes it fall, without a word between
-    /// them. Danger: viewers that come back in a wave push over what has just started.
+    /// When this front may next send to a server that may be cold, if not now. The fronts take slots in
+    /// turn by their place, so that together they use a part of the pace that makes it fall, without a word
+    /// between them. Danger: viewers that come back in a wave push over what has just started.
     fn pace(&self, id: ServerId) -> Option<Micros> {
         let server = self.servers.get(&id)?;
         self.cold(server)?;
