--- a/src/brain.rs
+++ b/src/brain.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg32;
 
 use crate::interface::*;
-use crate::state::{hear, Rack, Server, Session};
+use crate::state::{hear, Heard, Rack, Server, Session};
 
 /// One second.
 const SECOND: Micros = 1_000_000;
@@ -60,6 +60,9 @@
 const CHANGES_KEPT: Micros = 30 * SECOND;
 /// A link carries at least this part of what own sessions ask of it: true rates lie under the ladder's too.
 const OWN_PART: f64 = 0.7;
+/// A figure is believed for so many times the time between notes, and for this long at least.
+const NOTES_KEPT: u64 = 3;
+const FIGURE_KEPT: Micros = 6 * SECOND;
 /// Age of a load report that comes with an answer: refreshed now and then, and under way.
 const REPORT_AGE: Micros = SECOND / 2;
 /// First time out for a server whose set-up failed; doubles with each further failure.
@@ -383,12 +386,18 @@
     fn link_load(&self, id: ServerId) -> f64 {
         let Some(server) = self.servers.get(&id) else { return 0.0 };
         let link = self.link(server);
-        match server.asked {
+        match self.fresh(server.asked) {
             Some((asked, at)) => (asked + server.since(at) / link).max(server.own_kb / link * OWN_PART),
             None => server.own_kb * f64::from(self.set.fronts.max(1)) / link,
         }
     }
 
+    /// A figure that is not too old. Danger: the last word on what was lost keeps its successors empty.
+    fn fresh(&self, heard: Heard) -> Heard {
+        let kept = (self.set.note_every * NOTES_KEPT).max(FIGURE_KEPT) + self.set.note_age;
+        heard.filter(|(_, at)| at + kept > self.now)
+    }
+
     fn link(&self, server: &Server) -> f64 {
         let cold = self.cold(server).is_some();
         server.link_kb.max(1.0) * if cold { self.set.cold_from.clamp(0.1, 1.0) } else { 1.0 }
@@ -413,7 +422,7 @@
             return 0.0;
         }
         let (members, uplink) = (self.members(rack), self.uplink(rack));
-        match state.asked {
+        match self.fresh(state.asked) {
             Some((asked, at)) => asked + members.map(|(_, s)| s.since(at)).sum::<f64>() / uplink,
             None => members.map(|(id, s)| self.link_load(*id) * self.link(s)).sum::<f64>() / uplink,
         }
