--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,6 +31,8 @@
 const SHED: f64 = 1.05;
 /// Share of link or uplink that rungs are fitted to; the rest is for rates that vary by the second.
 const AIM: f64 = 0.88;
+/// Part of the room below `AIM` that a newcomer may take above its lowest rung: others will come.
+const ROOM_PART: f64 = 0.45;
 /// From this share on playing sessions are stepped down to `AIM`.
 const HIGH: f64 = 0.96;
 /// Below this share playing sessions may be stepped up; the gap to `AIM` is the hysteresis.
@@ -560,19 +562,17 @@
         let (top, mut rung) = (session.top, session.class.floor);
         let rates: Vec<f64> = (0..=top).map(|rung| session.rate(rung)).collect();
         let rate = |rung: usize| rates.get(rung).copied().unwrap_or(f64::MAX);
-        let mut room = self.room(to, AIM);
-        loop {
-            if rate(rung) <= room {
-                if rate(rung + 1) > room {
-                    return rung;
-                }
-                rung += 1;
-                continue;
-            }
-            let Some((other, _)) = self.cheapest(|s| s.at == Some(to)) else { return rung };
+        let room = self.room(to, AIM) * ROOM_PART;
+        while rate(rung + 1) <= room {
+            rung += 1;
+        }
+        let mut over = rate(rung) - self.room(to, HIGH);
+        while over > 0.0 {
+            let Some((other, _)) = self.cheapest(|s| s.at == Some(to)) else { break };
             let lower = self.sessions.get(&other).map_or(0, |s| s.rung.saturating_sub(1));
-            room += self.step(&other, lower);
+            over -= self.step(&other, lower);
         }
+        rung
     }
 
     /// Sets another rung for a playing session; the demand that this frees.
