--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,11 +30,11 @@
 /// From this share and a move's price on, a server with all its rungs down sheds a session: stalls cost more.
 const SHED: f64 = 1.05;
 /// Share of link or uplink that rungs are fitted to; the rest is for rates that vary by the second.
-const AIM: f64 = 0.95;
+const AIM: f64 = 1.0;
 /// Part of the room below `AIM` that a newcomer may take above its lowest rung: others will come.
 const ROOM_PART: f64 = 0.45;
 /// From this share on playing sessions are stepped down to `AIM`.
-const HIGH: f64 = 1.02;
+const HIGH: f64 = 1.06;
 /// Below this share playing sessions may be stepped up; the gap to `AIM` is the hysteresis.
 const LOW: f64 = 0.72;
 /// Under this delivered share a link or uplink is short.
@@ -52,7 +52,7 @@
 /// No step up so soon after another change; a rung that swings costs at each turn.
 const DWELL: Micros = 15 * SECOND;
 /// Share up to which steps up may fill a link or uplink.
-const RAISE_TO: f64 = 0.9;
+const RAISE_TO: f64 = 0.93;
 /// Expected length of a session in seconds until sessions have been seen to end.
 const LENGTH: f64 = 30.0;
 /// An uplink is never taken to carry less or more than these multiples of the told mean.
