--- a/src/brain.rs
+++ b/src/brain.rs
@@ -167,7 +167,7 @@
         let draw = self.draw();
         if draw < self.move_probability(load) && !self.shift(chosen, out) && load >= 1.0 {
             // No move possible and full: refused, unless the rungs there can make the room.
-            let room = self.link_room(chosen, 1.0) + self.can_free(chosen);
+            let room = self.room(chosen, 1.0) + self.can_free(chosen);
             if self.places(chosen) >= 1.0 || room < floor {
                 return self.refuse(id, out);
             }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -236,3 +236,30 @@
         assert!(refused(&bench.ask(request("c", 0, 0, 3))), "no server, no session");
     }
 }
+
+#[test]
+fn a_rack_with_no_room_left_refuses_rather_than_stalls_all() {
+    // The only holder has room on its link, but its rack's uplink is full at the lowest rungs.
+    let mut bench = Bench::new(settings());
+    for server in [0, 2, 4] {
+        bench.playing(&format!("p{server}"), server, 0);
+        bench.note(&format!("p{server}"), server, Note::Uplink(1.3));
+    }
+    for server in [1, 3, 5] {
+        bench.playing(&format!("p{server}"), server, 0);
+        bench.note(&format!("p{server}"), server, Note::Uplink(1.3));
+    }
+    assert!(refused(&bench.after(SECOND).ask(request("new", 0, 0, 1))));
+}
+
+#[test]
+fn a_figure_from_before_a_loss_does_not_keep_a_server_empty() {
+    let mut bench = Bench::new(settings());
+    bench.playing("a", 1, 0);
+    bench.note("a", 1, Note::Uplink(0.9));
+    bench.end("a", 0, 1, Outcome::Ok, true);
+    bench.after(60 * SECOND);
+    bench.playing("b", 0, 0);
+    bench.note("b", 0, Note::Uplink(0.5));
+    assert_eq!(sent(&bench.ask(request("new", 0, 0, 2))), Some(1));
+}
