--- a/src/brain.rs
+++ b/src/brain.rs
@@ -60,6 +60,8 @@
 const SCALE_MAX: f64 = 1.5;
 /// Own changes are kept this long; a figure on a link is never older while sessions play there.
 const CHANGES_KEPT: Micros = 30 * SECOND;
+/// Load that a holder in another zone is taken to have more, over its price: a cut ends its sessions.
+const AWAY: f64 = 2.5;
 /// A link carries at least this part of what own sessions ask of it: true rates lie under the ladder's too.
 const OWN_PART: f64 = 0.7;
 /// A figure is believed for so many times the time between notes, and for this long at least.
@@ -79,10 +81,8 @@
 const DOUBT: Micros = 15 * SECOND;
 /// Part of the aim that an attempt gets while another could follow within the aim.
 const ATTEMPT_PART: f64 = 0.45;
-/// Regular look at waiting sessions and steps up.
+/// Regular look at waiting sessions and steps up; a held session is answered this long before its end.
 const TICK: Micros = SECOND / 10;
-/// A held session is answered at least this long before its client gives up.
-const ANSWER_MARGIN: Micros = SECOND / 10;
 
 /// Why a server may not be sent a session now.
 enum Bar {
@@ -221,7 +221,7 @@
         let rank = |server: &ServerId| {
             let again = u32::from(session.tried.contains(server));
             let away = self.servers.get(server).is_some_and(|s| s.entry.zone != self.set.zone);
-            let bias = if away { self.set.cross_price } else { 0.0 };
+            let bias = if away { self.set.cross_price * AWAY } else { 0.0 };
             (self.tier(*server), again, self.load(*server) + bias)
         };
         let ranked = free.map(|server| (rank(&server), server));
@@ -323,7 +323,7 @@
     fn no_holder(&mut self, id: &SessionId, out: &mut Vec<Action>) {
         let Some(session) = self.sessions.get(id) else { return };
         let aim = session.class.aim;
-        let last = (session.taken + aim / 2).min(session.deadline.saturating_sub(ANSWER_MARGIN));
+        let last = (session.taken + aim / 2).min(session.deadline.saturating_sub(TICK));
         let turns =
             self.holders(&session.request).into_iter().filter_map(|server| match self.barred(id, server) {
                 Some(Bar::Until(at)) if at < last && self.tier(server) < 2 => Some(at),
