--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -263,3 +263,36 @@
     bench.note("b", 0, Note::Uplink(0.5));
     assert_eq!(sent(&bench.ask(request("new", 0, 0, 2))), Some(1));
 }
+
+#[test]
+fn with_no_move_possible_a_newcomer_is_sent_below_capacity() {
+    let mut bench = Bench::new(settings());
+    bench.playing("old", 0, 0);
+    bench.note("old", 0, Note::Link(0.99));
+    for server in 1..6 {
+        bench.playing(&format!("p{server}"), server, 0);
+        bench.note(&format!("p{server}"), server, Note::Link(0.95));
+    }
+    for n in 0..5 {
+        let actions = bench.after(SECOND / 10).ask(request(&format!("n{n}"), 0, 0, 1));
+        assert!(!moved(&actions), "no holder lies below the lower threshold: {actions:?}");
+        if n == 0 {
+            assert_eq!(sent(&actions), Some(0));
+        }
+    }
+}
+
+#[test]
+fn a_viewer_moved_lately_is_not_moved_again() {
+    let mut bench = Bench::new(settings());
+    bench.playing("old", 0, 0);
+    bench.note("old", 0, Note::Link(1.05));
+    assert!(moved(&bench.after(SECOND).ask(request("n1", 0, 0, 1))));
+    bench.end("old", 0, 0, Outcome::Withdrawn, true);
+    let mut back = request("back", 0, 0, 6);
+    (back.viewer, back.moved) = (request("old", 0, 0, 6).viewer, true);
+    let server = sent(&bench.after(SECOND / 2).ask(back)).expect("sent to the planned holder");
+    bench.begin("back", server);
+    bench.note("back", server, Note::Link(1.05));
+    assert!(!moved(&bench.after(6 * SECOND).ask(request("n2", 0, server, 1))));
+}
