Guards broken on purpose, one at a time: seven make the property test fail

Drains (rule 3), seats (5), budget (6), pace of cold servers (4), window of deduplicated classes (2), a second set-up (2), a refusal of what may have run (2). The guard on two attempts at once is not reached by any caller, so breaking it alone changes nothing; it stays as the last line.

--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,4 +1,8 @@
 //! Random legal orders of events against an independent checker of the six rules.
+//!
+//! Broken on purpose, one at a time, each of these guards makes it fail: drains, seats, the budget, the pace of cold
+//! servers, the window of deduplicated classes, no second set-up, no refusal of what may have run. The guard on two
+//! attempts at once stands behind callers that never ask for it, so breaking it alone shows nothing here.
 
 mod common;
 
