--- a/src/brain.rs
+++ b/src/brain.rs
@@ -525,14 +525,11 @@
         }
     }
 
-    fn link_room(&self, id: ServerId, aim: f64) -> f64 {
-        self.servers.get(&id).map_or(0.0, |s| (aim - self.link_load(id)) * self.link(s))
-    }
-
     /// kB a second that server and rack can take below a share.
     fn room(&self, id: ServerId, aim: f64) -> f64 {
         let rack = self.rack_of(id).map_or(f64::MAX, |rack| (aim - self.rack_load(rack)) * self.uplink(rack));
-        self.link_room(id, aim).min(rack)
+        let link = self.servers.get(&id).map_or(0.0, |s| (aim - self.link_load(id)) * self.link(s));
+        link.min(rack)
     }
 
     fn can_free(&self, at: ServerId) -> f64 {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -136,6 +136,15 @@
         self.tell(Event::Resumed(request(name, 0, 0, 6), ServerId(server)));
         self.note(name, server, Note::Rung(rung));
     }
+
+    /// A session `p<server>` at each of these servers, each with a note just heard.
+    pub fn playing_each(&mut self, servers: &[u32], rung: usize, note: Note) {
+        for server in servers {
+            let name = format!("p{server}");
+            self.playing(&name, *server, rung);
+            self.note(&name, *server, note);
+        }
+    }
 }
 
 pub fn sent(actions: &[Action]) -> Option<u32> {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -131,10 +131,7 @@
 fn one_short_server_does_not_starve_its_rack() {
     // Reports stay out; server 0 delivers short, its rack mates 2 and 4 in full.
     let mut bench = Bench::new(settings());
-    for server in [0, 2, 4] {
-        bench.playing(&format!("p{server}"), server, 2);
-        bench.note(&format!("p{server}"), server, Note::Link(0.4));
-    }
+    bench.playing_each(&[0, 2, 4], 2, Note::Link(0.4));
     let mut actions = Vec::new();
     for _ in 0..6 {
         actions.extend(bench.after(SECOND).note("p0", 0, Note::Delivered(0.8)));
@@ -146,10 +143,7 @@
 #[test]
 fn a_short_rack_is_relieved_though_no_link_is_full() {
     let mut bench = Bench::new(settings());
-    for server in [0, 2, 4] {
-        bench.playing(&format!("p{server}"), server, 2);
-        bench.note(&format!("p{server}"), server, Note::Link(0.7));
-    }
+    bench.playing_each(&[0, 2, 4], 2, Note::Link(0.7));
     let mut actions = Vec::new();
     for _ in 0..3 {
         bench.after(SECOND);
@@ -241,14 +235,8 @@
 fn a_rack_with_no_room_left_refuses_rather_than_stalls_all() {
     // The only holder has room on its link, but its rack's uplink is full at the lowest rungs.
     let mut bench = Bench::new(settings());
-    for server in [0, 2, 4] {
-        bench.playing(&format!("p{server}"), server, 0);
-        bench.note(&format!("p{server}"), server, Note::Uplink(1.3));
-    }
-    for server in [1, 3, 5] {
-        bench.playing(&format!("p{server}"), server, 0);
-        bench.note(&format!("p{server}"), server, Note::Uplink(1.3));
-    }
+    bench.playing_each(&[0, 2, 4], 0, Note::Uplink(1.3));
+    bench.playing_each(&[1, 3, 5], 0, Note::Uplink(1.3));
     assert!(refused(&bench.after(SECOND).ask(request("new", 0, 0, 1))));
 }
 
