--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,10 +28,10 @@
 const PROBE_FROM: Micros = 2 * SECOND; // a younger figure needs no probe
 const PROBE_WAIT: Micros = SECOND / 10; // a live server answers in a few ms
                                         // Rungs.
-const AIM: f64 = 0.97; // load that rungs are fitted to
-const ROOM_PART: f64 = 0.45; // of the room below AIM for a newcomer above its lowest rung: others will come
-const HIGH: f64 = 1.03; // load from which playing sessions are stepped down to AIM
-const LOW: f64 = 0.72; // load below which they may be stepped up; the gap to AIM is the hysteresis
+const MARGIN: f64 = 0.06; // of a link or uplink left free by rungs where nearly all demand is of other fronts
+const ROOM_PART: f64 = 0.45; // of the room for a newcomer above its lowest rung: others will come
+const OVER: f64 = 0.06; // over what rungs are fitted to, playing sessions are stepped down
+const LOW: f64 = 0.72; // load below which they may be stepped up; the gap is the hysteresis
 const RAISE_TO: f64 = 0.93; // load up to which steps up may fill
 const STEP_PAYS: f64 = 5.0; // times its price that a step up must earn
 const DWELL: Micros = 15 * SECOND; // no step up so soon after another change: a swing costs at each turn
@@ -515,7 +515,7 @@
                 }
             }
         } else if self.link_load(id) < over
-            && self.rack_load(rack) < HIGH
+            && self.rack_load(rack) < self.aim() + OVER
             && (again || self.link_load(id) > 0.9)
         {
             self.hear_asked(id, false, over, at);
@@ -535,6 +535,11 @@
         }
     }
 
+    /// Load that rungs are fitted to. What other fronts do is not known in time, so it falls with their part.
+    fn aim(&self) -> f64 {
+        1.0 - MARGIN * (1.0 - 1.0 / f64::from(self.set.fronts.max(1))).powi(3)
+    }
+
     /// kB a second that server and rack can take below a share.
     fn room(&self, id: ServerId, aim: f64) -> f64 {
         let rack = self.rack_of(id).map_or(f64::MAX, |rack| (aim - self.rack_load(rack)) * self.uplink(rack));
@@ -568,11 +573,11 @@
     /// lowest, own sessions make it.
     fn fit(&mut self, id: &SessionId, to: ServerId) -> usize {
         let Some(session) = self.sessions.get(id) else { return 0 };
-        let room = self.room(to, AIM) * ROOM_PART;
+        let room = self.room(to, self.aim()) * ROOM_PART;
         let floor = session.class.floor;
         let fits = |rung: &usize| session.rate(*rung) <= room;
         let rung = (floor + 1..=session.top).take_while(fits).last().unwrap_or(floor);
-        let mut over = session.rate(rung) - self.room(to, HIGH);
+        let mut over = session.rate(rung) - self.room(to, self.aim() + OVER);
         while over > 0.0 {
             let Some((other, _)) = self.cheapest(|s| s.at == Some(to)) else { break };
             let lower = self.sessions.get(&other).map_or(0, |s| s.rung.saturating_sub(1));
@@ -597,7 +602,7 @@
     fn relieve(&mut self, at: ServerId, out: &mut Vec<Action>) {
         let load = self.link_load(at);
         let Some(server) = self.servers.get(&at) else { return };
-        if load > HIGH && server.asked.is_some_and(|asked| asked.1 > server.relieved) {
+        if load > self.aim() + OVER && server.asked.is_some_and(|asked| asked.1 > server.relieved) {
             self.correct(load, &[at], out);
             self.servers.entry(at).and_modify(|server| server.relieved = self.now);
         }
@@ -605,7 +610,7 @@
         let (load, summed) = (self.rack_load(rack), self.set.note_every + self.set.note_age);
         let Some(state) = self.racks.get(rack) else { return };
         let heard = state.asked.map_or(state.short_at.max(self.now.saturating_sub(summed)), |asked| asked.1);
-        if load > HIGH && heard > state.relieved {
+        if load > self.aim() + OVER && heard > state.relieved {
             let inside: Vec<ServerId> = self.members(rack).map(|(id, _)| *id).collect();
             self.correct(load, &inside, out);
             self.racks[rack].relieved = self.now;
@@ -616,7 +621,7 @@
     /// takes its part only, and the last step is drawn for, so that they free the excess together.
     fn correct(&mut self, load: f64, within: &[ServerId], out: &mut Vec<Action>) {
         let own: f64 = within.iter().filter_map(|at| self.servers.get(at)).map(|s| s.own_kb).sum();
-        let mut need = own * (1.0 - AIM / load);
+        let mut need = own * (1.0 - self.aim() / load);
         while need > 0.0 {
             let Some((id, _)) = self.cheapest(|s| s.at.is_some_and(|at| within.contains(&at))) else { break };
             let Some(session) = self.sessions.get(&id) else { break };
@@ -698,8 +703,6 @@
         self.downs.remove(&server.entry.zone);
     }
 
-    // ---- Pace of cold servers ----
-
     /// When the warm-up of a server began, if it may be cold.
     fn cold(&self, server: &Server) -> Option<Micros> {
         let told = server.entry.started.or(self.unsure.then_some(self.now));
@@ -823,9 +826,6 @@
                 self.failed(at, false)
             }
             Outcome::Full => {
-                if self.set.refuses_from > 0.0 {
-                    self.hear_asked(at, false, self.link_load(at).max(self.set.refuses_from), self.now);
-                }
                 self.servers.entry(at).and_modify(|server| server.full_until = self.now + FULL);
             }
             Outcome::TimedOut | Outcome::NoConnection | Outcome::Broken if !draining => self.failed(at, true),
