--- a/src/brain.rs
+++ b/src/brain.rs
@@ -440,6 +440,7 @@
         match self.usual[1] {
             _ if weight == 1.0 => known,
             Some(usual) => weight * known + (1.0 - weight) * usual.min(USUAL_MOST),
+            None if self.members(rack).all(|(_, s)| s.own == 0) => (links() / uplink).min(USUAL_MOST),
             None => links() / uplink,
         }
     }
@@ -508,12 +509,12 @@
         if short * 2 > using && (short > 1 || lone) {
             let since: f64 = self.members(rack).map(|(_, s)| s.since(at)).sum();
             let load = self.rack_load(rack) - since / self.uplink(rack);
-            if let Some(state) = self.racks.get_mut(rack) {
-                if state.asked.is_none() && at > state.relieved {
-                    state.scale = (state.scale * load / over).clamp(SCALE_MIN, SCALE_MAX);
-                    state.short_at = at;
-                }
+            let Some(state) = self.racks.get_mut(rack).filter(|state| at > state.relieved) else { return };
+            if state.asked.is_some() {
+                return self.hear_asked(id, true, over, at);
             }
+            state.scale = (state.scale * load / over).clamp(SCALE_MIN, SCALE_MAX);
+            state.short_at = at;
         } else if self.link_load(id) < over
             && self.rack_load(rack) < self.aim() + OVER
             && (again || self.link_load(id) > 0.9)
@@ -565,8 +566,7 @@
             (s.worth(s.rung) - s.worth(s.rung - 1) + change / self.left(s).max(1.0)) / kb.max(1.0)
         };
         let steps = self.sessions.iter().filter(|(_, s)| able(s) && within(s));
-        let losses = steps.map(|(id, s)| (id, loss(s)));
-        losses.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(id, loss)| (id.clone(), loss))
+        steps.map(|(id, s)| (id.clone(), loss(s))).min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
     /// The rung for a newcomer: as high as its part of the room allows; where there is not even room for the
@@ -790,8 +790,8 @@
                 self.hear_report(*server, report);
                 self.looked(*server, *outcome, out);
             }
-            Event::Peer(_) => {}
             Event::Wake(tag) => self.tick(*tag, out),
+            Event::Peer(_) => {}
         }
         for id in std::mem::take(&mut self.stepped) {
             if let Some(session) = self.sessions.get(&id) {
