Cold servers: a crowd for one title and returning viewers lower the part that is let in

Now the rate is that of the title where it is more, a returning viewer stands for five requests, and nothing is spread.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -61,6 +61,7 @@
 const NEVER: Micros = Micros::MAX; // a bar that does not pass
                                    // Cold servers.
 const COLD_PART: f64 = 0.4; // of the pace that makes one fall, for all fronts together
+const AGAIN: usize = 5; // requests that a returning viewer stands for: it asks every other second till it plays
 const TAKEN_KEPT: Micros = 10 * SECOND; // over which the own rate of requests is taken
 
 /// The session controller of one front.
@@ -69,7 +70,6 @@
     rng: Pcg32,
     now: Micros,
     servers: BTreeMap<ServerId, Server>,
-    /// Listed servers by their cell.
     cells: BTreeMap<u32, Vec<ServerId>>,
     racks: Vec<Rack>,
     /// Mean of the figures heard lately of any link, and of any uplink: what is known of the others.
@@ -80,7 +80,7 @@
     /// Where moved viewers go when they come back, and who has been moved lately.
     plans: BTreeMap<ViewerId, (ServerId, Micros)>,
     lengths: Vec<f64>,
-    taken: VecDeque<Micros>,
+    taken: VecDeque<(Micros, TitleId)>,
     further: VecDeque<Micros>,
     /// True until the list is known to be fresh: servers of unknown age count as cold.
     unsure: bool,
@@ -285,7 +285,7 @@
             }
         }
         if let (Some(budget), true) = (self.set.budget, session.attempts > 0) {
-            let taken = self.taken.iter().filter(|at| **at + budget.window > self.now).count();
+            let taken = self.taken.iter().filter(|(at, _)| at + budget.window > self.now).count();
             let further = self.further.iter().filter(|at| **at + budget.window >= self.now).count();
             if (further + 1) as f64 > budget.free + budget.share * taken as f64 {
                 return Some(NEVER);
@@ -722,10 +722,12 @@
         if let Some(next) = server.cold_sent.map(|at| at + length).filter(|next| *next > self.now) {
             return Some(next);
         }
-        let holders = self.holders(&session.request);
-        let cold = holders.iter().filter_map(|id| self.servers.get(id)).filter(|s| self.cold(s).is_some());
-        let sends = (self.taken.len() + 2) as f64 / TAKEN_KEPT as f64 * holders.len() as f64
-            / (self.servers.len() * cold.count().max(1)) as f64;
+        // What this front would send there: its requests spread over the fleet, or those for this title if
+        // they are more. A returning viewer shows that others ask for it in vain.
+        let (title, again) = (session.request.title, usize::from(session.request.again) * AGAIN);
+        let same = self.taken.iter().filter(|(_, other)| *other == title).count() + again;
+        let part = self.holders(&session.request).len() as f64 / self.servers.len().max(1) as f64;
+        let sends = ((self.taken.len() + 2) as f64 * part).max(same as f64 - 1.0) / TAKEN_KEPT as f64;
         let share = 1.0 / (length as f64 * f64::from(self.set.fronts.max(1)));
         (session.luck * sends > share).then_some(NEVER)
     }
@@ -740,7 +742,7 @@
             Event::Request(request) => match self.set.classes.get(request.class) {
                 None => out.push(Action::Refuse(request.session.clone(), self.set.max_hold_off)),
                 Some(class) => {
-                    self.taken.push_back(self.now);
+                    self.taken.push_back((self.now, request.title));
                     let mut session = Session::new(request, class, &self.set.ladder, self.now);
                     session.luck = self.draw();
                     self.sessions.insert(request.session.clone(), session);
@@ -899,11 +901,8 @@
             }
             self.plans.retain(|_, plan| plan.1 + SESSION_MOVE_SPACING > now);
             let window = self.set.budget.map_or(0, |budget| budget.window).max(TAKEN_KEPT);
-            for row in [&mut self.taken, &mut self.further] {
-                while row.front().is_some_and(|at| at + window < now) {
-                    row.pop_front();
-                }
-            }
+            self.taken.retain(|(at, _)| at + window >= now);
+            self.further.retain(|at| at + window >= now);
         }
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -384,3 +384,33 @@
         }
     }
 }
+
+#[test]
+fn viewers_that_return_in_a_wave_do_not_push_a_cold_server_over() {
+    // A calm fleet of 80 fronts loses a zone; the viewers of one title come back all at once, and of its holders
+    // only one has just started.
+    let set = Settings { fronts: 80, racks: 0, cells: 48, ..settings() };
+    let mut sends: Vec<Micros> = Vec::new();
+    let begins = START + 10 * SECOND;
+    for place in 0..80u32 {
+        let mut brain = Brain::new(Settings { place, ..set.clone() }, u64::from(place) * 31 + 5);
+        let mut out = Vec::new();
+        let entries = (3..48).map(|id| ServerEntry { cell: id, ..line(id) }).collect();
+        brain.handle(START, &Event::Servers(ListKind::Whole, entries), &mut out);
+        let cold = ServerEntry { started: Some(begins), ..line(0) };
+        brain.handle(begins, &Event::Servers(ListKind::Changes, vec![cold]), &mut out);
+        for n in 0..3u32 {
+            let now = begins + SECOND * u64::from(n) + u64::from(place) * 10_000;
+            let mut ask = common::request(&format!("s{place}-{n}"), 0, 0, 3);
+            ask.again = true;
+            brain.handle(now, &Event::Request(ask), &mut out);
+            sends
+                .extend(out.drain(..).filter(|a| matches!(a, Action::SetUp(_, ServerId(0), _))).map(|_| now));
+        }
+    }
+    let pace = f64::from(set.kind_streams[0]) / set.warm_up as f64 * set.cold_from * set.fall_multiple;
+    for first in &sends {
+        let inside = sends.iter().filter(|at| *first <= **at && **at < first + set.fall_window).count();
+        assert!(inside as f64 <= pace * set.fall_window as f64 + 3.0, "{inside} in a window");
+    }
+}
