--- a/src/brain.rs
+++ b/src/brain.rs
@@ -61,7 +61,7 @@
 const NEVER: Micros = Micros::MAX; // a bar that does not pass
                                    // Cold servers.
 const COLD_PART: f64 = 0.4; // of the pace that makes one fall, for all fronts together
-const AGAIN: usize = 5; // requests that a returning viewer stands for: it asks every other second till it plays
+const AGAIN: usize = 5; // requests that a returning viewer stands for: it asks every 2 s until it plays
 const TAKEN_KEPT: Micros = 10 * SECOND; // over which the own rate of requests is taken
 
 /// The session controller of one front.
