Read again: dead loss of a step, dead place of a front, one check for cold pace, scans of own servers only

cheapest returned a loss that nobody read; the place of a front is read by nothing since cold servers lost their turns, so the setting goes; the told link was clamped twice, the number of fronts in three places. The tick looked at every rack's load before asking whether own sessions stand there, and at every server for steps up. The tests of the cold pace shared a formula three times and a window twice. Headings of the constants are headings again. Nothing decides otherwise; assertions as they were.

--- a/src/bin/salttally-drill/wire.rs
+++ b/src/bin/salttally-drill/wire.rs
@@ -270,7 +270,6 @@
 #[serde(default)]
 struct Facts {
     balancers: u32,
-    position: u32,
     zone: u32,
     classes: Vec<ClassFacts>,
     domain: Domain,
@@ -357,7 +356,6 @@
     fn default() -> Self {
         Facts {
             balancers: 1,
-            position: 0,
             zone: 0,
             classes: Vec::new(),
             domain: Domain::default(),
@@ -415,7 +413,6 @@
     let limits = facts.policy_limits;
     Ok(Settings {
         fronts: facts.balancers,
-        place: facts.position,
         zone: facts.zone,
         classes: classes.collect::<Result<_, _>>()?,
         ladder: domain.rung_kb.iter().enumerate().map(rung).collect(),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -12,7 +12,8 @@
 use crate::state::{hear, Heard, Rack, Server, Session};
 
 const SECOND: Micros = 1_000_000; // us
-                                  // REM. Loads are shares of a link, an uplink or places; 1 is all of it.
+
+// REM. Loads are shares of a link, an uplink or places; 1 is all of it.
 const MIN_TH: f64 = 0.8; // Min.th: over the rungs' aim, so that moves answer a lasting crowd
 const MAX_TH: f64 = 1.0; // Max.th: just past the point from which delivery falls short
 const P_MAX: f64 = 0.8; // where a move is free; the told price of a move takes from it
@@ -22,12 +23,14 @@
 const SHED: f64 = 1.05; // load, and a move's price, from which a server with all rungs down sheds a session
 const NEAR: f64 = 0.05; // loads this close are told apart by a draw: all fronts would choose the same
 const AWAY: f64 = 2.5; // prices of crossing by which a holder elsewhere counts as fuller: a cut ends sessions
-                       // Probes.
+
+// Probes.
 const PROBES: usize = 2; // before a set-up, at most
 const PROBE_PRICE_MOST: f64 = 0.02; // part of a session's worth; a dearer probe is not sent
 const PROBE_FROM: Micros = 2 * SECOND; // a younger figure needs no probe
 const PROBE_WAIT: Micros = SECOND / 10; // a live server answers in a few ms
-                                        // Rungs.
+
+// Rungs.
 const MARGIN: f64 = 0.06; // of a link or uplink left free by rungs where nearly all demand is of other fronts
 const ROOM_PART: f64 = 0.45; // of the room for a newcomer above its lowest rung: others will come
 const OVER: f64 = 0.06; // over what rungs are fitted to, playing sessions are stepped down
@@ -36,7 +39,8 @@
 const STEP_PAYS: f64 = 5.0; // times its price that a step up must earn
 const DWELL: Micros = 15 * SECOND; // no step up so soon after another change: a swing costs at each turn
 const LENGTH: f64 = 30.0; // s, expected length until sessions have been seen to end
-                          // Load account.
+
+// Load account.
 const SHORT: f64 = 0.98; // delivered share under which a link or uplink is short
 const NOTE_GAP: Micros = 3 * SECOND / 2; // notes of short delivery come once a second: an older one is over
 const LONE_PART: f64 = 0.85; // of what is short: a link's fresh figure under it shows that its uplink is
@@ -50,7 +54,8 @@
 const USUAL_PART: f64 = 0.05; // weight of each figure heard in the usual load
 const USUAL_MOST: f64 = 0.95; // the usual load is never taken for full: what nobody asked has not refused
 const REPORT_AGE: Micros = SECOND / 2; // of a report in an answer: refreshed now and then, and under way
-                                       // Health and attempts.
+
+// Health and attempts.
 const OUT_FIRST: Micros = 2 * SECOND; // out after a failure; doubles with each further one
 const OUT_LONGEST: Micros = 8 * SECOND; // a healed server is found again within this
 const DOUBT: Micros = 15 * SECOND; // after a failure in which a server comes last
@@ -59,7 +64,8 @@
 const ATTEMPT_PART: f64 = 0.45; // of the aim for an attempt while another could follow within it
 const TICK: Micros = SECOND / 10; // regular look; a held session is answered this long before its end
 const NEVER: Micros = Micros::MAX; // a bar that does not pass
-                                   // Cold servers.
+
+// Cold servers.
 const COLD_PART: f64 = 0.4; // of the pace that makes one fall, for all fronts together
 const AGAIN: usize = 5; // requests that a returning viewer stands for: it asks every 2 s until it plays
 const TAKEN_KEPT: Micros = 10 * SECOND; // over which the own rate of requests is taken
@@ -92,6 +98,7 @@
 impl Brain {
     /// A front that has just started.
     pub fn new(set: Settings, seed: u64) -> Self {
+        let set = Settings { fronts: set.fronts.max(1), ..set };
         let rack = || Rack { scale: 1.0, ..Rack::default() };
         let racks = (0..set.racks.min(set.cells)).map(|_| rack()).collect();
         let lengths = vec![LENGTH; set.classes.len()];
@@ -403,17 +410,17 @@
     /// What others are taken to ask of a link: their part of the usual load, from nothing on a new process.
     /// Danger: an unknown server taken for empty draws all newcomers; taken for full, it stays empty.
     fn others(&self, server: &Server) -> f64 {
-        let fronts = f64::from(self.set.fronts.max(1));
         let own = || self.servers.values().map(|s| s.own_kb).sum::<f64>();
-        let usual = self.usual[0].unwrap_or_else(|| own() * fronts / self.set.links_kb.max(1.0));
+        let usual =
+            self.usual[0].unwrap_or_else(|| own() * f64::from(self.set.fronts) / self.set.links_kb.max(1.0));
         let since = server.cold_since.max(server.entry.started);
         let filled = since.map_or(1.0, |at| (self.seconds_since(at) / LENGTH).min(1.0));
-        usual.min(USUAL_MOST) * filled * (1.0 - 1.0 / fronts)
+        usual.min(USUAL_MOST) * filled * (1.0 - 1.0 / f64::from(self.set.fronts))
     }
 
     fn link(&self, server: &Server) -> f64 {
         let cold = self.cold(server).is_some();
-        server.link_kb.max(1.0) * if cold { self.set.cold_from.clamp(0.1, 1.0) } else { 1.0 }
+        server.link_kb * if cold { self.set.cold_from.clamp(0.1, 1.0) } else { 1.0 }
     }
 
     fn rack_of(&self, id: ServerId) -> Option<usize> {
@@ -538,7 +545,7 @@
 
     /// Load that rungs are fitted to. What other fronts do is not known in time, so it falls with their part.
     fn aim(&self) -> f64 {
-        1.0 - MARGIN * (1.0 - 1.0 / f64::from(self.set.fronts.max(1))).powi(3)
+        1.0 - MARGIN * (1.0 - 1.0 / f64::from(self.set.fronts)).powi(3)
     }
 
     /// kB a second that server and rack can take below a share.
@@ -556,8 +563,8 @@
         self.servers.get(&at).map_or(0.0, |s| (1.0 - least / all) * load * self.link(s))
     }
 
-    /// The own playing session whose step down loses the least worth for each kB, and that loss.
-    fn cheapest(&self, within: impl Fn(&Session) -> bool) -> Option<(SessionId, f64)> {
+    /// The own playing session whose step down loses the least worth for each kB.
+    fn cheapest(&self, within: impl Fn(&Session) -> bool) -> Option<SessionId> {
         let able = |s: &Session| s.playing.is_some() && !s.moving && s.rung > s.class.floor;
         let loss = |s: &Session| {
             let kb = s.rate(s.rung) - s.rate(s.rung - 1);
@@ -566,7 +573,7 @@
             (s.worth(s.rung) - s.worth(s.rung - 1) + change / self.left(s).max(1.0)) / kb.max(1.0)
         };
         let steps = self.sessions.iter().filter(|(_, s)| able(s) && within(s));
-        steps.map(|(id, s)| (id.clone(), loss(s))).min_by(|a, b| a.1.total_cmp(&b.1))
+        steps.min_by(|a, b| loss(a.1).total_cmp(&loss(b.1))).map(|(id, _)| id.clone())
     }
 
     /// The rung for a newcomer: as high as its part of the room allows; where there is not even room for the
@@ -579,7 +586,7 @@
         let rung = (floor + 1..=session.top).take_while(fits).last().unwrap_or(floor);
         let mut over = session.rate(rung) - self.room(to, self.aim() + OVER);
         while over > 0.0 {
-            let Some((other, _)) = self.cheapest(|s| s.at == Some(to)) else { break };
+            let Some(other) = self.cheapest(|s| s.at == Some(to)) else { break };
             let lower = self.sessions.get(&other).map_or(0, |s| s.rung.saturating_sub(1));
             over -= self.step(&other, lower);
         }
@@ -623,7 +630,7 @@
         let own: f64 = within.iter().filter_map(|at| self.servers.get(at)).map(|s| s.own_kb).sum();
         let mut need = own * (1.0 - self.aim() / load);
         while need > 0.0 {
-            let Some((id, _)) = self.cheapest(|s| s.at.is_some_and(|at| within.contains(&at))) else { break };
+            let Some(id) = self.cheapest(|s| s.at.is_some_and(|at| within.contains(&at))) else { break };
             let Some(session) = self.sessions.get(&id) else { break };
             let lower = session.rung.saturating_sub(1);
             if need < (session.rate(session.rung) - session.rate(lower)) * self.draw() {
@@ -642,9 +649,10 @@
 
     /// Steps own sessions up where there is lasting room and the time left pays for the change.
     fn raise(&mut self) {
-        for at in self.servers.keys().copied().collect::<Vec<_>>() {
+        let mine = self.servers.iter().filter(|(_, s)| s.own_kb > 0.0).map(|(id, _)| *id);
+        for at in mine.collect::<Vec<_>>() {
             let Some(server) = self.servers.get(&at) else { continue };
-            let heard = server.asked.filter(|asked| asked.1 > server.stepped_up && server.own_kb > 0.0);
+            let heard = server.asked.filter(|asked| asked.1 > server.stepped_up);
             let Some((asked, _)) = heard.filter(|_| self.load(at) <= LOW) else { continue };
             // All fronts with sessions here hear the same: each takes its part of what is asked.
             let part = (server.own_kb / (asked * self.link(server)).max(1.0)).min(1.0);
@@ -728,7 +736,7 @@
         let same = self.taken.iter().filter(|(_, other)| *other == title).count() + again;
         let part = self.holders(&session.request).len() as f64 / self.servers.len().max(1) as f64;
         let sends = ((self.taken.len() + 2) as f64 * part).max(same as f64 - 1.0) / TAKEN_KEPT as f64;
-        let share = 1.0 / (length as f64 * f64::from(self.set.fronts.max(1)));
+        let share = 1.0 / (length as f64 * f64::from(self.set.fronts));
         (session.luck * sends > share).then_some(NEVER)
     }
 
@@ -824,9 +832,8 @@
                     *mean += 0.05 * (length - *mean);
                 }
             }
-            Outcome::Failed | Outcome::Full if draining || outcome == Outcome::Failed => {
-                self.failed(at, false)
-            }
+            Outcome::Failed => self.failed(at, false),
+            Outcome::Full if draining => self.failed(at, false),
             Outcome::Full => {
                 self.servers.entry(at).and_modify(|server| server.full_until = self.now + FULL);
             }
@@ -893,7 +900,7 @@
             let now = self.now;
             for at in 0..self.racks.len() {
                 // No short delivery for a while: the uplink carries what it is asked, and perhaps more.
-                let full = self.rack_load(at) > LEARN_FROM && self.members(at).any(|(_, s)| s.own_kb > 0.0);
+                let full = self.members(at).any(|(_, s)| s.own_kb > 0.0) && self.rack_load(at) > LEARN_FROM;
                 let Some(rack) = self.racks.get_mut(at) else { continue };
                 if rack.short_at + QUIET < now && (full || rack.scale < 1.0) {
                     rack.scale = (rack.scale + if full { LEARN } else { LEARN / 5.0 }).min(SCALE_MAX);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -110,8 +110,6 @@
 pub struct Settings {
     /// Number of fronts.
     pub fronts: u32,
-    /// Place of this front among them, from 0.
-    pub place: u32,
     /// Zone of this front.
     pub zone: u32,
     /// The classes.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,7 @@
 //! # let class = Class { aim: 1_000_000, effect: Effect::Safe, group: Group::All, window: 0, gain: 1.0, floor: 0,
 //! #     top: 2, rate_factor: 1.0, seats: 0, live: false };
 //! # let ladder = [(200.0, 0.2), (500.0, 0.6), (1000.0, 1.0)].map(|(kb, worth)| Rung { kb, worth }).to_vec();
-//! # let settings = Settings { fronts: 1, place: 0, zone: 0, classes: vec![class], ladder, cells: 3, racks: 0,
+//! # let settings = Settings { fronts: 1, zone: 0, classes: vec![class], ladder, cells: 3, racks: 0,
 //! #     link_kb_per_unit: 5000.0, links_kb: 15000.0, uplink_kb: 0.0, kind_streams: vec![20], refuses_from: 1.0,
 //! #     note_every: 3_000_000, note_age: 800_000, shared_adds: 1.0, change_cost_s: 0.5,
 //! #     reports: vec![ReportField::Link], max_attempts: 3, probes: false, probe_price: 0.0,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -26,7 +26,6 @@
     let rungs = [(200.0, 0.2), (400.0, 0.5), (800.0, 0.8), (1600.0, 1.0)];
     Settings {
         fronts: 2,
-        place: 0,
         zone: 0,
         classes: vec![class(Effect::Safe), class(Effect::Once)],
         ladder: rungs.map(|(kb, worth)| Rung { kb, worth }).to_vec(),
@@ -92,7 +91,11 @@
 
 impl Bench {
     pub fn new(settings: Settings) -> Self {
-        let mut bench = Bench { brain: Brain::new(settings, 1), now: START };
+        Self::seeded(settings, 1)
+    }
+
+    pub fn seeded(settings: Settings, seed: u64) -> Self {
+        let mut bench = Bench { brain: Brain::new(settings, seed), now: START };
         bench.tell(Event::Servers(ListKind::Whole, (0..6).map(line).collect()));
         bench
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -28,6 +28,20 @@
     rung: usize,
 }
 
+/// Set-ups in a microsecond that make a server fall that has just started.
+fn fall_pace(set: &Settings) -> f64 {
+    f64::from(set.kind_streams[0]) / set.warm_up as f64 * set.cold_from * set.fall_multiple
+}
+
+/// The sends of all fronts to a cold server, with the slack that chance is given.
+fn every_window_is_kept(set: &Settings, sends: &[Micros]) {
+    for first in sends {
+        let inside = sends.iter().filter(|at| *first <= **at && **at < first + set.fall_window).count();
+        let most = fall_pace(set) * set.fall_window as f64 + 3.0;
+        assert!(inside as f64 <= most, "{} fronts: {inside} in a window", set.fronts);
+    }
+}
+
 struct World {
     set: Settings,
     brain: Brain,
@@ -145,8 +159,7 @@
         if let Some(start) = entry.started.filter(|start| now < start + self.set.warm_up) {
             let sends = self.cold_sends.entry(server).or_default();
             sends.push(now);
-            let streams = f64::from(self.set.kind_streams[0]);
-            let pace = streams / self.set.warm_up as f64 * self.set.cold_from * self.set.fall_multiple;
+            let pace = fall_pace(&self.set);
             // One front alone stays under half of it, whatever its draws; the sum is judged below.
             let most = pace * (now - start) as f64 / 2.0 + 1.0;
             assert!(sends.iter().filter(|at| **at >= start).count() as f64 <= most, "rule 4: cold server");
@@ -343,9 +356,8 @@
     for (fronts, waves) in [(3u32, 60), (90, 6), (280, 6)] {
         let set = Settings { fronts, racks: 0, ..settings() };
         let entries: Vec<_> = (0..24).map(line).collect();
-        let mut brains: Vec<Brain> = (0..fronts)
-            .map(|place| Brain::new(Settings { place, ..set.clone() }, u64::from(place) * 77 + 1))
-            .collect();
+        let mut brains: Vec<Brain> =
+            (0..fronts).map(|place| Brain::new(set.clone(), u64::from(place) * 77 + 1)).collect();
         let begins = START + 13 * SECOND;
         let cold = ServerEntry { started: Some(begins), ..line(0) };
         let (mut sends, mut number) = (Vec::new(), 0);
@@ -372,16 +384,10 @@
                 }));
             }
         }
-        let pace = f64::from(set.kind_streams[0]) / set.warm_up as f64 * set.cold_from * set.fall_multiple;
+        let pace = fall_pace(&set);
         let whole = sends.len() as f64;
         assert!(whole > 0.0 && whole <= pace * (12 * SECOND) as f64, "{fronts} fronts: {whole}");
-        for first in &sends {
-            let inside = sends.iter().filter(|at| *first <= **at && **at < first + set.fall_window).count();
-            assert!(
-                inside as f64 <= pace * set.fall_window as f64 + 3.0,
-                "{fronts} fronts: {inside} in a window"
-            );
-        }
+        every_window_is_kept(&set, &sends);
     }
 }
 
@@ -393,7 +399,7 @@
     let mut sends: Vec<Micros> = Vec::new();
     let begins = START + 10 * SECOND;
     for place in 0..80u32 {
-        let mut brain = Brain::new(Settings { place, ..set.clone() }, u64::from(place) * 31 + 5);
+        let mut brain = Brain::new(set.clone(), u64::from(place) * 31 + 5);
         let mut out = Vec::new();
         let entries = (3..48).map(|id| ServerEntry { cell: id, ..line(id) }).collect();
         brain.handle(START, &Event::Servers(ListKind::Whole, entries), &mut out);
@@ -408,9 +414,5 @@
                 .extend(out.drain(..).filter(|a| matches!(a, Action::SetUp(_, ServerId(0), _))).map(|_| now));
         }
     }
-    let pace = f64::from(set.kind_streams[0]) / set.warm_up as f64 * set.cold_from * set.fall_multiple;
-    for first in &sends {
-        let inside = sends.iter().filter(|at| *first <= **at && **at < first + set.fall_window).count();
-        assert!(inside as f64 <= pace * set.fall_window as f64 + 3.0, "{inside} in a window");
-    }
+    every_window_is_kept(&set, &sends);
 }
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -9,7 +9,7 @@
     Settings { fronts, links_kb: 24_000.0 * f64::from(fronts), racks: 0, ..settings() }
 }
 
-fn silent_settings() -> Settings {
+fn probing() -> Settings {
     Settings { probes: true, ..settings() }
 }
 
@@ -36,8 +36,7 @@
 fn fronts_that_know_nothing_do_not_choose_the_same_server() {
     let mut chosen = [0u32; 6];
     for seed in 0..60 {
-        let mut bench = Bench { brain: Brain::new(many(60), seed), now: START };
-        bench.tell(Event::Servers(ListKind::Whole, (0..6).map(line).collect()));
+        let mut bench = Bench::seeded(many(60), seed);
         let server = sent(&bench.ask(request("new", 0, 0, 6))).expect("sent");
         chosen[server as usize] += 1;
     }
@@ -48,8 +47,7 @@
 fn fronts_that_hear_the_same_free_the_excess_together_and_no_more() {
     let (mut freed, asked) = (0.0, 60.0 * 800.0);
     for seed in 0..60 {
-        let mut bench = Bench { brain: Brain::new(many(60), seed), now: START };
-        bench.tell(Event::Servers(ListKind::Whole, (0..6).map(line).collect()));
+        let mut bench = Bench::seeded(many(60), seed);
         bench.playing("a", 0, 2);
         let actions = bench.after(4 * SECOND).note("a", 0, Note::Link(1.2));
         let rung = rung_of(&actions, "a").unwrap_or(2);
@@ -61,7 +59,7 @@
 
 #[test]
 fn a_dead_holder_is_found_by_a_probe_and_not_by_a_paid_session() {
-    let mut bench = Bench::new(silent_settings());
+    let mut bench = Bench::new(probing());
     let actions = bench.ask(request("paid", 1, 0, 2));
     assert_eq!((actions.contains(&Action::Probe(ServerId(0))), sent(&actions)), (true, None), "{actions:?}");
     let alive = Event::Probed { server: ServerId(1), outcome: Outcome::Ok, report: vec![0.5] };
@@ -72,7 +70,7 @@
 
 #[test]
 fn a_session_does_not_wait_long_for_probes() {
-    let mut bench = Bench::new(silent_settings());
+    let mut bench = Bench::new(probing());
     bench.ask(request("s", 0, 0, 2));
     assert!(sent(&bench.after(SECOND / 8).tell(Event::Wake(1))).is_some());
 }
@@ -86,10 +84,10 @@
         }
         bench.ask(request("s", 0, 0, 2)).iter().any(|action| matches!(action, Action::Probe(_)))
     };
-    assert!(probes(silent_settings(), false));
+    assert!(probes(probing(), false));
     assert!(!probes(settings(), false), "forbidden");
-    assert!(!probes(Settings { probe_price: 0.1, ..silent_settings() }, false), "dear");
-    assert!(!probes(silent_settings(), true), "just heard of");
+    assert!(!probes(Settings { probe_price: 0.1, ..probing() }, false), "dear");
+    assert!(!probes(probing(), true), "just heard of");
 }
 
 #[test]
