--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,104 @@
+//! salttally: the operators' command line.
+
+mod fronts;
+mod rehearse;
+mod tools;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use tracing_subscriber::EnvFilter;
+
+/// Rehearse, judge and look into session fronts.
+#[derive(Parser)]
+#[command(name = "salttally", version)]
+struct Arguments {
+    /// What is logged on standard error: error, warn, info, debug, trace, or filters
+    #[arg(long, global = true, default_value = "error", value_name = "LEVEL")]
+    log_level: String,
+    /// Form of the log
+    #[arg(long, global = true, value_enum, default_value = "text")]
+    log: LogForm,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogForm {
+    Text,
+    Json,
+}
+
+/// What fronts a rehearsal plays against.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Against {
+    /// Fronts in this process.
+    Library,
+    /// Processes of salttallyd.
+    Daemon,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play a bad day on loopback sockets and judge it by what crossed them
+    ///
+    /// Boxes, box list and players are stand-ins of this program, the fronts are real. Prints the worth delivered
+    /// over the worth asked for and the verdict on the six rules. Exit 0 only if all six were kept, 1 if not, 2 if
+    /// the day could not be played.
+    Rehearse(rehearse::Rehearse),
+    /// Judge a record that a rehearsal wrote
+    ///
+    /// Prints each rule, kept or the lines that break it. Exit 0 only if all six were kept.
+    Judge {
+        /// Record of crossings, JSON lines
+        record: PathBuf,
+        /// Print the verdict as JSON
+        #[arg(long)]
+        json: bool,
+    },
+    /// Decide a front's record of decisions again and compare
+    ///
+    /// Exit 0 if the module decides every step as recorded, 1 at the first that differs.
+    Replay {
+        /// Record of decisions, JSON lines
+        record: PathBuf,
+        /// Settings of the front that wrote it
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+    /// Check the settings of a front
+    Check {
+        /// Settings, as KDL
+        config: PathBuf,
+    },
+    /// Run one kind of stand-in by hand, until interrupted
+    #[command(subcommand)]
+    Standin(tools::Standin),
+    /// Open one session at a front, watch it, close it
+    ///
+    /// Exit 0 if it played, 3 if it was refused, 4 if it failed.
+    Open(tools::Open),
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let filter = EnvFilter::new(&arguments.log_level);
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match arguments.log {
+        LogForm::Text => log.init(),
+        LogForm::Json => log.json().init(),
+    }
+    let done = match arguments.command {
+        Command::Rehearse(rehearse) => rehearse.run(),
+        Command::Judge { record, json } => tools::judge(&record, json),
+        Command::Replay { record, config } => tools::replay(&record, &config),
+        Command::Check { config } => tools::check(&config),
+        Command::Standin(standin) => standin.run(),
+        Command::Open(open) => open.run(),
+    };
+    done.unwrap_or_else(|error| {
+        eprintln!("salttally: {error}");
+        ExitCode::from(2)
+    })
+}
--- /dev/null
+++ b/crates/cli/src/rehearse.rs
@@ -0,0 +1,212 @@
+//! `salttally rehearse`: a day on loopback sockets, judged.
+
+use std::error::Error;
+use std::fs;
+use std::io::{BufReader, IsTerminal, Write};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Instant;
+
+use clap::Args;
+use salttally_front::record;
+use salttally_front::settings::Settings;
+use salttally_judge::record::Line;
+use salttally_judge::worth::{worth, Worth};
+use salttally_judge::{judge, Rule, Verdict};
+use salttally_settings::Document;
+use salttally_standin::day::Day;
+use salttally_standin::script::Script;
+use serde_json::json;
+
+use crate::fronts::Company;
+use crate::Against;
+
+/// The built-in bad day.
+const BAD_DAY: &str = include_str!("../days/bad-day.kdl");
+
+/// Arguments of `salttally rehearse`.
+#[derive(Args)]
+pub struct Rehearse {
+    /// Script of the day, as KDL; the built-in bad day if there is none. See docs/operate/rehearsal.md
+    script: Option<PathBuf>,
+    /// Seed in place of the script's
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Write what crossed the sockets to this file, for `salttally judge`
+    #[arg(long, value_name = "FILE")]
+    record: Option<PathBuf>,
+    /// Keep settings and decisions of the fronts in this folder
+    #[arg(long, value_name = "FOLDER")]
+    keep: Option<PathBuf>,
+    /// Fronts in this process, or processes of salttallyd
+    #[arg(long, value_enum, default_value = "library")]
+    against: Against,
+    /// Print the result as JSON
+    #[arg(long)]
+    json: bool,
+}
+
+impl Rehearse {
+    /// Plays the day.
+    pub fn run(self) -> Result<ExitCode, Box<dyn Error>> {
+        let document = match &self.script {
+            Some(path) => Document::load(path),
+            None => Document::parse("the built-in bad day", BAD_DAY),
+        };
+        let script = document.and_then(|document| {
+            let mut script = Script::read(&document)?;
+            script.seed = self.seed.unwrap_or(script.seed);
+            Ok(script)
+        });
+        let script = match script {
+            Ok(script) => script,
+            Err(error) => {
+                eprintln!("{:?}", miette::Report::new(*error));
+                return Ok(ExitCode::from(2));
+            }
+        };
+        let (folder, kept) = match &self.keep {
+            Some(folder) => (folder.clone(), true),
+            None => (std::env::temp_dir().join(format!("salttally-{}", std::process::id())), false),
+        };
+        fs::create_dir_all(&folder)?;
+        let begun = Instant::now();
+        let day = Day::start(script)?;
+        let mut fronts = Company::new(self.against, &folder);
+        let show = !self.json && std::io::stderr().is_terminal();
+        let length = day.script.length / 1_000_000;
+        let played = day.play(&mut fronts, |progress| {
+            if show {
+                let (now, come, of, here) =
+                    (progress.now / 1_000_000, progress.come, progress.of, progress.present);
+                eprint!("\r{now:3} of {length} s, {come} of {of} viewers have come, {here} are there   ");
+                let _ = std::io::stderr().flush();
+            }
+        });
+        fronts.end();
+        if show {
+            eprintln!();
+        }
+        let lines = day.log.lines();
+        if let Some(path) = &self.record {
+            day.log.save(path)?;
+        }
+        day.stop();
+        played?;
+        let (decided, differs) = decided(&fronts);
+        if !kept {
+            fs::remove_dir_all(&folder)?;
+        }
+        let verdict = judge(&lines);
+        let worth = worth(&lines);
+        let result = Outcome {
+            verdict,
+            worth,
+            lines: &lines,
+            decided,
+            differs,
+            seconds: begun.elapsed().as_secs_f64(),
+        };
+        if self.json {
+            println!("{}", result.json());
+        } else {
+            result.print();
+        }
+        let kept = result.verdict.all_kept() && result.differs.is_none();
+        Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    }
+}
+
+/// Decides all that the fronts recorded again: the number of steps, and the first that differs.
+fn decided(fronts: &Company) -> (usize, Option<String>) {
+    let (mut steps, mut differs) = (0, None);
+    for (record, config) in &fronts.records {
+        let settings = Settings::load(config).map_err(|error| error.to_string());
+        let file = fs::File::open(record).map_err(|error| error.to_string());
+        let done = settings.and_then(|settings| {
+            record::replay(BufReader::new(file?), &settings.module).map_err(|error| error.to_string())
+        });
+        match done {
+            Ok(done) => steps += done,
+            Err(error) => {
+                let name = record.file_name().unwrap_or_default().to_string_lossy().into_owned();
+                differs.get_or_insert(format!("{name}: {error}"));
+            }
+        }
+    }
+    (steps, differs)
+}
+
+struct Outcome<'a> {
+    verdict: Verdict,
+    worth: Worth,
+    lines: &'a [Line],
+    decided: usize,
+    differs: Option<String>,
+    seconds: f64,
+}
+
+impl Outcome<'_> {
+    fn print(&self) {
+        let [plays, refused, failed] = self.verdict.answers;
+        println!("calls       {} owed, {} excused", self.verdict.owed, self.verdict.excused);
+        println!("answers     {plays} play, {refused} refused, {failed} failed");
+        println!("attempts    {} reached boxes", self.verdict.attempts);
+        println!(
+            "worth       {:.3} ({:.0} delivered of {:.0} asked), {} of {} began in time",
+            self.worth.part(),
+            self.worth.delivered,
+            self.worth.asked,
+            self.worth.in_time,
+            self.worth.began
+        );
+        match &self.differs {
+            None => println!("decisions   {} steps, each as the module alone decides it", self.decided),
+            Some(differs) => println!("decisions   DIFFER: {differs}"),
+        }
+        println!("record      {} lines, {:.1} s in all", self.lines.len(), self.seconds);
+        print_verdict(&self.verdict);
+    }
+
+    fn json(&self) -> serde_json::Value {
+        let mut value = verdict_json(&self.verdict);
+        value["worth"] = json!({
+            "part": self.worth.part(), "delivered": self.worth.delivered, "asked": self.worth.asked,
+            "began": self.worth.began, "in_time": self.worth.in_time
+        });
+        value["decisions"] = json!({"steps": self.decided, "differs": self.differs});
+        value["seconds"] = json!(self.seconds);
+        value
+    }
+}
+
+/// Findings of a rule that are printed; the rest is counted.
+const SHOWN: usize = 5;
+
+/// Prints each rule, kept or the lines that break it.
+pub fn print_verdict(verdict: &Verdict) {
+    for rule in Rule::ALL {
+        let broken: Vec<_> = verdict.findings.iter().filter(|finding| finding.rule == rule).collect();
+        println!("{:36} {}", rule.to_string(), if broken.is_empty() { "kept" } else { "BROKEN" });
+        for finding in broken.iter().take(SHOWN) {
+            println!("    at {:.3} s: {}", finding.at as f64 / 1e6, finding.text);
+        }
+        if broken.len() > SHOWN {
+            println!("    and {} more", broken.len() - SHOWN);
+        }
+    }
+}
+
+/// The verdict as JSON.
+pub fn verdict_json(verdict: &Verdict) -> serde_json::Value {
+    let rules = Rule::ALL.map(|rule| {
+        let findings = verdict.findings.iter().filter(|finding| finding.rule == rule);
+        let findings: Vec<_> = findings.map(|f| json!({"at_us": f.at, "text": f.text})).collect();
+        json!({"rule": rule.to_string(), "kept": findings.is_empty(), "findings": findings})
+    });
+    let [plays, refused, failed] = verdict.answers;
+    json!({
+        "kept": verdict.all_kept(), "rules": rules, "owed": verdict.owed, "excused": verdict.excused,
+        "answers": {"plays": plays, "refused": refused, "failed": failed}, "attempts": verdict.attempts
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,98 @@
+//! salttallyd: a session front as a process. It reads its settings, starts the front, and ends it in order at
+//! SIGTERM or SIGINT; everything else is the library's.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Parser, ValueEnum};
+use miette::Report;
+use salttally_front::settings::Settings;
+use salttally_front::Front;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use tracing_subscriber::EnvFilter;
+
+/// A session front: players over WebSocket, media boxes over HTTP, every decision by salttally.
+///
+/// Ends in order at SIGTERM or SIGINT: what is owed is answered, what plays is released. Killed, its sessions play
+/// on at the boxes, and a front started again under the same name finds them there.
+#[derive(Parser)]
+#[command(name = "salttallyd", version)]
+struct Arguments {
+    /// Settings, as KDL; see docs/operate/front.md
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// Check the settings and end: 0 if they hold, 2 with file, line and reason if not
+    #[arg(long)]
+    check: bool,
+    /// Write every decision to this file, as JSON lines; goes before `record` in the settings
+    #[arg(long, value_name = "FILE")]
+    record: Option<PathBuf>,
+    /// Form of the log on standard error
+    #[arg(long, value_enum, default_value = "text")]
+    log: LogForm,
+    /// What is logged: error, warn, info, debug, trace, or filters as in `info,salttally_front=debug`
+    #[arg(long, default_value = "info", value_name = "LEVEL")]
+    log_level: String,
+    /// An ordered end takes this long at most, in ms
+    #[arg(long, default_value_t = 5_000, value_name = "MS")]
+    end_within: u64,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogForm {
+    Text,
+    Json,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let mut settings = match Settings::load(&arguments.config) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("salttallyd: {error}");
+            eprintln!("{:?}", Report::new(*error));
+            return ExitCode::from(2);
+        }
+    };
+    if arguments.check {
+        println!("{}: holds", arguments.config.display());
+        return ExitCode::SUCCESS;
+    }
+    if arguments.record.is_some() {
+        settings.record = arguments.record;
+    }
+    let filter = EnvFilter::new(&arguments.log_level);
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match arguments.log {
+        LogForm::Text => log.init(),
+        LogForm::Json => log.json().init(),
+    }
+    // Before the front starts: a signal that comes meanwhile must not be lost.
+    let mut signals = match Signals::new([SIGTERM, SIGINT]) {
+        Ok(signals) => signals,
+        Err(error) => return fail(&format!("no signals: {error}")),
+    };
+    let front = match Front::start(settings) {
+        Ok(front) => front,
+        Err(error) => return fail(&error.to_string()),
+    };
+    tracing::info!(address = %front.address(), seed = front.seed(), "front listens");
+    // Whoever started the process may wait for this line.
+    println!("listening {}", front.address());
+    let _ = signals.forever().next();
+    tracing::info!("front ends");
+    match front.shut_down(Duration::from_millis(arguments.end_within)) {
+        Some(counts) => {
+            tracing::info!(?counts, "front has ended");
+            ExitCode::SUCCESS
+        }
+        None => fail("not all that played was released in time; boxes end it when they miss this front"),
+    }
+}
+
+fn fail(reason: &str) -> ExitCode {
+    eprintln!("salttallyd: {reason}");
+    ExitCode::from(1)
+}
--- /dev/null
+++ b/crates/front/src/boxes/events.rs
@@ -0,0 +1,79 @@
+//! Server-sent events, read from bytes (HTML standard, section 9.2). Knows no socket.
+
+use thiserror::Error;
+
+/// Longest event, bytes: the list of what a box holds is the longest.
+pub const EVENT_MOST: usize = 4 * 1024 * 1024;
+
+/// An event longer than any may be.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("an event of over {EVENT_MOST} bytes")]
+pub struct TooLong;
+
+/// One event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Event {
+    /// Its name.
+    pub name: String,
+    /// Its data; several lines are joined by line ends.
+    pub data: String,
+}
+
+/// Takes bytes in as they come and hands events out as they are whole.
+#[derive(Clone, Debug, Default)]
+pub struct Decoder {
+    line: Vec<u8>,
+    event: Event,
+    size: usize,
+    has_data: bool,
+    /// The last byte was a carriage return, so that a line feed now ends nothing.
+    after_return: bool,
+}
+
+impl Decoder {
+    /// Takes in bytes. Comments are no events, but show that the peer lives.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<Event>, TooLong> {
+        let mut events = Vec::new();
+        for byte in bytes {
+            let after_return = std::mem::replace(&mut self.after_return, *byte == b'\r');
+            match byte {
+                b'\n' if after_return => {}
+                b'\n' | b'\r' => events.extend(self.line_done()),
+                _ => {
+                    self.size += 1;
+                    if self.size > EVENT_MOST {
+                        return Err(TooLong);
+                    }
+                    self.line.push(*byte);
+                }
+            }
+        }
+        Ok(events)
+    }
+
+    fn line_done(&mut self) -> Option<Event> {
+        let line = std::mem::take(&mut self.line);
+        if line.is_empty() {
+            self.size = 0;
+            let event = std::mem::take(&mut self.event);
+            return std::mem::take(&mut self.has_data).then_some(event);
+        }
+        let text = String::from_utf8_lossy(&line);
+        let (field, value) = text.split_once(':').unwrap_or((&text, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "event" => self.event.name = value.to_owned(),
+            "data" => {
+                if self.has_data {
+                    self.event.data.push('\n');
+                }
+                self.has_data = true;
+                self.event.data.push_str(value);
+            }
+            // A comment ends no event but must not count towards the next one's length.
+            "" if !self.has_data && self.event.name.is_empty() => self.size = 0,
+            _ => {}
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/front/src/boxes/mod.rs
@@ -0,0 +1,111 @@
+//! Client of media boxes: HTTP/1.1 with keep-alive connections, and one event stream for each box. Described in
+//! `docs/box-api.md`.
+//!
+//! [`http`] and [`events`] read bytes and know no socket; [`wire`] is what the bodies say. Each connection and
+//! each stream has a thread of its own that does what the ledger says and tells what came of it.
+
+pub mod events;
+pub mod http;
+pub(crate) mod link;
+pub mod wire;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crossbeam_channel::Sender;
+use salttally::interface::ServerId;
+
+use crate::core::{BoxRequest, ConnId};
+use crate::engine::Msg;
+use crate::settings::Settings;
+use link::Socket;
+
+/// Connections and streams to boxes.
+pub struct Boxes {
+    settings: Arc<Settings>,
+    engine: Sender<Msg>,
+    conns: BTreeMap<ConnId, Conn>,
+    streams: BTreeMap<u64, Arc<Socket>>,
+}
+
+struct Conn {
+    socket: Arc<Socket>,
+    requests: Sender<BoxRequest>,
+}
+
+impl Boxes {
+    /// No connection yet.
+    pub fn new(settings: Arc<Settings>, engine: Sender<Msg>) -> Boxes {
+        Boxes { settings, engine, conns: BTreeMap::new(), streams: BTreeMap::new() }
+    }
+
+    /// Begins to connect.
+    pub fn dial(&mut self, id: ConnId, server: ServerId, address: SocketAddr) {
+        let (requests, inbox) = crossbeam_channel::unbounded();
+        let socket = Arc::new(Socket::default());
+        let conn = link::Exchanger {
+            id,
+            server,
+            address,
+            settings: Arc::clone(&self.settings),
+            engine: self.engine.clone(),
+            socket: Arc::clone(&socket),
+        };
+        self.conns.insert(id, Conn { socket, requests });
+        link::spawn("box", move || conn.run(&inbox), {
+            let engine = self.engine.clone();
+            move || link::no_thread(&engine, id)
+        });
+    }
+
+    /// Sends a request on a connection that stands.
+    pub fn exchange(&mut self, id: ConnId, request: &BoxRequest) {
+        if let Some(conn) = self.conns.get(&id) {
+            // A thread that has ended has told so.
+            let _ = conn.requests.send(request.clone());
+        }
+    }
+
+    /// Closes a connection.
+    pub fn hang(&mut self, id: ConnId) {
+        if let Some(conn) = self.conns.remove(&id) {
+            conn.socket.close();
+        }
+    }
+
+    /// Opens an event stream.
+    pub fn listen(&mut self, server: ServerId, number: u64, address: SocketAddr) {
+        let socket = Arc::new(Socket::default());
+        let listener = link::Listener {
+            server,
+            number,
+            address,
+            settings: Arc::clone(&self.settings),
+            engine: self.engine.clone(),
+            socket: Arc::clone(&socket),
+        };
+        self.streams.insert(number, socket);
+        link::spawn("events", move || listener.run(), {
+            let engine = self.engine.clone();
+            move || link::no_stream(&engine, server, number)
+        });
+    }
+
+    /// Closes an event stream.
+    pub fn stop_listening(&mut self, _server: ServerId, number: u64) {
+        if let Some(socket) = self.streams.remove(&number) {
+            socket.close();
+        }
+    }
+
+    /// Closes everything.
+    pub fn die(&mut self) {
+        for conn in std::mem::take(&mut self.conns).into_values() {
+            conn.socket.close();
+        }
+        for socket in std::mem::take(&mut self.streams).into_values() {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/boxes/wire.rs
@@ -0,0 +1,201 @@
+//! What requests to boxes and their answers say; see `docs/box-api.md`.
+
+use std::sync::Arc;
+
+use salttally::interface::{Note, ReportField, SessionId, ViewerId};
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+
+use super::events::Event;
+use super::http::Response;
+use crate::core::{BoxAnswer, BoxRequest, ExchangeEnd, Held, Opening, StreamNews};
+use crate::settings::Settings;
+
+/// What a box keeps of a session for the front that set it up, and gives back after the front's restart.
+#[derive(Debug, Deserialize, Serialize)]
+struct Context {
+    viewer: String,
+    title: String,
+    class: String,
+    top_rung: usize,
+    patience_ms: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    length_hint_s: Option<f64>,
+}
+
+/// Writes a request as bytes.
+pub fn request(request: &BoxRequest, settings: &Settings) -> Vec<u8> {
+    match request {
+        BoxRequest::SetUp { session, attempt, rung, opening, time_out } => {
+            let class = settings.classes.get(opening.class).map_or("", String::as_str);
+            let title = settings.title(opening.title);
+            let context = Context {
+                // The hash does as the viewer's name: the box hands it back and nothing else.
+                viewer: format!("{:016x}", opening.viewer.0),
+                title: title.to_owned(),
+                class: class.to_owned(),
+                top_rung: opening.top_rung,
+                patience_ms: opening.patience / 1000,
+                length_hint_s: opening.length.map(|length| length as f64 / 1e6),
+            };
+            let body = json!({
+                "session": &*session.0, "attempt": attempt, "title": title, "class": class, "rung": rung,
+                "rate_kb": settings.rate(opening.class, *rung), "time_out_ms": time_out / 1000,
+                "context": context
+            });
+            write("POST", "/sessions", settings, Some(&body))
+        }
+        BoxRequest::SetRung { session, attempt, rung, class } => {
+            let path = format!("/sessions/{}/{attempt}/rung", session.0);
+            let rate = settings.rate(*class, *rung);
+            write("PUT", &path, settings, Some(&json!({"rung": rung, "rate_kb": rate})))
+        }
+        BoxRequest::Release { session, attempt } => {
+            write("DELETE", &format!("/sessions/{}/{attempt}", session.0), settings, None)
+        }
+        BoxRequest::Probe => write("GET", "/load", settings, None),
+    }
+}
+
+/// The request for a box's event stream, or the list's.
+pub fn follow(path: &str, settings: &Settings) -> Vec<u8> {
+    let name = &settings.name;
+    format!("GET {path} HTTP/1.1\r\nHost: box\r\nFront: {name}\r\nAccept: text/event-stream\r\n\r\n")
+        .into_bytes()
+}
+
+fn write(method: &str, path: &str, settings: &Settings, body: Option<&Value>) -> Vec<u8> {
+    let body = body.map_or(String::new(), Value::to_string);
+    let name = &settings.name;
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: box\r\nFront: {name}\r\nContent-Type: application/json\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+#[derive(Deserialize)]
+struct Body {
+    #[serde(default)]
+    session: Option<String>,
+    #[serde(default)]
+    attempt: Option<u32>,
+    #[serde(default)]
+    load: Value,
+}
+
+/// What a response to this request says.
+pub fn answer(request: &BoxRequest, response: &Response, settings: &Settings) -> ExchangeEnd {
+    let malformed = |reason: String| ExchangeEnd::Malformed(reason);
+    let body: Body = match serde_json::from_slice(&response.body) {
+        Ok(body) => body,
+        Err(error) => {
+            return malformed(format!("answered {} with a body that is none: {error}", response.status))
+        }
+    };
+    let report = match report(&body.load, settings) {
+        Ok(report) => report,
+        Err(reason) => return malformed(reason),
+    };
+    let answer = match (request, response.status) {
+        (BoxRequest::SetUp { session, attempt, .. }, 201) => {
+            let told = body.session.as_deref().zip(body.attempt);
+            if told != Some((&*session.0, *attempt)) {
+                return malformed(format!("answered for {told:?}, asked was {} {attempt}", session.0));
+            }
+            BoxAnswer::Done
+        }
+        (BoxRequest::SetUp { .. }, 503) => BoxAnswer::Full,
+        (BoxRequest::SetUp { .. }, _) => BoxAnswer::Error,
+        (_, 200) => BoxAnswer::Done,
+        (_, 404) => BoxAnswer::Unknown,
+        _ => BoxAnswer::Error,
+    };
+    ExchangeEnd::Answered { answer, report, keep: response.keep }
+}
+
+/// A load report, in the order of the settings; a figure that is missing leaves the whole out.
+fn report(load: &Value, settings: &Settings) -> Result<Vec<f64>, String> {
+    if load.is_null() {
+        return Ok(Vec::new());
+    }
+    let mut row = Vec::new();
+    for field in &settings.module.reports {
+        let name = match field {
+            ReportField::Streams => "streams",
+            ReportField::Link | ReportField::LinkCapped => "link",
+            ReportField::Uplink => "uplink",
+            ReportField::Other => continue,
+        };
+        let Some(value) = load.get(name).and_then(Value::as_f64).filter(|v| *v >= 0.0) else {
+            return Err(format!("a load report without a figure `{name}`"));
+        };
+        row.push(if *field == ReportField::LinkCapped { value.min(1.0) } else { value });
+    }
+    Ok(row)
+}
+
+#[derive(Deserialize)]
+struct HeldBody {
+    session: String,
+    attempt: u32,
+    rung: usize,
+    #[serde(default)]
+    context: Value,
+}
+
+/// What an event of a box says; nothing for one of a kind that is not known, which a newer box may send.
+pub fn news(event: &Event, settings: &Settings) -> Result<Vec<StreamNews>, String> {
+    let bad = |error: serde_json::Error| format!("event `{}`: {error}", event.name);
+    let data: Value = serde_json::from_str(&event.data).map_err(bad)?;
+    let session = || {
+        let name = data.get("session").and_then(Value::as_str);
+        name.map(|name| SessionId(Arc::from(name))).ok_or(format!("event `{}` names no session", event.name))
+    };
+    let figure = |key: &str| data.get(key).and_then(Value::as_f64).filter(|v| *v >= 0.0);
+    let missing = |key: &str| format!("event `{}` without a figure `{key}`", event.name);
+    Ok(match event.name.as_str() {
+        "held" => {
+            let sessions = data.get("sessions").cloned().unwrap_or(Value::Null);
+            let sessions: Vec<HeldBody> = serde_json::from_value(sessions).map_err(bad)?;
+            vec![StreamNews::Up(sessions.into_iter().map(|held| self::held(held, settings)).collect())]
+        }
+        "delivered" => {
+            let share = figure("share").ok_or_else(|| missing("share"))?;
+            vec![StreamNews::Note(session()?, Note::Delivered(share))]
+        }
+        "link" => {
+            let link = figure("link").ok_or_else(|| missing("link"))?;
+            let mut notes = vec![StreamNews::Note(session()?, Note::Link(link))];
+            if let Some(uplink) = figure("uplink") {
+                notes.push(StreamNews::Note(session()?, Note::Uplink(uplink)));
+            }
+            notes
+        }
+        "ended" => {
+            let attempt = data.get("attempt").and_then(Value::as_u64).ok_or_else(|| missing("attempt"))?;
+            vec![StreamNews::Ended(session()?, u32::try_from(attempt).unwrap_or(u32::MAX))]
+        }
+        _ => vec![StreamNews::Beat],
+    })
+}
+
+fn held(body: HeldBody, settings: &Settings) -> Held {
+    let opening = serde_json::from_value::<Context>(body.context).ok().and_then(|context| {
+        let title = settings.titles.get(&context.title)?;
+        Some(Opening {
+            viewer: ViewerId(u64::from_str_radix(&context.viewer, 16).ok()?),
+            title: title.id,
+            class: settings.class(&context.class)?,
+            first_cell: title.first_cell,
+            cell_count: title.cells,
+            top_rung: context.top_rung,
+            patience: context.patience_ms * 1000,
+            length: context.length_hint_s.map(|hint| (hint.clamp(0.0, 1e6) * 1e6) as u64),
+            returned: false,
+            moved_from: None,
+        })
+    });
+    Held { session: SessionId(Arc::from(body.session)), attempt: body.attempt, rung: body.rung, opening }
+}
--- /dev/null
+++ b/crates/front/src/clock.rs
@@ -0,0 +1,33 @@
+//! The one place where the front meets the real clock.
+#![allow(clippy::disallowed_types, clippy::disallowed_methods)]
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use salttally::interface::Micros;
+
+/// The front's own clock: microseconds since the Unix epoch at its start, and from then on only forward,
+/// whatever is done to the machine's clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+    base: Micros,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Clock {
+        let base =
+            SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as Micros);
+        Clock { started: Instant::now(), base }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Micros {
+        self.base + self.started.elapsed().as_micros() as Micros
+    }
+
+    /// The moment of this time, for a wait; one that is past is now.
+    pub fn moment(&self, at: Micros) -> Instant {
+        self.started + Duration::from_micros(at.saturating_sub(self.base))
+    }
+}
--- /dev/null
+++ b/crates/front/src/core/ledger.rs
@@ -0,0 +1,932 @@
+//! The ledger of sessions and attempts: told what happens, it asks the decider and carries out the answer, and
+//! keeps the one answer and the one attempt whatever the decider says.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use salttally::interface::*;
+
+use super::pool::{End, Pool, Proof};
+use super::session::{Attempt, Playing, Session, Stage};
+use super::streams::{Streams, Verdict};
+use super::timers::{Due, Timers};
+use super::*;
+
+/// Releases of one attempt that are tried before it is left to the box's own account of what it holds.
+const RELEASES: u32 = 4;
+/// Pause before the second of them; it doubles.
+const RELEASE_PAUSE: Micros = 100_000;
+/// Changes of rung in a row that may fail before the module is told the rung in force.
+const RUNG_MISSES: u32 = 2;
+
+/// What a front has done since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Opens accepted.
+    pub accepted: u64,
+    /// Answers: plays.
+    pub played: u64,
+    /// Answers: refused.
+    pub refused: u64,
+    /// Answers: failed.
+    pub failed: u64,
+    /// Set-ups sent.
+    pub attempts: u64,
+    /// Sessions moved.
+    pub moved: u64,
+    /// Sessions lost with their boxes.
+    pub lost: u64,
+    /// Sessions found at boxes after a restart.
+    pub resumed: u64,
+    /// Sets of the lock: a second answer stopped.
+    pub stopped_answers: u64,
+    /// A set-up stopped because an attempt was out, or the session was answered or over.
+    pub stopped_attempts: u64,
+    /// A set-up or refusal stopped because a paid set-up may have run.
+    pub stopped_effects: u64,
+    /// Any other action that could not be carried out as it stood.
+    pub stopped_others: u64,
+    /// Answers that the ledger gave because nothing was decided in time.
+    pub overdue: u64,
+    /// Peers that did not keep to the box API.
+    pub faults: u64,
+}
+
+impl Counts {
+    /// All actions stopped by the second lock.
+    pub fn stopped(&self) -> u64 {
+        self.stopped_answers + self.stopped_attempts + self.stopped_effects + self.stopped_others
+    }
+}
+
+/// What the decider was told and what it answered; for the record.
+pub type Tap = Box<dyn FnMut(Micros, &Event, &[Action]) + Send>;
+
+/// The state of one front. See [`crate::core`].
+pub struct Ledger<D> {
+    decider: D,
+    settings: Settings,
+    limits: Limits,
+    name: String,
+    boot: u32,
+    opened: u64,
+    now: Micros,
+    sessions: BTreeMap<SessionId, Session>,
+    by_client: BTreeMap<ClientId, BTreeSet<SessionId>>,
+    boxes: BTreeMap<ServerId, SocketAddr>,
+    /// Sessions that this front moved, until they are opened again.
+    moved: BTreeMap<SessionId, ViewerId>,
+    releases: BTreeMap<(ServerId, SessionId, u32), u32>,
+    pool: Pool,
+    streams: Streams,
+    timers: Timers,
+    /// Sessions found at boxes before the list was known to be fresh.
+    found: Vec<(ServerId, Held)>,
+    fresh: bool,
+    ending: bool,
+    finished: bool,
+    events: VecDeque<Event>,
+    counts: Counts,
+    tap: Option<Tap>,
+}
+
+impl<D: Decider> Ledger<D> {
+    /// The ledger of a front that has just started. `name` is the front's own, the same at each start; `boot`
+    /// differs between its starts, so that no id of a session is used again.
+    pub fn new(decider: D, settings: Settings, limits: Limits, name: &str, boot: u32) -> Self {
+        Ledger {
+            decider,
+            settings,
+            limits,
+            name: name.to_owned(),
+            boot,
+            opened: 0,
+            now: 0,
+            sessions: BTreeMap::new(),
+            by_client: BTreeMap::new(),
+            boxes: BTreeMap::new(),
+            moved: BTreeMap::new(),
+            releases: BTreeMap::new(),
+            pool: Pool::default(),
+            streams: Streams::default(),
+            timers: Timers::default(),
+            found: Vec::new(),
+            fresh: false,
+            ending: false,
+            finished: false,
+            events: VecDeque::new(),
+            counts: Counts::default(),
+            tap: None,
+        }
+    }
+
+    /// Has every event and its actions told to `tap`.
+    pub fn tapped(mut self, tap: Tap) -> Self {
+        self.tap = Some(tap);
+        self
+    }
+
+    /// When something is due next; the edge then hands in [`Input::Tick`].
+    pub fn next_due(&self) -> Option<Micros> {
+        self.timers.next()
+    }
+
+    /// What was done so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Number of sessions in the ledger, and of those that play.
+    pub fn held(&self) -> (usize, usize) {
+        (self.sessions.len(), self.sessions.values().filter(|s| s.playing().is_some()).count())
+    }
+
+    /// Connections: being made, busy, idle; and requests that wait for one.
+    pub fn connections(&self) -> [usize; 4] {
+        self.pool.count()
+    }
+
+    /// Takes in one input; what is to be done is added to `out`, in order.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Open(client, ticket, opening) => self.open(client, ticket, opening, out),
+            Input::Cancel(client, ticket, open) => self.cancel(client, ticket, open, out),
+            Input::Close(client, ticket, session) => self.close(client, ticket, &session, out),
+            Input::Status(client, ticket, session, viewer) => {
+                self.status(client, ticket, &session, viewer, out);
+            }
+            Input::ClientGone(client) => self.client_gone(client, out),
+            Input::List(kind, lines) => self.list(kind, lines, out),
+            Input::Dialed(conn, result) => {
+                let kept = self.limits.idle_kept;
+                let ended = self.pool.dialed(self.now, conn, result, kept, &mut self.timers, out);
+                self.request_ended(ended, out);
+            }
+            Input::Exchanged(conn, end) => {
+                let kept = self.limits.idle_kept;
+                let ended = self.pool.exchanged(self.now, conn, end, kept, &mut self.timers, out);
+                self.request_ended(ended, out);
+            }
+            Input::Stream(server, number, news) => self.stream(server, number, news, out),
+            Input::ShutDown => self.shut_down(out),
+            Input::Tick => {}
+        }
+        self.settle(out);
+        while let Some(due) = self.timers.pop(self.now) {
+            self.due(due, out);
+            self.settle(out);
+        }
+        if self.ending && !self.finished && self.sessions.is_empty() && self.releases.is_empty() {
+            self.finished = true;
+            self.streams.stop(out);
+            self.pool.stop(out);
+            out.push(Output::Finished);
+        }
+    }
+
+    // ---- Clients ----
+
+    fn open(&mut self, client: ClientId, ticket: Ticket, opening: Opening, out: &mut Vec<Output>) {
+        self.opened += 1;
+        // Of one width, so that ids sort as they were opened whatever the boot.
+        let id = SessionId(Arc::from(format!("{}-{:08x}-{:010}", self.name, self.boot, self.opened)));
+        self.counts.accepted += 1;
+        if self.ending {
+            self.counts.refused += 1;
+            let hold_off = self.settings.max_hold_off;
+            out.push(Output::Answer(client, ticket, Answer::Refused(id, hold_off)));
+            return;
+        }
+        // A move counts as one only for the viewer and the session that it was done to, and once.
+        let moved = opening.moved_from.as_ref().is_some_and(|old| {
+            self.moved.get(old) == Some(&opening.viewer) && self.moved.remove(old).is_some()
+        });
+        let request = Request {
+            session: id.clone(),
+            class: opening.class,
+            viewer: opening.viewer,
+            title: opening.title,
+            patience: opening.patience,
+            length: opening.length,
+            first_cell: opening.first_cell,
+            cell_count: opening.cell_count,
+            top_rung: opening.top_rung,
+            moved,
+            again: opening.returned || moved,
+        };
+        let class = self.settings.classes.get(opening.class);
+        let (effect, floor) = class.map_or((Effect::Safe, 0), |class| (class.effect, class.floor));
+        let session = Session::new(Some((client, ticket)), opening, effect, floor, self.now);
+        self.timers.set(self.overdue_at(&session), Due::Overdue(id.clone()));
+        self.sessions.insert(id.clone(), session);
+        self.by_client.entry(client).or_default().insert(id);
+        self.events.push_back(Event::Request(request));
+    }
+
+    fn cancel(&mut self, client: ClientId, ticket: Ticket, open: Ticket, out: &mut Vec<Output>) {
+        let by = Some((client, open));
+        let own = self.by_client.get(&client).into_iter().flatten();
+        let mut found = own.filter(|id| self.sessions.get(*id).is_some_and(|s| s.client == by && s.owed()));
+        let Some(id) = found.next().cloned() else {
+            // The answer has crossed the cancellation: there is nothing to give up, the client may close it.
+            out.push(Output::Reply(client, ticket, Reply::Unknown));
+            return;
+        };
+        self.answer(&id, Answer::Failed(id.clone(), FailReason::Cancelled), out);
+        self.events.push_back(Event::Left(id));
+        out.push(Output::Reply(client, ticket, Reply::Cancelled));
+    }
+
+    fn close(&mut self, client: ClientId, ticket: Ticket, id: &SessionId, out: &mut Vec<Output>) {
+        let own = self.by_client.get(&client).is_some_and(|own| own.contains(id));
+        let plays = self.sessions.get(id).is_some_and(|s| s.playing().is_some());
+        if !(own && plays) {
+            out.push(Output::Reply(client, ticket, Reply::Unknown));
+            return;
+        }
+        self.stop_playing(id, Outcome::Ok, true, out);
+        out.push(Output::Reply(client, ticket, Reply::Closed(id.clone())));
+    }
+
+    fn status(
+        &mut self,
+        client: ClientId,
+        ticket: Ticket,
+        id: &SessionId,
+        viewer: Option<ViewerId>,
+        out: &mut Vec<Output>,
+    ) {
+        let mut reply = Reply::Unknown;
+        if let Some(session) = self.sessions.get_mut(id) {
+            if session.client.is_none() && viewer == Some(session.opening.viewer) {
+                // Found at a box after a restart of this front: its viewer has come back for it.
+                session.client = Some((client, ticket));
+                self.by_client.entry(client).or_default().insert(id.clone());
+            }
+            if session.client.is_some_and(|(of, _)| of == client) {
+                let playing = session.playing().map(|p| (p.attempt.server, p.attempt.rung));
+                let class = session.opening.class;
+                let playing = playing.map(|(at, rung)| (at, rung, self.rate(class, rung)));
+                reply = Reply::Status { session: id.clone(), playing };
+            }
+        }
+        out.push(Output::Reply(client, ticket, reply));
+    }
+
+    /// Danger: a session that plays for nobody, or an answer written to a connection that is gone.
+    fn client_gone(&mut self, client: ClientId, out: &mut Vec<Output>) {
+        for id in self.by_client.remove(&client).unwrap_or_default() {
+            let Some(session) = self.sessions.get_mut(&id) else { continue };
+            session.client = None;
+            if session.owed() {
+                self.settled(&id);
+                self.events.push_back(Event::Left(id));
+            } else if session.playing().is_some() {
+                self.stop_playing(&id, Outcome::Ok, true, out);
+            }
+        }
+    }
+
+    // ---- Answers ----
+
+    /// Gives the one answer, if it is still owed; returns whether it was.
+    fn answer(&mut self, id: &SessionId, answer: Answer, out: &mut Vec<Output>) -> bool {
+        let Some(session) = self.sessions.get(id).filter(|session| session.owed()) else { return false };
+        match answer {
+            Answer::Plays { .. } => self.counts.played += 1,
+            Answer::Refused(..) => self.counts.refused += 1,
+            Answer::Failed(..) => self.counts.failed += 1,
+        }
+        if let Some((client, ticket)) = session.client {
+            out.push(Output::Answer(client, ticket, answer));
+        }
+        self.settled(id);
+        true
+    }
+
+    /// No answer is owed any more; a session with no attempt out is over by that.
+    fn settled(&mut self, id: &SessionId) {
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        let at = session.deadline + self.limits.answer_slack / 2;
+        self.timers.unset(at, Due::Overdue(id.clone()));
+        if session.settled() {
+            self.drop_session(id);
+        }
+    }
+
+    fn drop_session(&mut self, id: &SessionId) {
+        let Some(session) = self.sessions.remove(id) else { return };
+        let Some((client, _)) = session.client else { return };
+        if let Some(own) = self.by_client.get_mut(&client) {
+            own.remove(id);
+            if own.is_empty() {
+                self.by_client.remove(&client);
+            }
+        }
+    }
+
+    fn overdue_at(&self, session: &Session) -> Micros {
+        session.deadline + self.limits.answer_slack / 2
+    }
+
+    fn rate(&self, class: usize, rung: usize) -> f64 {
+        let factor = self.settings.classes.get(class).map_or(1.0, |class| class.rate_factor);
+        self.settings.ladder.get(rung).map_or(0.0, |step| step.kb * factor)
+    }
+
+    // ---- The decider's actions, and the lock ----
+
+    /// Tells the decider all that waits to be told, and carries out what it answers. Each round of a session
+    /// uses up one of its attempts, so this ends whatever the decider does.
+    fn settle(&mut self, out: &mut Vec<Output>) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            self.decider.handle(self.now, &event, &mut actions);
+            if let Some(tap) = &mut self.tap {
+                tap(self.now, &event, &actions);
+            }
+            for action in actions.drain(..) {
+                self.carry_out(action, out);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action, out: &mut Vec<Output>) {
+        match action {
+            Action::SetUp(id, server, time_out) => self.set_up(&id, server, time_out, out),
+            Action::SetRung(id, rung) => self.set_rung(&id, rung, out),
+            Action::Move(id) => self.move_away(&id, out),
+            Action::Refuse(id, hold_off) => self.refuse(&id, hold_off, out),
+            Action::Fail(id) => {
+                if !self.answer(&id, Answer::Failed(id.clone(), FailReason::GivenUp), out) {
+                    self.counts.stopped_answers += 1;
+                    self.stopped("a second answer", &id, out);
+                }
+            }
+            Action::Probe(server) => match self.boxes.get(&server) {
+                Some(address) => {
+                    let to = (server, *address);
+                    self.ask(to, BoxRequest::Probe, out);
+                }
+                None => {
+                    self.counts.stopped_others += 1;
+                    let outcome = Outcome::NotSent;
+                    self.events.push_back(Event::Probed { server, outcome, report: Vec::new() });
+                }
+            },
+            Action::FollowList => out.push(Output::FollowList),
+            Action::WakeAt(tag, at) => self.timers.set(at, Due::Wake(tag)),
+            Action::Log(text) => out.push(Output::Log(Level::Info, text)),
+        }
+    }
+
+    fn stopped(&self, what: &str, id: &SessionId, out: &mut Vec<Output>) {
+        out.push(Output::Log(Level::Warn, format!("stopped {what} for session {}", id.0)));
+    }
+
+    fn set_up(&mut self, id: &SessionId, server: ServerId, time_out: Micros, out: &mut Vec<Output>) {
+        let address = self.boxes.get(&server).copied();
+        let Some(session) = self.sessions.get_mut(id) else {
+            self.counts.stopped_attempts += 1;
+            return self.stopped("a set-up of no session here", id, out);
+        };
+        let number = session.attempts;
+        if number >= self.settings.max_attempts {
+            self.counts.stopped_attempts += 1;
+            return self.stopped("an attempt too many", id, out);
+        }
+        session.attempts += 1;
+        let held = session.stage == Stage::Held && self.now < session.deadline;
+        let again = session.effect == Effect::Once && session.may_have_run;
+        let class = self.settings.classes.get(session.opening.class);
+        let top = session.opening.top_rung.min(class.map_or(usize::MAX, |c| c.top));
+        let in_terms = (class.map_or(0, |c| c.floor)..=top).contains(&session.wanted);
+        let (Some(address), true, false, true) = (address, held, again, in_terms) else {
+            match (held, again) {
+                (false, _) => self.counts.stopped_attempts += 1,
+                (true, true) => self.counts.stopped_effects += 1,
+                (true, false) => self.counts.stopped_others += 1,
+            }
+            let ended = Event::Ended {
+                session: id.clone(),
+                attempt: number,
+                server,
+                outcome: Outcome::NotSent,
+                last: !session.owed(),
+                report: Vec::new(),
+            };
+            self.events.push_back(ended);
+            return self.stopped("a set-up that must not be", id, out);
+        };
+        // No time-out of the module's means until the viewer gives up; none reaches past that.
+        let whole = session.deadline - self.now;
+        let time_out = if time_out == 0 { whole } else { time_out.min(whole) };
+        let expires = self.now + time_out;
+        let rung = session.wanted;
+        let attempt = Attempt { number, wire: number, server, address, sent: self.now, expires, rung };
+        session.stage = Stage::Trying(attempt);
+        let opening = session.opening.clone();
+        self.counts.attempts += 1;
+        self.timers.set(expires, Due::Expire(id.clone(), number));
+        let request = BoxRequest::SetUp { session: id.clone(), attempt: number, rung, opening, time_out };
+        let most = self.limits.connections;
+        self.pool.send((server, address), request, None, most, &mut self.timers, out);
+    }
+
+    fn set_rung(&mut self, id: &SessionId, rung: usize, out: &mut Vec<Output>) {
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        let class = self.settings.classes.get(session.opening.class);
+        let top = session.opening.top_rung.min(class.map_or(usize::MAX, |c| c.top));
+        if rung < class.map_or(0, |c| c.floor) || rung > top {
+            self.counts.stopped_others += 1;
+            return self.stopped("a rung outside the terms", id, out);
+        }
+        session.wanted = rung;
+        self.change_rung(id, out);
+    }
+
+    /// Has the box told of the rung that is wanted; one change at a time is under way for a session.
+    fn change_rung(&mut self, id: &SessionId, out: &mut Vec<Output>) {
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        let (wanted, class) = (session.wanted, session.opening.class);
+        let Stage::Playing(playing) = &mut session.stage else { return };
+        if playing.changing.is_some() || playing.attempt.rung == wanted {
+            return;
+        }
+        playing.changing = Some(wanted);
+        let to = (playing.attempt.server, playing.attempt.address);
+        let attempt = playing.attempt.wire;
+        self.ask(to, BoxRequest::SetRung { session: id.clone(), attempt, rung: wanted, class }, out);
+    }
+
+    fn move_away(&mut self, id: &SessionId, out: &mut Vec<Output>) {
+        let playing = self.sessions.get(id).filter(|session| session.playing().is_some());
+        let Some((client, viewer)) = playing.map(|s| (s.client, s.opening.viewer)) else {
+            self.counts.stopped_others += 1;
+            return self.stopped("a move of what does not play", id, out);
+        };
+        self.counts.moved += 1;
+        self.moved.insert(id.clone(), viewer);
+        self.timers.set(self.now + self.limits.moved_kept, Due::Moved(id.clone()));
+        if let Some((client, _)) = client {
+            out.push(Output::Tell(client, News::Move(id.clone())));
+        }
+        self.stop_playing(id, Outcome::Withdrawn, true, out);
+    }
+
+    fn refuse(&mut self, id: &SessionId, hold_off: Micros, out: &mut Vec<Output>) {
+        let paid = |s: &Session| s.effect == Effect::Once && (s.may_have_run || s.out().is_some());
+        let answer = if self.sessions.get(id).is_some_and(paid) {
+            self.counts.stopped_effects += 1;
+            self.stopped("a refusal of what may have run", id, out);
+            Answer::Failed(id.clone(), FailReason::GivenUp)
+        } else {
+            Answer::Refused(id.clone(), hold_off)
+        };
+        if !self.answer(id, answer, out) {
+            self.counts.stopped_answers += 1;
+            self.stopped("a second answer", id, out);
+        }
+    }
+
+    // ---- Boxes: requests and their ends ----
+
+    /// Asks a box for something other than a set-up.
+    fn ask(&mut self, to: (ServerId, SocketAddr), request: BoxRequest, out: &mut Vec<Output>) {
+        let until = Some(self.now + self.limits.ask_within);
+        self.pool.send(to, request, until, self.limits.connections, &mut self.timers, out);
+    }
+
+    fn request_ended(&mut self, ended: Option<(ServerId, BoxRequest, End)>, out: &mut Vec<Output>) {
+        let Some((server, request, end)) = ended else { return };
+        if let End::Exchange(ExchangeEnd::Malformed(reason)) = &end {
+            self.counts.faults += 1;
+            out.push(Output::Log(Level::Warn, format!("box {}: {reason}", server.0)));
+        }
+        match request {
+            BoxRequest::SetUp { session, attempt, .. } => {
+                self.set_up_ended(server, &session, attempt, end, out)
+            }
+            BoxRequest::SetRung { session, attempt, rung, .. } => {
+                self.rung_ended(&session, attempt, rung, &end, out)
+            }
+            BoxRequest::Release { session, attempt } => {
+                let done = matches!(
+                    end,
+                    End::Exchange(ExchangeEnd::Answered { answer: BoxAnswer::Done | BoxAnswer::Unknown, .. })
+                );
+                self.release_ended(server, session, attempt, done);
+            }
+            BoxRequest::Probe => {
+                let (outcome, report) = outcome_of(end);
+                self.events.push_back(Event::Probed { server, outcome, report });
+            }
+        }
+    }
+
+    fn set_up_ended(
+        &mut self,
+        server: ServerId,
+        id: &SessionId,
+        number: u32,
+        end: End,
+        out: &mut Vec<Output>,
+    ) {
+        let out_now = self.sessions.get(id).and_then(Session::out).filter(|attempt| attempt.number == number);
+        let Some(attempt) = out_now.cloned() else { return };
+        self.timers.unset(attempt.expires, Due::Expire(id.clone(), number));
+        let (outcome, report) = outcome_of(end);
+        if outcome != Outcome::Ok {
+            return self.attempt_ended(server, id, number, outcome, report, out);
+        }
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        session.may_have_run = true;
+        if let Stage::Abandoned(_) = session.stage {
+            // The viewer gave up while it was set up: nobody watches.
+            self.release((server, attempt.address), id, attempt.wire, out);
+            return self.attempt_ended(server, id, number, Outcome::Withdrawn, report, out);
+        }
+        let (class, rung) = (session.opening.class, attempt.rung);
+        let answer = Answer::Plays {
+            session: id.clone(),
+            server,
+            address: attempt.address,
+            rung,
+            rate_kb: self.rate(class, rung),
+        };
+        let took = self.now - attempt.sent;
+        let client = self.sessions.get(id).and_then(|s| s.client);
+        self.counts.played += 1;
+        if let Some((client, ticket)) = client {
+            out.push(Output::Answer(client, ticket, answer));
+        }
+        if let Some(session) = self.sessions.get_mut(id) {
+            let at = session.deadline + self.limits.answer_slack / 2;
+            self.timers.unset(at, Due::Overdue(id.clone()));
+            session.stage = Stage::Playing(Playing { attempt, changing: None, missed: 0 });
+        }
+        self.events.push_back(Event::Started { session: id.clone(), server, took });
+        self.told_at_set_up(id, server, &report);
+        self.change_rung(id, out);
+    }
+
+    /// A box tells at the set-up how full its link and its rack's uplink are.
+    fn told_at_set_up(&mut self, id: &SessionId, server: ServerId, report: &[f64]) {
+        for (field, value) in self.settings.reports.iter().zip(report) {
+            let note = match field {
+                ReportField::Link => Note::Link(*value),
+                ReportField::Uplink => Note::Uplink(*value),
+                _ => continue,
+            };
+            self.events.push_back(Event::Note { session: id.clone(), server, note });
+        }
+    }
+
+    fn attempt_ended(
+        &mut self,
+        server: ServerId,
+        id: &SessionId,
+        number: u32,
+        outcome: Outcome,
+        report: Vec<f64>,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        let over = session.attempt_ended(outcome);
+        let session = id.clone();
+        self.events.push_back(Event::Ended { session, attempt: number, server, outcome, last: over, report });
+        if over {
+            self.drop_session(id);
+        }
+        self.settle(out);
+    }
+
+    fn rung_ended(&mut self, id: &SessionId, wire: u32, rung: usize, end: &End, out: &mut Vec<Output>) {
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        let (class, client, wanted) = (session.opening.class, session.client, session.wanted);
+        let Stage::Playing(playing) = &mut session.stage else { return };
+        if playing.attempt.wire != wire || playing.changing != Some(rung) {
+            return;
+        }
+        playing.changing = None;
+        let (server, in_force) = (playing.attempt.server, playing.attempt.rung);
+        if let End::Exchange(ExchangeEnd::Answered { answer: BoxAnswer::Done, .. }) = end {
+            (playing.attempt.rung, playing.missed) = (rung, 0);
+            let rate = self.rate(class, rung);
+            if let Some((client, _)) = client {
+                out.push(Output::Tell(client, News::Rung(id.clone(), rung, rate)));
+            }
+        } else {
+            playing.missed += 1;
+            if playing.missed > RUNG_MISSES {
+                // The module's account must not hold a rung that the box was never told.
+                (playing.missed, session.wanted) = (0, in_force);
+                let note = Note::Rung(in_force);
+                self.events.push_back(Event::Note { session: id.clone(), server, note });
+                return;
+            }
+        }
+        if wanted != self.sessions.get(id).and_then(Session::playing).map_or(wanted, |p| p.attempt.rung) {
+            self.change_rung(id, out);
+        }
+    }
+
+    // ---- Ends of sessions ----
+
+    /// A playing session ends; `release` tells whether the box must be told.
+    fn stop_playing(&mut self, id: &SessionId, outcome: Outcome, release: bool, out: &mut Vec<Output>) {
+        let playing = self.sessions.get(id).and_then(Session::playing);
+        let Some(attempt) = playing.map(|playing| playing.attempt.clone()) else { return };
+        self.drop_session(id);
+        if release {
+            self.release((attempt.server, attempt.address), id, attempt.wire, out);
+        }
+        let (session, server) = (id.clone(), attempt.server);
+        let report = Vec::new();
+        let ended = Event::Ended { session, attempt: attempt.number, server, outcome, last: true, report };
+        self.events.push_back(ended);
+    }
+
+    fn release(&mut self, to: (ServerId, SocketAddr), id: &SessionId, wire: u32, out: &mut Vec<Output>) {
+        self.releases.entry((to.0, id.clone(), wire)).or_insert(0);
+        self.ask(to, BoxRequest::Release { session: id.clone(), attempt: wire }, out);
+    }
+
+    /// A release that did not reach the box is tried again a few times. After that the box's own account of
+    /// what it holds, sent whenever its stream is made, shows what plays for nobody.
+    fn release_ended(&mut self, server: ServerId, id: SessionId, wire: u32, done: bool) {
+        let key = (server, id.clone(), wire);
+        let Some(tries) = self.releases.get_mut(&key) else { return };
+        *tries += 1;
+        if done || *tries >= RELEASES {
+            self.releases.remove(&key);
+            return;
+        }
+        let pause = RELEASE_PAUSE << (*tries - 1);
+        self.timers.set(self.now + pause, Due::Release(server, id, wire));
+    }
+
+    fn expire(&mut self, id: &SessionId, number: u32, out: &mut Vec<Output>) {
+        let out_now = self.sessions.get(id).and_then(Session::out).filter(|attempt| attempt.number == number);
+        let Some(attempt) = out_now.cloned() else { return };
+        let outcome = match self.pool.withdraw(id, number, out) {
+            Proof::Unsent => Outcome::NoConnection,
+            Proof::MayHaveRun => {
+                // It may begin yet, or play: the box is told that nobody waits for it.
+                self.release((attempt.server, attempt.address), id, attempt.wire, out);
+                Outcome::TimedOut
+            }
+        };
+        self.attempt_ended(attempt.server, id, number, outcome, Vec::new(), out);
+    }
+
+    // ---- Boxes: list and streams ----
+
+    fn list(&mut self, kind: ListKind, lines: Vec<Listed>, out: &mut Vec<Output>) {
+        if kind != ListKind::Lost {
+            let named: BTreeSet<ServerId> = lines.iter().map(|line| line.entry.server).collect();
+            let missing = |id: &&ServerId| kind != ListKind::Changes && !named.contains(*id);
+            let mut gone: Vec<ServerId> = self.boxes.keys().filter(missing).copied().collect();
+            for line in &lines {
+                let id = line.entry.server;
+                if line.entry.state == ServerState::Gone {
+                    gone.push(id);
+                } else {
+                    self.boxes.insert(id, line.address);
+                    self.streams.listed(self.now, id, line.address, out);
+                }
+            }
+            for id in gone {
+                self.boxes.remove(&id);
+                let in_use = self.sessions.values().any(|s| s.at().is_some_and(|a| a.server == id));
+                self.streams.unlisted(id, in_use, out);
+                self.pool.forget(id, &mut self.timers, out);
+            }
+        }
+        let entries = lines.into_iter().map(|line| line.entry).collect();
+        self.events.push_back(Event::Servers(kind, entries));
+        if matches!(kind, ListKind::Whole | ListKind::Changes) && !self.fresh {
+            self.fresh = true;
+            for (server, held) in std::mem::take(&mut self.found) {
+                self.resume(server, held, out);
+            }
+        }
+    }
+
+    fn stream(&mut self, server: ServerId, number: u64, news: StreamNews, out: &mut Vec<Output>) {
+        let asked = self.streams.asked(server);
+        if !self.streams.heard(self.now, server, number) {
+            return;
+        }
+        let (silent_after, lost_after) = (self.limits.silent_after, self.limits.lost_after);
+        let why = match news {
+            StreamNews::Beat => return,
+            StreamNews::Up(held) => {
+                self.streams.up(self.now, server, silent_after, &mut self.timers);
+                return self.compare(server, asked.unwrap_or(self.now), held, out);
+            }
+            StreamNews::Note(session, note) => {
+                let plays = self.sessions.get(&session).and_then(Session::playing);
+                if plays.is_some_and(|playing| playing.attempt.server == server) {
+                    self.events.push_back(Event::Note { session, server, note });
+                }
+                return;
+            }
+            StreamNews::Ended(session, wire) => {
+                let plays = self.sessions.get(&session).and_then(Session::playing);
+                if plays.is_some_and(|p| p.attempt.server == server && p.attempt.wire == wire) {
+                    self.ended_by_itself(&session, EndReason::Box, Outcome::Broken, out);
+                }
+                return;
+            }
+            StreamNews::NoConnection(error) => Some(error),
+            StreamNews::Broken => None,
+        };
+        let verdict = self.streams.broke(self.now, server, why, lost_after, &mut self.timers, out);
+        self.judge_stream(server, verdict, out);
+    }
+
+    fn judge_stream(&mut self, server: ServerId, verdict: Verdict, out: &mut Vec<Output>) {
+        if verdict != Verdict::Lost {
+            return;
+        }
+        self.pool.forget(server, &mut self.timers, out);
+        let there = |s: &Session| s.playing().is_some_and(|playing| playing.attempt.server == server);
+        let lost: Vec<SessionId> =
+            self.sessions.iter().filter(|(_, s)| there(s)).map(|(id, _)| id.clone()).collect();
+        for id in lost {
+            self.ended_by_itself(&id, EndReason::Lost, Outcome::Broken, out);
+        }
+    }
+
+    fn ended_by_itself(&mut self, id: &SessionId, why: EndReason, outcome: Outcome, out: &mut Vec<Output>) {
+        self.counts.lost += u64::from(why == EndReason::Lost);
+        if let Some((client, _)) = self.sessions.get(id).and_then(|session| session.client) {
+            out.push(Output::Tell(client, News::Ended(id.clone(), why)));
+        }
+        self.stop_playing(id, outcome, why != EndReason::Box, out);
+    }
+
+    /// Compares what a box says it holds with what is known here.
+    fn compare(&mut self, server: ServerId, asked: Micros, held: Vec<Held>, out: &mut Vec<Output>) {
+        let named: BTreeMap<&SessionId, u32> = held.iter().map(|h| (&h.session, h.attempt)).collect();
+        // What was sent after the stream was asked for may have begun after the box wrote its list.
+        let missing = |id: &SessionId, s: &Session| {
+            s.playing().is_some_and(|p| {
+                let told = named.get(id) == Some(&p.attempt.wire);
+                p.attempt.server == server && p.attempt.sent < asked && !told
+            })
+        };
+        let lost: Vec<SessionId> =
+            self.sessions.iter().filter(|(id, s)| missing(id, s)).map(|(id, _)| id.clone()).collect();
+        for id in lost {
+            self.ended_by_itself(&id, EndReason::Lost, Outcome::Broken, out);
+        }
+        for held in held {
+            let at = self.sessions.get(&held.session).and_then(Session::at);
+            if at.is_some_and(|a| a.server == server && a.wire == held.attempt) {
+                continue;
+            }
+            if self.fresh {
+                self.resume(server, held, out);
+            } else {
+                self.found.push((server, held));
+            }
+        }
+    }
+
+    /// A session that a box holds and the ledger does not know: one of this front's earlier life goes on and
+    /// waits for its viewer; anything else plays for nobody and is released.
+    fn resume(&mut self, server: ServerId, held: Held, out: &mut Vec<Output>) {
+        let Some(address) = self.streams.address(server) else { return };
+        let own = format!("{}-", self.name);
+        let Some(rest) = held.session.0.strip_prefix(&own) else {
+            self.counts.faults += 1;
+            let text = format!("box {} holds session {}, which is no front's here", server.0, held.session.0);
+            out.push(Output::Log(Level::Warn, text));
+            return;
+        };
+        let earlier = !rest.starts_with(&format!("{:08x}-", self.boot));
+        let known = self.sessions.contains_key(&held.session);
+        let opening = held.opening.filter(|_| earlier && !known && !self.ending);
+        let Some(opening) = opening else {
+            return self.release((server, address), &held.session, held.attempt, out);
+        };
+        self.counts.resumed += 1;
+        let id = held.session;
+        let request = Request {
+            session: id.clone(),
+            class: opening.class,
+            viewer: opening.viewer,
+            title: opening.title,
+            patience: opening.patience,
+            length: opening.length,
+            first_cell: opening.first_cell,
+            cell_count: opening.cell_count,
+            top_rung: opening.top_rung,
+            moved: false,
+            again: opening.returned,
+        };
+        let effect = self.settings.classes.get(opening.class).map_or(Effect::Safe, |class| class.effect);
+        let mut session = Session::new(None, opening, effect, held.rung, self.now);
+        let attempt = Attempt {
+            number: 0,
+            wire: held.attempt,
+            server,
+            address,
+            sent: self.now,
+            expires: self.now,
+            rung: held.rung,
+        };
+        (session.attempts, session.may_have_run) = (1, true);
+        session.stage = Stage::Playing(Playing { attempt, changing: None, missed: 0 });
+        self.sessions.insert(id.clone(), session);
+        self.timers.set(self.now + self.limits.claim_within, Due::Claim(id.clone()));
+        self.events.push_back(Event::Resumed(request, server));
+        let note = Note::Rung(held.rung);
+        self.events.push_back(Event::Note { session: id, server, note });
+    }
+
+    // ---- Time ----
+
+    fn due(&mut self, due: Due, out: &mut Vec<Output>) {
+        match due {
+            Due::Expire(id, number) => self.expire(&id, number, out),
+            Due::Wake(tag) => self.events.push_back(Event::Wake(tag)),
+            Due::Overdue(id) => {
+                if self.answer(&id, Answer::Failed(id.clone(), FailReason::Overdue), out) {
+                    self.counts.overdue += 1;
+                    self.events.push_back(Event::Left(id));
+                }
+            }
+            Due::Claim(id) => {
+                if self.sessions.get(&id).is_some_and(|session| session.client.is_none()) {
+                    self.stop_playing(&id, Outcome::Ok, true, out);
+                }
+            }
+            Due::Moved(id) => {
+                self.moved.remove(&id);
+            }
+            Due::Listen(server, number) => self.streams.again(self.now, server, number, out),
+            Due::Silent(server, number) => {
+                let after = self.limits.silent_after;
+                if self.streams.silent(self.now, server, number, after, &mut self.timers, out) {
+                    let why = Some(DialError::TimedOut);
+                    let lost = self.limits.lost_after;
+                    let verdict = self.streams.broke(self.now, server, why, lost, &mut self.timers, out);
+                    self.judge_stream(server, verdict, out);
+                }
+            }
+            Due::Release(server, id, wire) => {
+                let address = self.boxes.get(&server).copied().or_else(|| self.streams.address(server));
+                match address {
+                    Some(to) if self.releases.contains_key(&(server, id.clone(), wire)) => {
+                        self.ask((server, to), BoxRequest::Release { session: id, attempt: wire }, out);
+                    }
+                    _ => {
+                        self.releases.remove(&(server, id, wire));
+                    }
+                }
+            }
+            Due::Slow(serial) => {
+                let ended = self.pool.slow(serial, out);
+                self.request_ended(ended, out);
+            }
+            Due::Idle(conn) => self.pool.too_old(conn, out),
+        }
+    }
+
+    /// Ordered end: what is owed is answered, what plays is released and its viewer told.
+    fn shut_down(&mut self, out: &mut Vec<Output>) {
+        self.ending = true;
+        let all: Vec<SessionId> = self.sessions.keys().cloned().collect();
+        for id in all {
+            let Some(session) = self.sessions.get(&id) else { continue };
+            if session.owed() {
+                self.answer(&id, Answer::Failed(id.clone(), FailReason::ShuttingDown), out);
+                self.events.push_back(Event::Left(id));
+            } else if session.playing().is_some() {
+                self.ended_by_itself(&id, EndReason::ShuttingDown, Outcome::Withdrawn, out);
+            }
+        }
+    }
+}
+
+/// What the end of a request proves; see [`Outcome`].
+fn outcome_of(end: End) -> (Outcome, Vec<f64>) {
+    match end {
+        // Refused or not established in time: not a byte was sent.
+        End::NoConnection(_) => (Outcome::NoConnection, Vec::new()),
+        End::TimedOut => (Outcome::TimedOut, Vec::new()),
+        // Stale connections are used up by the pool; here nothing was written either.
+        End::Exchange(ExchangeEnd::Stale | ExchangeEnd::Unwritten) => (Outcome::NoConnection, Vec::new()),
+        End::Exchange(ExchangeEnd::Broken | ExchangeEnd::Malformed(_)) => (Outcome::Broken, Vec::new()),
+        End::Exchange(ExchangeEnd::Answered { answer, report, .. }) => match answer {
+            BoxAnswer::Done => (Outcome::Ok, report),
+            BoxAnswer::Full => (Outcome::Full, report),
+            BoxAnswer::Error | BoxAnswer::Unknown => (Outcome::Failed, report),
+        },
+    }
+}
--- /dev/null
+++ b/crates/front/src/core/mod.rs
@@ -0,0 +1,359 @@
+//! Sessions, attempts, deadlines and connections as state, with no I/O, clock or thread.
+//!
+//! [`Ledger::handle`] takes the time and one [`Input`] and answers with [`Output`]s, which the edge carries out;
+//! [`Ledger::next_due`] tells when it must be called again. All decisions on placement, rungs, moves, refusals
+//! and further attempts are asked of a [`Decider`], which is [`salttally::brain::Brain`] in service. The ledger
+//! is a second lock and no second opinion: an action that would make a second answer, or a second attempt while
+//! one is out, is stopped, counted and logged.
+//!
+//! - [`Ledger`]: sessions from the request to the end, and the guards.
+//! - [`session`]: the stages of one session; a wrong order does not compile or is told.
+//! - [`pool`]: keep-alive connections to boxes: which to use, dial, keep, hang up.
+//! - [`streams`]: the event stream from each box: when a box counts as lost, when to try again.
+//! - [`timers`]: one queue of all that is due.
+
+mod ledger;
+pub mod pool;
+pub mod session;
+pub mod streams;
+#[cfg(test)]
+mod tests;
+pub mod timers;
+
+use std::net::SocketAddr;
+
+use salttally::brain::Brain;
+use salttally::interface::*;
+
+pub use ledger::{Counts, Ledger};
+
+/// Who decides: told an event, it answers with actions. See [`salttally::interface`].
+pub trait Decider {
+    /// Takes in one event at this time; what is to be done is added to `out`.
+    fn handle(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>);
+}
+
+impl Decider for Brain {
+    fn handle(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
+        Brain::handle(self, now, event, out);
+    }
+}
+
+/// A player's connection, or a caller of the library.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClientId(pub u64);
+
+/// One call of a client, in the client's own count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// A connection to a box, in the front's own count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(pub u64);
+
+/// What a viewer asks for, in the settings' places.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Opening {
+    /// Who watches.
+    pub viewer: ViewerId,
+    /// What is watched.
+    pub title: TitleId,
+    /// Place of the class in the settings.
+    pub class: usize,
+    /// First cell that holds the title.
+    pub first_cell: u32,
+    /// Cells in a row that hold it.
+    pub cell_count: u32,
+    /// Highest rung that the viewer can use.
+    pub top_rung: usize,
+    /// Time before the viewer gives up.
+    pub patience: Micros,
+    /// A guess of how long it is watched.
+    pub length: Option<Micros>,
+    /// Not the viewer's first try.
+    pub returned: bool,
+    /// The session that this front moved and that is opened anew by this.
+    pub moved_from: Option<SessionId>,
+}
+
+/// A line of the box list with the box's address.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// What the module is told.
+    pub entry: ServerEntry,
+    /// Where the box listens.
+    pub address: SocketAddr,
+}
+
+/// A session that a box holds for this front.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Held {
+    /// Its id.
+    pub session: SessionId,
+    /// Number of the attempt by which it was set up.
+    pub attempt: u32,
+    /// Rung in force.
+    pub rung: usize,
+    /// What it was opened with, if the box kept that and it still means something here.
+    pub opening: Option<Opening>,
+}
+
+/// What a front hears.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// `session.open`; accepted from here on.
+    Open(ClientId, Ticket, Opening),
+    /// `session.cancel` of an unanswered open: the viewer gives up.
+    Cancel(ClientId, Ticket, Ticket),
+    /// `session.cancel` or `session.close` by session.
+    Close(ClientId, Ticket, SessionId),
+    /// `session.status`; a viewer may claim a resumed session by it.
+    Status(ClientId, Ticket, SessionId, Option<ViewerId>),
+    /// The connection is gone, or the caller dropped its handle.
+    ClientGone(ClientId),
+    /// News of the box list.
+    List(ListKind, Vec<Listed>),
+    /// A dial ended.
+    Dialed(ConnId, Result<(), DialError>),
+    /// An exchange ended.
+    Exchanged(ConnId, ExchangeEnd),
+    /// News of the event stream of a box; the number tells which try.
+    Stream(ServerId, u64, StreamNews),
+    /// The front is to end: all that is owed is answered, all that plays is released.
+    ShutDown,
+    /// Something may be due.
+    Tick,
+}
+
+/// Why there is no connection; both prove that nothing was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DialError {
+    /// Refused or unreachable.
+    Refused,
+    /// Not established in time.
+    TimedOut,
+}
+
+/// How an exchange on a connection ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ExchangeEnd {
+    /// The connection was found closed before a byte was written: nothing was sent.
+    Stale,
+    /// The request could not be written whole: an incomplete request never runs (RFC 9112 section 8).
+    Unwritten,
+    /// Closed or reset after the request was written: it may have run.
+    Broken,
+    /// The peer does not keep to HTTP or to the box API; the reason is for the log.
+    Malformed(String),
+    /// An answer; `keep` tells whether the connection may be used again.
+    Answered {
+        /// What it says.
+        answer: BoxAnswer,
+        /// The load report with it, in the order of the settings.
+        report: Vec<f64>,
+        /// The connection stays open.
+        keep: bool,
+    },
+}
+
+/// What a box answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BoxAnswer {
+    /// Done as asked; after a set-up: the session plays.
+    Done,
+    /// Sent back unseen: full or draining.
+    Full,
+    /// The box knows no such session, or has ended it.
+    Unknown,
+    /// An error; it may have run.
+    Error,
+}
+
+/// News of a box's event stream.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StreamNews {
+    /// It stands, and these sessions are held there.
+    Up(Vec<Held>),
+    /// A sign of life.
+    Beat,
+    /// A note on a playing session.
+    Note(SessionId, Note),
+    /// A session ended at the box.
+    Ended(SessionId, u32),
+    /// The connection could not be made.
+    NoConnection(DialError),
+    /// It broke, or was not understood.
+    Broken,
+}
+
+/// What is asked of a box.
+#[derive(Clone, Debug, PartialEq)]
+pub enum BoxRequest {
+    /// Set a session up.
+    SetUp {
+        /// Which session.
+        session: SessionId,
+        /// The front's number of the attempt.
+        attempt: u32,
+        /// Rung to begin at.
+        rung: usize,
+        /// What the viewer asked for.
+        opening: Opening,
+        /// After this long nobody waits for it.
+        time_out: Micros,
+    },
+    /// Set the rung of a playing session.
+    SetRung {
+        /// Which session.
+        session: SessionId,
+        /// Attempt by which it plays.
+        attempt: u32,
+        /// New rung.
+        rung: usize,
+        /// Its class: with the rung it tells the rate.
+        class: usize,
+    },
+    /// End a session, or bar an attempt that has not begun from ever beginning.
+    Release {
+        /// Which session.
+        session: SessionId,
+        /// Which attempt.
+        attempt: u32,
+    },
+    /// A probe: the box tells its load.
+    Probe,
+}
+
+/// Why a session could not be played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FailReason {
+    /// The module gave it up; a set-up may have run.
+    GivenUp,
+    /// The viewer gave up first.
+    Cancelled,
+    /// Nothing was decided before the viewer's time was up.
+    Overdue,
+    /// The front ends.
+    ShuttingDown,
+}
+
+/// The one answer to a `session.open`.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// It plays.
+    Plays {
+        /// Id of the session.
+        session: SessionId,
+        /// Which box.
+        server: ServerId,
+        /// Where that box listens.
+        address: SocketAddr,
+        /// At this rung.
+        rung: usize,
+        /// Rate of that rung for the class, kB a second.
+        rate_kb: f64,
+    },
+    /// Refused; ask again after this long.
+    Refused(SessionId, Micros),
+    /// Failed; nothing is promised of the effect.
+    Failed(SessionId, FailReason),
+}
+
+/// The answer to any other call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// Closed or cancelled.
+    Closed(SessionId),
+    /// The open was cancelled; its own answer went ahead of this.
+    Cancelled,
+    /// State of a session.
+    Status {
+        /// Which session.
+        session: SessionId,
+        /// Where it plays, and at which rung and rate; nothing while its answer is owed.
+        playing: Option<(ServerId, usize, f64)>,
+    },
+    /// No session or open call of that name is this client's.
+    Unknown,
+}
+
+/// What a client is told of its session without asking.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// The rung has changed, and with it the rate in kB a second.
+    Rung(SessionId, usize, f64),
+    /// The session was taken off its box: open it again at this front, with `moved_from`.
+    Move(SessionId),
+    /// The session is over though the viewer did not close it.
+    Ended(SessionId, EndReason),
+}
+
+/// Why a session ended by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndReason {
+    /// The box ended it.
+    Box,
+    /// The box is lost.
+    Lost,
+    /// The front ends.
+    ShuttingDown,
+}
+
+/// What the edge is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Give a client the one answer to its open.
+    Answer(ClientId, Ticket, Answer),
+    /// Give a client the answer to another call.
+    Reply(ClientId, Ticket, Reply),
+    /// Tell a client news.
+    Tell(ClientId, News),
+    /// Connect to this box.
+    Dial(ConnId, ServerId, SocketAddr),
+    /// Write a request on a connection and await the response.
+    Exchange(ConnId, BoxRequest),
+    /// Close a connection, whatever is under way on it.
+    Hang(ConnId),
+    /// Open the event stream of a box; news of it carry this number.
+    Listen(ServerId, u64, SocketAddr),
+    /// Close the event stream of this number.
+    StopListening(ServerId, u64),
+    /// Follow the box list.
+    FollowList,
+    /// A line for the operators' log.
+    Log(Level, String),
+    /// All that was owed at a shut-down is done.
+    Finished,
+}
+
+/// Weight of a log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    /// Of use when following one session.
+    Debug,
+    /// Worth knowing.
+    Info,
+    /// An operator may have to act.
+    Warn,
+}
+
+/// Limits of the ledger, from the settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// An answer may come so long after the viewer's patience.
+    pub answer_slack: Micros,
+    /// A stream on which nothing came for this long is taken to be silent.
+    pub silent_after: Micros,
+    /// A box whose stream cannot be made again for this long is lost, and its sessions with it.
+    pub lost_after: Micros,
+    /// A session found at a box after a restart of the front waits so long for its viewer.
+    pub claim_within: Micros,
+    /// A moved session may be opened again for this long.
+    pub moved_kept: Micros,
+    /// A request to a box other than a set-up is waited for so long.
+    pub ask_within: Micros,
+    /// An idle connection is kept this long; shorter than any box keeps it.
+    pub idle_kept: Micros,
+    /// Connections to one box at most.
+    pub connections: usize,
+}
--- /dev/null
+++ b/crates/front/src/core/session.rs
@@ -0,0 +1,146 @@
+//! One session from its request to its end. The stages hold just what can be known in them.
+
+use std::net::SocketAddr;
+
+use salttally::interface::{Effect, Micros, Outcome, ServerId};
+
+use super::{ClientId, Opening, Ticket};
+
+/// An attempt to set a session up, or the one by which it plays.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Attempt {
+    /// The module's number of it, from 0.
+    pub number: u32,
+    /// The number that the box knows it by; another one than `number` only after a restart of the front.
+    pub wire: u32,
+    /// Where.
+    pub server: ServerId,
+    /// Where that box listened when it was sent.
+    pub address: SocketAddr,
+    /// When it was sent.
+    pub sent: Micros,
+    /// When it runs out of time.
+    pub expires: Micros,
+    /// The rung that the box was told.
+    pub rung: usize,
+}
+
+/// Stage of a session.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Stage {
+    /// The answer is owed and no attempt is out.
+    Held,
+    /// The answer is owed and one attempt is out.
+    Trying(Attempt),
+    /// The answer has been given or is no longer owed, and an attempt is still out.
+    Abandoned(Attempt),
+    /// It plays.
+    Playing(Playing),
+}
+
+/// A session that plays.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Playing {
+    /// The attempt by which it plays; its rung is the one in force.
+    pub attempt: Attempt,
+    /// A change of rung is under way at the box.
+    pub changing: Option<usize>,
+    /// Changes of rung in a row that did not reach the box.
+    pub missed: u32,
+}
+
+/// A session in the ledger.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Session {
+    /// Whose it is; nobody's after a restart of the front, until it is claimed.
+    pub client: Option<(ClientId, Ticket)>,
+    /// What was asked for.
+    pub opening: Opening,
+    /// When it was accepted.
+    pub taken: Micros,
+    /// When the viewer gives up.
+    pub deadline: Micros,
+    /// Set-ups that the module has asked for, carried out or not.
+    pub attempts: u32,
+    /// The rung that the module wants.
+    pub wanted: usize,
+    /// An attempt may have run.
+    pub may_have_run: bool,
+    /// How often a set-up of its class may take effect.
+    pub effect: Effect,
+    /// Where it stands.
+    pub stage: Stage,
+}
+
+impl Session {
+    /// A session whose answer is owed from now on.
+    pub fn new(
+        client: Option<(ClientId, Ticket)>,
+        opening: Opening,
+        effect: Effect,
+        floor: usize,
+        now: Micros,
+    ) -> Self {
+        let deadline = now.saturating_add(opening.patience);
+        Session {
+            client,
+            opening,
+            taken: now,
+            deadline,
+            attempts: 0,
+            wanted: floor,
+            may_have_run: false,
+            effect,
+            stage: Stage::Held,
+        }
+    }
+
+    /// Whether the one answer is still owed.
+    pub fn owed(&self) -> bool {
+        matches!(self.stage, Stage::Held | Stage::Trying(_))
+    }
+
+    /// The attempt that is out, if one is.
+    pub fn out(&self) -> Option<&Attempt> {
+        match &self.stage {
+            Stage::Trying(attempt) | Stage::Abandoned(attempt) => Some(attempt),
+            Stage::Held | Stage::Playing(_) => None,
+        }
+    }
+
+    /// The attempt that is out or plays.
+    pub fn at(&self) -> Option<&Attempt> {
+        match &self.stage {
+            Stage::Playing(playing) => Some(&playing.attempt),
+            _ => self.out(),
+        }
+    }
+
+    /// Where and how it plays, if it does.
+    pub fn playing(&self) -> Option<&Playing> {
+        match &self.stage {
+            Stage::Playing(playing) => Some(playing),
+            _ => None,
+        }
+    }
+
+    /// The attempt that is out has ended so; the session is held again, or over if its answer is not owed.
+    /// Returns whether it is over.
+    pub fn attempt_ended(&mut self, outcome: Outcome) -> bool {
+        self.may_have_run |= !outcome.never_ran();
+        let over = !matches!(self.stage, Stage::Trying(_));
+        self.stage = Stage::Held;
+        over
+    }
+
+    /// The answer has been given, or is no longer owed. Returns whether the session is over by that.
+    pub fn settled(&mut self) -> bool {
+        match std::mem::replace(&mut self.stage, Stage::Held) {
+            Stage::Trying(attempt) | Stage::Abandoned(attempt) => {
+                self.stage = Stage::Abandoned(attempt);
+                false
+            }
+            Stage::Held | Stage::Playing(_) => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/core/streams.rs
@@ -0,0 +1,203 @@
+//! The event stream from each box: when to open it, when a box counts as lost, when to try again.
+//!
+//! A box tells what happens to playing sessions on one stream for each front. A stream that breaks is opened again
+//! at once: refused, the process is dead and its sessions are lost; opened, what the box says it holds is
+//! compared with what the front knows. A stream on which nothing comes is broken by the front itself.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use salttally::interface::{Micros, ServerId};
+
+use super::timers::{Due, Timers};
+use super::{DialError, Output};
+
+/// First pause before a stream is tried again; it doubles.
+const PAUSE_FIRST: Micros = 100_000;
+/// Longest pause: a box that is back is found again within this.
+const PAUSE_MOST: Micros = 2_000_000;
+
+#[derive(Clone, Debug, PartialEq)]
+enum State {
+    /// Asked for at this time.
+    Opening(Micros),
+    /// Stands, and something came at this time.
+    Up(Micros),
+    /// Waits before the next try.
+    Pausing,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Stream {
+    address: SocketAddr,
+    /// Number of the try; news of an older one are old.
+    number: u64,
+    state: State,
+    /// Since when there is no stream, until one stands or the box was called lost.
+    down: Option<Micros>,
+    pause: Micros,
+    /// The list names this box.
+    listed: bool,
+}
+
+/// What follows from news of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing for sessions.
+    Nothing,
+    /// The box is lost, and all sessions there.
+    Lost,
+    /// The news is of a stream that is no longer listened to.
+    Old,
+}
+
+/// The streams of a front.
+#[derive(Clone, Debug, Default)]
+pub struct Streams {
+    streams: BTreeMap<ServerId, Stream>,
+    last: u64,
+}
+
+impl Streams {
+    /// The list names this box at this address: its stream is opened, or opened anew if the address is another.
+    pub fn listed(&mut self, now: Micros, id: ServerId, address: SocketAddr, out: &mut Vec<Output>) {
+        if let Some(stream) = self.streams.get_mut(&id) {
+            stream.listed = true;
+            if stream.address == address {
+                return;
+            }
+            out.push(Output::StopListening(id, stream.number));
+        }
+        let state = State::Opening(now);
+        let stream = Stream { address, number: 0, state, down: Some(now), pause: PAUSE_FIRST, listed: true };
+        self.streams.insert(id, stream);
+        self.open(now, id, out);
+    }
+
+    /// The list does not name this box any more: its stream is kept while sessions play there.
+    pub fn unlisted(&mut self, id: ServerId, in_use: bool, out: &mut Vec<Output>) {
+        let Some(stream) = self.streams.get_mut(&id) else { return };
+        stream.listed = false;
+        if !in_use {
+            out.push(Output::StopListening(id, stream.number));
+            self.streams.remove(&id);
+        }
+    }
+
+    /// Where this box listens, if it is listened to.
+    pub fn address(&self, id: ServerId) -> Option<SocketAddr> {
+        self.streams.get(&id).map(|stream| stream.address)
+    }
+
+    /// When the stream that now stands was asked for: what was sent to the box before that must be in its list.
+    pub fn asked(&self, id: ServerId) -> Option<Micros> {
+        self.streams.get(&id).and_then(|stream| match stream.state {
+            State::Opening(asked) => Some(asked),
+            State::Up(_) | State::Pausing => None,
+        })
+    }
+
+    /// Whether news of this number still count; they are a sign of life.
+    pub fn heard(&mut self, now: Micros, id: ServerId, number: u64) -> bool {
+        match self.streams.get_mut(&id) {
+            Some(stream) if stream.number == number => {
+                if let State::Up(at) = &mut stream.state {
+                    *at = now;
+                }
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// A stream stands.
+    pub fn up(&mut self, now: Micros, id: ServerId, silent_after: Micros, timers: &mut Timers) {
+        let Some(stream) = self.streams.get_mut(&id) else { return };
+        (stream.state, stream.down, stream.pause) = (State::Up(now), None, PAUSE_FIRST);
+        timers.set(now + silent_after, Due::Silent(id, stream.number));
+    }
+
+    /// A stream broke or could not be made.
+    pub fn broke(
+        &mut self,
+        now: Micros,
+        id: ServerId,
+        why: Option<DialError>,
+        lost_after: Micros,
+        timers: &mut Timers,
+        out: &mut Vec<Output>,
+    ) -> Verdict {
+        let Some(stream) = self.streams.get_mut(&id) else { return Verdict::Old };
+        let stood = matches!(stream.state, State::Up(_));
+        let since = *stream.down.get_or_insert(now);
+        if stood && why.is_none() {
+            // One try at once: the answer tells a dead process from a broken connection.
+            self.open(now, id, out);
+            return Verdict::Nothing;
+        }
+        // Refused, nobody listens there: the process is dead. Silent, it may be a cut: sessions play on behind it
+        // for a while, and the box may be reached again.
+        let lost = why == Some(DialError::Refused) || since + lost_after <= now;
+        if !stream.listed && lost {
+            self.streams.remove(&id);
+            return Verdict::Lost;
+        }
+        stream.state = State::Pausing;
+        timers.set(now + stream.pause, Due::Listen(id, stream.number));
+        stream.pause = (stream.pause * 2).min(PAUSE_MOST);
+        if lost {
+            // Said once for each time that it is down; a later try begins anew.
+            stream.down = None;
+            return Verdict::Lost;
+        }
+        Verdict::Nothing
+    }
+
+    /// The pause before a further try is over.
+    pub fn again(&mut self, now: Micros, id: ServerId, number: u64, out: &mut Vec<Output>) {
+        if self.streams.get(&id).is_some_and(|s| s.number == number && s.state == State::Pausing) {
+            self.open(now, id, out);
+        }
+    }
+
+    /// Whether a stream has been silent for too long; if so it is closed, and counts as not made in time.
+    pub fn silent(
+        &mut self,
+        now: Micros,
+        id: ServerId,
+        number: u64,
+        silent_after: Micros,
+        timers: &mut Timers,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let Some(stream) = self.streams.get_mut(&id).filter(|s| s.number == number) else { return false };
+        let State::Up(heard) = stream.state else { return false };
+        if heard + silent_after > now {
+            timers.set(heard + silent_after, Due::Silent(id, number));
+            return false;
+        }
+        // It has been down since it was last heard.
+        stream.down = Some(heard);
+        out.push(Output::StopListening(id, number));
+        true
+    }
+
+    /// Boxes that are listened to.
+    pub fn boxes(&self) -> impl Iterator<Item = ServerId> + '_ {
+        self.streams.keys().copied()
+    }
+
+    /// Stops listening to all boxes.
+    pub fn stop(&mut self, out: &mut Vec<Output>) {
+        for (id, stream) in std::mem::take(&mut self.streams) {
+            out.push(Output::StopListening(id, stream.number));
+        }
+    }
+
+    fn open(&mut self, now: Micros, id: ServerId, out: &mut Vec<Output>) {
+        self.last += 1;
+        let Some(stream) = self.streams.get_mut(&id) else { return };
+        (stream.number, stream.state) = (self.last, State::Opening(now));
+        out.push(Output::Listen(id, stream.number, stream.address));
+    }
+}
--- /dev/null
+++ b/crates/front/src/core/timers.rs
@@ -0,0 +1,73 @@
+//! One queue of all that is due, so that the edge needs one timer and never polls.
+
+use std::collections::BTreeSet;
+
+use salttally::interface::{Micros, ServerId, SessionId};
+
+use super::ConnId;
+
+/// What may be due.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    /// An attempt runs out of time.
+    Expire(SessionId, u32),
+    /// The module wants to be woken with this tag.
+    Wake(u64),
+    /// A session's answer is overdue.
+    Overdue(SessionId),
+    /// Nobody claimed a resumed session.
+    Claim(SessionId),
+    /// A moved session is no longer waited for.
+    Moved(SessionId),
+    /// The stream to a box is to be tried again.
+    Listen(ServerId, u64),
+    /// The stream to a box may be silent.
+    Silent(ServerId, u64),
+    /// A release is to be tried again.
+    Release(ServerId, SessionId, u32),
+    /// A request to a box has taken as long as it may.
+    Slow(u64),
+    /// An idle connection may have been kept long enough.
+    Idle(ConnId),
+}
+
+/// The queue; equal entries fall together.
+#[derive(Clone, Debug, Default)]
+pub struct Timers {
+    queue: BTreeSet<(Micros, Due)>,
+}
+
+impl Timers {
+    /// Adds an entry.
+    pub fn set(&mut self, at: Micros, due: Due) {
+        self.queue.insert((at, due));
+    }
+
+    /// Takes an entry out that will not be needed, so that the queue is as long as what is under way.
+    pub fn unset(&mut self, at: Micros, due: Due) {
+        self.queue.remove(&(at, due));
+    }
+
+    /// When the first entry is due.
+    pub fn next(&self) -> Option<Micros> {
+        self.queue.first().map(|(at, _)| *at)
+    }
+
+    /// Takes out one entry that is due.
+    pub fn pop(&mut self, now: Micros) -> Option<Due> {
+        if self.next()? > now {
+            return None;
+        }
+        self.queue.pop_first().map(|(_, due)| due)
+    }
+
+    /// Number of entries.
+    pub fn len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Whether nothing is waited for.
+    pub fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/front/src/front.rs
@@ -0,0 +1,287 @@
+//! The front as a library: started with its settings, asked for sessions in process, ended in order.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam_channel::{Receiver, Sender};
+use salttally::brain::Brain;
+use salttally::interface::{ListKind, Micros, SessionId};
+use thiserror::Error;
+
+use crate::box_list::Follower;
+use crate::boxes::Boxes;
+use crate::clock::Clock;
+use crate::core::{Answer, ClientId, Counts, Input, Ledger, News, Opening, Reply, Ticket};
+use crate::engine::{Engine, Look, Msg, Port, ToCaller};
+use crate::record::lines::Born;
+use crate::record::Recorder;
+use crate::session_api::outbox;
+use crate::session_api::server::Server;
+use crate::settings::{viewer, Settings};
+
+/// Why a front does not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// The players' address cannot be bound.
+    #[error("cannot listen for players at {0}: {1}")]
+    Listen(SocketAddr, io::Error),
+    /// The record cannot be written.
+    #[error("cannot write the record {0}: {1}")]
+    Record(String, io::Error),
+    /// No thread to be had.
+    #[error("no thread to be had: {0}")]
+    Thread(io::Error),
+}
+
+/// Why a session cannot be asked for as it stands.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum OpenError {
+    /// No title of that name.
+    #[error("no title `{0}` here")]
+    Title(String),
+    /// No class of that name.
+    #[error("no class `{0}` here")]
+    Class(String),
+    /// The patience is out of bounds.
+    #[error("a patience of {0} ms; it must lie from {1} to {2}")]
+    Patience(u64, u64, u64),
+    /// The front has ended.
+    #[error("the front has ended")]
+    Ended,
+}
+
+/// A session as a caller asks for it; the fields are those of `session.open`.
+#[derive(Clone, Debug, Default)]
+pub struct Asked {
+    /// Who watches.
+    pub viewer: String,
+    /// What is watched.
+    pub title: String,
+    /// Of which class.
+    pub class: String,
+    /// Highest rung that the viewer can use.
+    pub top_rung: usize,
+    /// Time before the viewer gives up, ms.
+    pub patience_ms: u64,
+    /// A guess of how long it is watched, seconds.
+    pub length_hint_s: Option<f64>,
+    /// Not the viewer's first try.
+    pub returned: bool,
+    /// The session that this front moved and that is opened anew by this.
+    pub moved_from: Option<String>,
+}
+
+/// A running front. Dropped, it ends in order.
+pub struct Front {
+    settings: Arc<Settings>,
+    engine: Sender<Msg>,
+    clients: Arc<AtomicU64>,
+    server: Server,
+    thread: Option<thread::JoinHandle<()>>,
+    recorder: Option<Recorder>,
+    seed: u64,
+}
+
+impl Front {
+    /// Starts a front: it listens for players and follows the box list when this returns.
+    ///
+    /// # Errors
+    /// The players' address cannot be bound, the record cannot be written, or there is no thread to be had.
+    pub fn start(settings: Settings) -> Result<Front, StartError> {
+        let clock = Clock::start();
+        let started = clock.now();
+        let settings = Arc::new(settings);
+        // Seconds are enough for two starts to differ: a front is not up twice within one, its address being one.
+        let boot = (started / 1_000_000) as u32;
+        let seed = settings.seed.unwrap_or(started);
+        let born = Born { at: started, front: settings.name.clone(), boot, seed };
+        let recorder = settings.record.as_ref().map(|path| {
+            Recorder::create(path, &born).map_err(|e| StartError::Record(path.display().to_string(), e))
+        });
+        let recorder = recorder.transpose()?;
+        let (engine, inbox) = crossbeam_channel::unbounded();
+        let (flusher, full) = crossbeam_channel::unbounded();
+        outbox::flusher(clock, settings.edges.stalled, full).map_err(StartError::Thread)?;
+
+        let brain = Brain::new(settings.module.clone(), seed);
+        let (module, limits) = (settings.module.clone(), settings.limits.clone());
+        let mut ledger = Ledger::new(brain, module, limits, &settings.name, boot);
+        if let Some(recorder) = &recorder {
+            ledger = ledger.tapped(Box::new(recorder.tap()));
+        }
+        let list = Follower::new(Arc::clone(&settings), engine.clone());
+        let remembered = Input::List(ListKind::Remembered, list.remembered());
+        let boxes = Boxes::new(Arc::clone(&settings), engine.clone());
+        let clients = BTreeMap::new();
+        let running = Engine { clock, ledger, boxes, list, inbox, clients, out: Vec::new() };
+        // The first thing that the module is told, before any player: it answers by following the list.
+        let _ = engine.send(Msg::Core(remembered));
+        let thread = thread::Builder::new()
+            .name("front".into())
+            .spawn(move || running.run())
+            .map_err(StartError::Thread)?;
+        let clients = Arc::new(AtomicU64::new(1));
+        let server = Server::start(Arc::clone(&settings), Arc::clone(&clients), engine.clone(), flusher)
+            .map_err(|error| {
+                let _ = engine.send(Msg::Die);
+                StartError::Listen(settings.listen, error)
+            })?;
+        Ok(Front { settings, engine, clients, server, thread: Some(thread), recorder, seed })
+    }
+
+    /// Where players connect.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Seed of the module's draws.
+    pub fn seed(&self) -> u64 {
+        self.seed
+    }
+
+    /// How the front stands.
+    pub fn look(&self) -> Look {
+        let (to, answer) = crossbeam_channel::bounded(1);
+        let _ = self.engine.send(Msg::Look(to));
+        answer.recv_timeout(Duration::from_secs(5)).unwrap_or_default()
+    }
+
+    /// Asks for a session. It is accepted when this returns, and its one answer comes within the patience.
+    ///
+    /// # Errors
+    /// What is asked for means nothing here; then nothing has been accepted.
+    pub fn open(&self, asked: &Asked) -> Result<Session, OpenError> {
+        let settings = &self.settings;
+        let title = settings.titles.get(&asked.title).ok_or_else(|| OpenError::Title(asked.title.clone()))?;
+        let class = settings.class(&asked.class).ok_or_else(|| OpenError::Class(asked.class.clone()))?;
+        let (least, most) = settings.edges.patience_ms;
+        if !(least..=most).contains(&asked.patience_ms) {
+            return Err(OpenError::Patience(asked.patience_ms, least, most));
+        }
+        let opening = Opening {
+            viewer: viewer(&asked.viewer),
+            title: title.id,
+            class,
+            first_cell: title.first_cell,
+            cell_count: title.cells,
+            top_rung: asked.top_rung,
+            patience: asked.patience_ms * 1000,
+            length: asked.length_hint_s.map(|hint| (hint.clamp(0.0, 1e6) * 1e6) as Micros),
+            returned: asked.returned,
+            moved_from: asked.moved_from.as_deref().map(|id| SessionId(Arc::from(id))),
+        };
+        let client = ClientId(self.clients.fetch_add(1, Ordering::Relaxed));
+        let (to, told) = crossbeam_channel::unbounded();
+        let attach = self.engine.send(Msg::Attach(client, Port::Caller(to)));
+        let open = self.engine.send(Msg::Core(Input::Open(client, OPEN, opening)));
+        if attach.is_err() || open.is_err() {
+            return Err(OpenError::Ended);
+        }
+        Ok(Session { client, engine: self.engine.clone(), told })
+    }
+
+    /// Ends in order: accepts nobody any more, answers all that is owed, releases all that plays and tells its
+    /// viewers. Returns what the front has done, or nothing if boxes did not take their releases in `within`.
+    pub fn shut_down(mut self, within: Duration) -> Option<Counts> {
+        let counts = self.end(within);
+        self.finish();
+        counts
+    }
+
+    /// Ends at once with no word to anybody, as a process that is killed: for rehearsals of that.
+    pub fn kill(mut self) {
+        let _ = self.engine.send(Msg::Die);
+        self.finish();
+    }
+
+    fn end(&mut self, within: Duration) -> Option<Counts> {
+        let (done, told) = crossbeam_channel::bounded(1);
+        let _ = self.engine.send(Msg::ShutDown(done));
+        let counts = told.recv_timeout(within).ok();
+        let _ = self.engine.send(Msg::Die);
+        counts
+    }
+
+    fn finish(&mut self) {
+        self.server.stop();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+        if let Some(mut recorder) = self.recorder.take() {
+            recorder.finish();
+        }
+    }
+}
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        if self.thread.is_some() {
+            self.end(Duration::from_secs(5));
+            self.finish();
+        }
+    }
+}
+
+/// The one open call of a caller.
+const OPEN: Ticket = Ticket(1);
+/// Its other calls.
+const OTHER: Ticket = Ticket(2);
+
+/// A session that a caller of the library asked for. Dropped, it is given up or closed: nothing is left
+/// unanswered and nothing plays for nobody.
+pub struct Session {
+    client: ClientId,
+    engine: Sender<Msg>,
+    told: Receiver<ToCaller>,
+}
+
+impl Session {
+    /// What the session's caller is told next: first the answer, then news. Nothing if that takes longer than
+    /// `within`, or the front has ended.
+    pub fn next(&self, within: Duration) -> Option<ToCaller> {
+        self.told.recv_timeout(within).ok()
+    }
+
+    /// Waits for the one answer.
+    pub fn answer(&self, within: Duration) -> Option<Answer> {
+        match self.next(within)? {
+            ToCaller::Answer(answer) => Some(answer),
+            ToCaller::News(_) | ToCaller::Reply(_) => None,
+        }
+    }
+
+    /// Waits for news.
+    pub fn news(&self, within: Duration) -> Option<News> {
+        match self.next(within)? {
+            ToCaller::News(news) => Some(news),
+            ToCaller::Answer(_) | ToCaller::Reply(_) => None,
+        }
+    }
+
+    /// Gives the session up before its answer; the answer is then that it failed, unless it was under way.
+    pub fn cancel(&self) {
+        let _ = self.engine.send(Msg::Core(Input::Cancel(self.client, OTHER, OPEN)));
+    }
+
+    /// Closes a session that plays. Returns whether it did.
+    pub fn close(self, session: &SessionId, within: Duration) -> bool {
+        let _ = self.engine.send(Msg::Core(Input::Close(self.client, OTHER, session.clone())));
+        while let Some(told) = self.next(within) {
+            if let ToCaller::Reply(reply) = told {
+                return matches!(reply, Reply::Closed(_));
+            }
+        }
+        false
+    }
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        let _ = self.engine.send(Msg::Core(Input::ClientGone(self.client)));
+    }
+}
--- /dev/null
+++ b/crates/front/src/settings/check.rs
@@ -0,0 +1,112 @@
+//! Settings that would break a rule, or leave it unkept unnoticed, are refused with the reason.
+
+use salttally::interface::{Effect, Group};
+use salttally_settings::{Block, Read};
+
+use super::Settings;
+
+/// Checks settings against the rules; the error stands at the node that is wrong.
+pub(super) fn rules(root: &Block<'_>, settings: &Settings) -> Read<()> {
+    let module = &settings.module;
+    let ladder = root.need("ladder")?;
+    if module.ladder.is_empty() || module.ladder.iter().any(|rung| rung.kb <= 0.0) {
+        return Err(ladder.bad("the ladder needs rungs, each with a rate over 0"));
+    }
+    if module.ladder.windows(2).any(|pair| pair[0].kb >= pair[1].kb || pair[0].worth > pair[1].worth) {
+        return Err(
+            ladder.bad("rungs stand from the lowest rate to the highest, and no higher one is worth less")
+        );
+    }
+    let nodes = root.all("class");
+    if nodes.is_empty() {
+        return Err(root.bad("at least one `class` is needed"));
+    }
+    for (class, node) in module.classes.iter().zip(&nodes) {
+        let bad = |reason: &str| Err(node.bad(reason));
+        if class.top >= module.ladder.len() {
+            return bad("`top` is over the ladder's highest rung");
+        }
+        if class.floor > class.top {
+            return bad("`floor` is over `top`: no rung keeps the terms (rule 5)");
+        }
+        if class.aim == 0 {
+            return bad("`aim-ms` of 0 can never be met");
+        }
+        let aim_ms = class.aim / 1000;
+        if aim_ms > settings.edges.patience_ms.1 {
+            return bad("`aim-ms` is longer than any viewer may wait (`patience-most-ms`)");
+        }
+        if class.effect == Effect::Deduplicated && class.window == 0 {
+            return bad("a deduplicated class needs `window-ms`: without it no attempt may follow (rule 2)");
+        }
+        if class.effect != Effect::Deduplicated && (class.window > 0 || class.group != Group::All) {
+            return bad("`window-ms` and `group` belong to deduplicated classes");
+        }
+        if class.rate_factor <= 0.0 || class.gain < 0.0 {
+            return bad("`rate-factor` must be over 0 and `gain` not under it");
+        }
+        if settings.edges.connect.as_micros() as u64 >= class.aim {
+            return bad("a dial (`connect-ms`) may not take as long as the class's whole aim");
+        }
+    }
+    let rules = root.need("rules")?;
+    if module.max_attempts == 0 {
+        return Err(rules.bad("`attempts` of 0 sets nothing up"));
+    }
+    if module.max_hold_off == 0 {
+        return Err(rules.bad("`hold-off-ms` of 0 sends refused viewers straight back"));
+    }
+    if !(0.0..=1.0).contains(&module.cold_from) || module.cold_from == 0.0 {
+        return Err(rules.bad("`cold-from` is a part of a warm box's pace, over 0 and 1 at most (rule 4)"));
+    }
+    if module.fall_multiple < 1.0 || module.fall_window == 0 {
+        return Err(rules.bad(
+            "`fall-multiple` under 1 or `fall-ms` of 0 would have boxes fall at their own pace (rule 4)",
+        ));
+    }
+    if module.budget.is_some_and(|b| b.window == 0 || b.free < 0.0 || b.share < 0.0) {
+        return Err(rules.bad("`budget` needs a window over 0, and neither part under 0 (rule 6)"));
+    }
+    if module.fronts == 0 {
+        return Err(root.need("front")?.bad("`fronts` counts this one too: 1 at least"));
+    }
+    let fleet = root.need("fleet")?;
+    if module.cells == 0 || module.link_kb_per_unit <= 0.0 || module.links_kb <= 0.0 {
+        return Err(fleet.bad("`cells`, `link-kb` and `links-kb` must be over 0"));
+    }
+    if module.racks > 0 && module.uplink_kb <= 0.0 {
+        return Err(fleet.bad("racks need `uplink-kb`"));
+    }
+    if !(0.0..=1.0).contains(&module.shared_adds) {
+        return Err(fleet.bad("`shared-adds` is a part of a stream, from 0 to 1"));
+    }
+    if settings.titles.is_empty() {
+        return Err(root.bad("at least one `title` is needed"));
+    }
+    limits(root, settings)
+}
+
+fn limits(root: &Block<'_>, settings: &Settings) -> Read<()> {
+    let node = match root.one("limits")? {
+        Some(node) => node,
+        None => root.need("rules")?,
+    };
+    let (limits, edges) = (&settings.limits, &settings.edges);
+    let bad = |reason: &str| Err(node.bad(reason));
+    if edges.patience_ms.0 == 0 || edges.patience_ms.0 > edges.patience_ms.1 {
+        return bad("`patience-least-ms` must be over 0 and not over `patience-most-ms`");
+    }
+    if limits.silent_after == 0 || limits.lost_after == 0 || limits.ask_within == 0 {
+        return bad("`silent-after-ms`, `lost-after-ms` and `ask-within-ms` must be over 0");
+    }
+    if limits.connections == 0 || edges.players == 0 {
+        return bad("`connections-per-box` and `players` must be over 0");
+    }
+    if edges.message < 256 || edges.backlog < edges.message {
+        return bad("`message-bytes` must be 256 at least and `backlog-bytes` not under it");
+    }
+    if edges.connect.is_zero() || edges.handshake.is_zero() || edges.stalled.is_zero() {
+        return bad("`connect-ms`, `handshake-ms` and `stalled-ms` must be over 0");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/judge/src/worth.rs
@@ -0,0 +1,116 @@
+//! What a day was worth: the worth delivered over the worth asked for.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::record::{AnswerKind, Line, Terms, What};
+
+/// A share of delivery from which nothing is lost.
+const FULL: f64 = 0.98;
+
+/// Worth of a day, in seconds at full quality times the gain of the class.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Worth {
+    /// Asked for: the wanted lengths of all viewers, at the best rung.
+    pub asked: f64,
+    /// Delivered: the time played, by rung and by the share of the rate that came.
+    pub delivered: f64,
+    /// Sessions that began within their aim.
+    pub in_time: usize,
+    /// Sessions that began.
+    pub began: usize,
+}
+
+impl Worth {
+    /// Delivered over asked; 0 where nothing was asked.
+    pub fn part(&self) -> f64 {
+        if self.asked > 0.0 {
+            self.delivered / self.asked
+        } else {
+            0.0
+        }
+    }
+}
+
+struct Play<'a> {
+    class: &'a str,
+    rung: usize,
+    since: u64,
+}
+
+/// Adds a record up.
+pub fn worth(lines: &[Line]) -> Worth {
+    let mut worth = Worth::default();
+    let Some(terms) = lines.iter().find_map(|line| match &line.what {
+        What::Terms(terms) => Some(terms),
+        _ => None,
+    }) else {
+        return worth;
+    };
+    let mut viewers: BTreeSet<&str> = BTreeSet::new();
+    let mut opens: BTreeMap<u64, (u64, &str)> = BTreeMap::new();
+    let mut set_ups: BTreeMap<(&str, u32), (&str, usize)> = BTreeMap::new();
+    let mut playing: BTreeMap<u32, BTreeMap<(&str, u32), Play<'_>>> = BTreeMap::new();
+    let mut shares: BTreeMap<u32, f64> = BTreeMap::new();
+    let last = lines.last().map_or(0, |line| line.at);
+    for Line { at, what } in lines {
+        match what {
+            What::Opened { open, viewer, class, length, .. } => {
+                opens.insert(*open, (*at, class));
+                if viewers.insert(viewer) {
+                    let gain = terms.classes.get(class).map_or(0.0, |class| class.gain);
+                    worth.asked += *length as f64 / 1e6 * gain;
+                }
+            }
+            What::Answered { open, answer: AnswerKind::Plays, .. } => {
+                worth.began += 1;
+                let aim = |class: &str| terms.classes.get(class).map_or(0, |class| class.aim);
+                let in_time = opens.get(open).is_some_and(|(asked, class)| *at <= asked + aim(class));
+                worth.in_time += usize::from(in_time);
+            }
+            What::SetUpRead { session, attempt, class, rung, .. } => {
+                set_ups.insert((session, *attempt), (class, *rung));
+            }
+            What::SetUpEnded { server, session, attempt, end: crate::record::SetUpEnd::Began } => {
+                let Some((class, rung)) = set_ups.get(&(session.as_str(), *attempt)) else { continue };
+                let play = Play { class, rung: *rung, since: *at };
+                playing.entry(*server).or_default().insert((session, *attempt), play);
+            }
+            What::RungSet { server, session, rung } => {
+                let share = shares.get(server).copied().unwrap_or(1.0);
+                let there = playing.entry(*server).or_default();
+                for (_, play) in there.iter_mut().filter(|((of, _), _)| of == session) {
+                    worth.delivered += earned(terms, play, *at, share);
+                    (play.rung, play.since) = (*rung, *at);
+                }
+            }
+            What::Share { server, share } => {
+                let before = shares.insert(*server, *share).unwrap_or(1.0);
+                for play in playing.entry(*server).or_default().values_mut() {
+                    worth.delivered += earned(terms, play, *at, before);
+                    play.since = *at;
+                }
+            }
+            What::Ended { server, session, attempt } => {
+                let share = shares.get(server).copied().unwrap_or(1.0);
+                if let Some(play) = playing.entry(*server).or_default().remove(&(session.as_str(), *attempt))
+                {
+                    worth.delivered += earned(terms, &play, *at, share);
+                }
+            }
+            _ => {}
+        }
+    }
+    for (server, there) in &playing {
+        let share = shares.get(server).copied().unwrap_or(1.0);
+        worth.delivered += there.values().map(|play| earned(terms, play, last, share)).sum::<f64>();
+    }
+    worth
+}
+
+fn earned(terms: &Terms, play: &Play<'_>, until: u64, share: f64) -> f64 {
+    let seconds = until.saturating_sub(play.since) as f64 / 1e6;
+    let gain = terms.classes.get(play.class).map_or(0.0, |class| class.gain);
+    let rung = terms.rungs.get(play.rung).copied().unwrap_or(0.0);
+    let quality = (1.0 - terms.stall_cost * (FULL - share).max(0.0)).max(0.0);
+    seconds * gain * rung * quality
+}
