Core in virtual time; calls, backlog, gate and box list as state of their own

Need: the guards of the ledger were untested, and a flood of calls, a slow handshake or a missed change of the list would have harmed other viewers.

A player's calls, what waits to be written to it, and what it may ask are state machines without I/O; the list has revisions, and a gap is a loss. Players of the stand-in claim their sessions from a front that was born again.

--- a/crates/front/src/box_list/mod.rs
+++ b/crates/front/src/box_list/mod.rs
@@ -1,17 +1,19 @@
 //! Follows the box list: server-sent events over HTTP, first the whole list, then changes. Described in
-//! `docs/box-api.md`. When to follow, and to follow again after a loss, is the module's word.
+//! `docs/box-api.md`. [`core`] holds the list; when to follow it, and to follow it again after a loss, is the
+//! module's word.
 
+pub mod core;
 pub mod lines;
 
-use std::collections::BTreeMap;
 use std::fs;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use crossbeam_channel::Sender;
-use salttally::interface::{ListKind, ServerId, ServerState};
+use salttally::interface::ListKind;
 
+use self::core::Listing;
 use crate::boxes::link::{follow, spawn, Socket};
 use crate::core::{Input, Listed};
 use crate::engine::Msg;
@@ -23,7 +25,7 @@
     engine: Sender<Msg>,
     following: Arc<AtomicBool>,
     socket: Arc<Mutex<Arc<Socket>>>,
-    known: Arc<Mutex<BTreeMap<ServerId, Listed>>>,
+    known: Arc<Mutex<Listing>>,
 }
 
 impl Follower {
@@ -43,9 +45,8 @@
         let Some(path) = &self.settings.remember else { return Vec::new() };
         let Ok(text) = fs::read_to_string(path) else { return Vec::new() };
         match lines::read(&text) {
-            Ok(lines) => {
-                let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-                known.extend(lines.iter().map(|line| (line.entry.server, line.clone())));
+            Ok((_, lines)) => {
+                self.known.lock().unwrap_or_else(PoisonError::into_inner).remember(&lines);
                 lines
             }
             Err(error) => {
@@ -90,7 +91,7 @@
     engine: Sender<Msg>,
     following: Arc<AtomicBool>,
     socket: Arc<Socket>,
-    known: Arc<Mutex<BTreeMap<ServerId, Listed>>>,
+    known: Arc<Mutex<Listing>>,
 }
 
 impl Run {
@@ -108,6 +109,7 @@
             }
         }
         self.socket.close();
+        self.known.lock().unwrap_or_else(PoisonError::into_inner).lost();
         lost(&self.following, &self.engine);
     }
 
@@ -118,29 +120,21 @@
             "changes" => ListKind::Changes,
             _ => return Ok(()),
         };
-        let lines = lines::read(data).map_err(|error| error.to_string())?;
-        self.remember(kind, &lines);
-        let _ = self.engine.send(Msg::Core(Input::List(kind, lines)));
-        Ok(())
-    }
-
-    fn remember(&self, kind: ListKind, lines: &[Listed]) {
-        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        if kind == ListKind::Whole {
-            known.clear();
-        }
-        for line in lines {
-            if line.entry.state == ServerState::Gone {
-                known.remove(&line.entry.server);
-            } else {
-                known.insert(line.entry.server, line.clone());
-            }
-        }
-        if let Some(path) = &self.settings.remember {
-            if let Err(error) = write(path, &lines::write(known.values())) {
-                tracing::warn!(path = %path.display(), %error, "the list is not remembered");
+        let (revision, lines) = lines::read(data).map_err(|error| format!("not a list: {error}"))?;
+        let told = {
+            let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+            let told = known.apply(kind, revision, lines).map_err(|error| error.to_string())?;
+            if let Some(path) = &self.settings.remember {
+                if let Err(error) = write(path, &lines::write(known.boxes())) {
+                    tracing::warn!(path = %path.display(), %error, "the list is not remembered");
+                }
             }
+            told
+        };
+        if kind == ListKind::Whole || !told.is_empty() {
+            let _ = self.engine.send(Msg::Core(Input::List(kind, told)));
         }
+        Ok(())
     }
 }
 
--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -12,8 +12,9 @@
 use crate::boxes::Boxes;
 use crate::clock::Clock;
 use crate::core::{Answer, ClientId, Counts, Input, Ledger, Level, News, Output, Reply, Ticket};
+use crate::session_api::core::calls::Calls;
 use crate::session_api::outbox::Outbox;
-use crate::session_api::rpc::{self, Call, Message, Method};
+use crate::session_api::rpc::{self, Message};
 use crate::session_api::server::text_frame;
 
 /// What the engine is told.
@@ -69,27 +70,13 @@
 /// A player's connection and the calls on it that wait for an answer.
 pub struct Socket {
     outbox: Arc<Outbox>,
-    calls: BTreeMap<Ticket, Waiting>,
-    batches: BTreeMap<u64, Batch>,
-    last: u64,
-}
-
-struct Waiting {
-    /// None for a notification: it is never answered.
-    id: Option<Value>,
-    open: bool,
-    batch: Option<u64>,
-}
-
-struct Batch {
-    missing: usize,
-    responses: Vec<Value>,
+    calls: Calls,
 }
 
 impl Port {
     /// The port of a player's connection.
-    pub fn socket(outbox: Arc<Outbox>) -> Port {
-        Port::Socket(Box::new(Socket { outbox, calls: BTreeMap::new(), batches: BTreeMap::new(), last: 0 }))
+    pub fn socket(outbox: Arc<Outbox>, calls: Calls) -> Port {
+        Port::Socket(Box::new(Socket { outbox, calls }))
     }
 }
 
@@ -98,104 +85,17 @@
         self.outbox.send(&text_frame(value.to_string()));
     }
 
-    /// A response: by itself, or with the others of its batch when the last is there.
-    fn respond(&mut self, response: Value, batch: Option<u64>) {
-        match batch {
-            None => self.write(&response),
-            Some(number) => {
-                if let Some(batch) = self.batches.get_mut(&number) {
-                    batch.responses.push(response);
-                }
-                self.part_done(number);
-            }
-        }
-    }
-
-    fn part_done(&mut self, number: u64) {
-        let Some(batch) = self.batches.get_mut(&number) else { return };
-        batch.missing = batch.missing.saturating_sub(1);
-        if batch.missing == 0 {
-            let all = self.batches.remove(&number).map_or(Vec::new(), |batch| batch.responses);
-            // A batch of notifications alone is answered by nothing at all.
-            if !all.is_empty() {
-                self.write(&Value::Array(all));
-            }
-        }
+    fn take(&mut self, message: Message) -> Vec<Input> {
+        let taken = self.calls.take(message);
+        taken.say.iter().for_each(|value| self.write(value));
+        taken.inputs
     }
 
     fn answered(&mut self, ticket: Ticket, write: impl FnOnce(&Value) -> Value) {
-        let Some(waiting) = self.calls.remove(&ticket) else { return };
-        match waiting.id {
-            Some(id) => {
-                let response = write(&id);
-                self.respond(response, waiting.batch);
-            }
-            None => waiting.batch.into_iter().for_each(|number| self.part_done(number)),
+        if let Some(value) = self.calls.answered(ticket, write) {
+            self.write(&value);
         }
     }
-
-    /// Takes a message apart into the ledger's inputs; what is wrong is answered here.
-    fn take(&mut self, client: ClientId, message: Message) -> Vec<Input> {
-        let mut inputs = Vec::new();
-        match message {
-            Message::Unreadable(error) => self.write(&rpc::error(&Value::Null, &error)),
-            Message::One(call) => inputs.extend(self.call(client, call, None)),
-            Message::Batch(calls) => {
-                self.last += 1;
-                let number = self.last;
-                self.batches.insert(number, Batch { missing: calls.len(), responses: Vec::new() });
-                for call in calls {
-                    inputs.extend(self.call(client, call, Some(number)));
-                }
-            }
-        }
-        inputs
-    }
-
-    fn call(&mut self, client: ClientId, call: Call, batch: Option<u64>) -> Option<Input> {
-        let method = match (call.method, &call.id) {
-            (Ok(method), _) => method,
-            (Err(error), Some(id)) => {
-                self.respond(rpc::error(id, &error), batch);
-                return None;
-            }
-            (Err(_), None) => {
-                batch.into_iter().for_each(|number| self.part_done(number));
-                return None;
-            }
-        };
-        let open = matches!(method, Method::Open(_));
-        if open && call.id.as_ref().is_none_or(Value::is_null) {
-            // Its one answer could not be given: it is not accepted.
-            let text = "session.open needs an id: it has an answer";
-            let error = rpc::RpcError { code: rpc::INVALID_REQUEST, message: text.into() };
-            self.respond(rpc::error(&Value::Null, &error), batch);
-            return None;
-        }
-        if open && self.calls.values().any(|waiting| waiting.open && waiting.id == call.id) {
-            let text = "an open call with this id is not answered yet";
-            let error = rpc::RpcError { code: rpc::INVALID_REQUEST, message: text.into() };
-            self.respond(rpc::error(&call.id.unwrap_or(Value::Null), &error), batch);
-            return None;
-        }
-        let named = match &method {
-            Method::Cancel(id) => {
-                let id = Some(id.clone());
-                self.calls.iter().find(|(_, waiting)| waiting.open && waiting.id == id).map(|(t, _)| *t)
-            }
-            _ => None,
-        };
-        self.last += 1;
-        let ticket = Ticket(self.last);
-        self.calls.insert(ticket, Waiting { id: call.id, open, batch });
-        Some(match method {
-            Method::Open(opening) => Input::Open(client, ticket, opening),
-            // No ticket is 0: an id that names no open call finds none.
-            Method::Cancel(_) => Input::Cancel(client, ticket, named.unwrap_or(Ticket(0))),
-            Method::Close(session) => Input::Close(client, ticket, session),
-            Method::Status(session, viewer) => Input::Status(client, ticket, session, viewer),
-        })
-    }
 }
 
 /// The engine's state.
@@ -244,7 +144,7 @@
                 }
                 Ok(Msg::Calls(client, calls)) => {
                     let inputs = match self.clients.get_mut(&client) {
-                        Some(Port::Socket(socket)) => socket.take(client, calls),
+                        Some(Port::Socket(socket)) => socket.take(calls),
                         _ => Vec::new(),
                     };
                     let mut finished = false;
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -106,7 +106,7 @@
         let recorder = recorder.transpose()?;
         let (engine, inbox) = crossbeam_channel::unbounded();
         let (flusher, full) = crossbeam_channel::unbounded();
-        outbox::flusher(clock, settings.edges.stalled, full).map_err(StartError::Thread)?;
+        outbox::flusher(full).map_err(StartError::Thread)?;
 
         let brain = Brain::new(settings.module.clone(), seed);
         let (module, limits) = (settings.module.clone(), settings.limits.clone());
@@ -126,11 +126,12 @@
             .spawn(move || running.run())
             .map_err(StartError::Thread)?;
         let clients = Arc::new(AtomicU64::new(1));
-        let server = Server::start(Arc::clone(&settings), Arc::clone(&clients), engine.clone(), flusher)
-            .map_err(|error| {
-                let _ = engine.send(Msg::Die);
-                StartError::Listen(settings.listen, error)
-            })?;
+        let server =
+            Server::start(Arc::clone(&settings), clock, Arc::clone(&clients), engine.clone(), flusher)
+                .map_err(|error| {
+                    let _ = engine.send(Msg::Die);
+                    StartError::Listen(settings.listen, error)
+                })?;
         Ok(Front { settings, engine, clients, server, thread: Some(thread), recorder, seed })
     }
 
--- a/crates/front/src/session_api/rpc.rs
+++ b/crates/front/src/session_api/rpc.rs
@@ -20,6 +20,8 @@
 pub const REFUSED: i64 = -32001;
 /// The session failed.
 pub const FAILED: i64 = -32002;
+/// The player has made more calls than it may; `data.hold_off_ms` tells when to go on.
+pub const TOO_MANY_CALLS: i64 = -32004;
 /// No session or open call of that name is this connection's.
 pub const UNKNOWN_SESSION: i64 = -32003;
 
@@ -102,6 +104,16 @@
     Unreadable(RpcError),
 }
 
+impl Message {
+    /// Number of calls in it.
+    pub fn calls(&self) -> u64 {
+        match self {
+            Message::One(_) | Message::Unreadable(_) => 1,
+            Message::Batch(calls) => calls.len() as u64,
+        }
+    }
+}
+
 /// Reads a message. Never fails as a whole: whatever is wrong stands in the call that it is wrong with.
 pub fn read(text: &str, settings: &Settings) -> Message {
     match serde_json::from_str::<Value>(text) {
@@ -282,6 +294,19 @@
     json!({"jsonrpc": "2.0", "id": id, "error": {"code": code, "message": message, "data": data}})
 }
 
+/// The response to calls over the allowance, none of which is taken: of a batch, all of them.
+pub fn too_many(message: &Message, after: u64) -> Value {
+    let one = |call: &Call| {
+        let id = call.id.clone().unwrap_or(Value::Null);
+        failure(&id, TOO_MANY_CALLS, "too many calls", json!({"hold_off_ms": after.div_ceil(1000)}))
+    };
+    match message {
+        Message::One(call) => one(call),
+        Message::Batch(calls) => Value::Array(calls.iter().map(one).collect()),
+        Message::Unreadable(error) => self::error(&Value::Null, error),
+    }
+}
+
 /// The response to any other call.
 pub fn reply(id: &Value, reply: &Reply) -> Value {
     match reply {
--- a/crates/front/src/session_api/server.rs
+++ b/crates/front/src/session_api/server.rs
@@ -2,8 +2,8 @@
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 
 use crossbeam_channel::Sender;
@@ -14,8 +14,12 @@
 use tungstenite::protocol::WebSocketConfig;
 use tungstenite::{Error, Message, WebSocket};
 
+use super::core::backlog::Backlog;
+use super::core::calls::Calls;
+use super::core::gate::{Allowance, Allowed, Door};
 use super::outbox::Outbox;
 use super::rpc;
+use crate::clock::Clock;
 use crate::core::{ClientId, Input};
 use crate::engine::{Msg, Port};
 use crate::settings::{Settings, SUB_PROTOCOL};
@@ -35,6 +39,7 @@
     /// Binds and begins to accept.
     pub fn start(
         settings: Arc<Settings>,
+        clock: Clock,
         clients: Arc<AtomicU64>,
         engine: Sender<Msg>,
         flusher: Sender<Arc<Outbox>>,
@@ -43,7 +48,7 @@
         let address = listener.local_addr()?;
         let stopping = Arc::new(AtomicBool::new(false));
         let stop = Arc::clone(&stopping);
-        let open = Arc::new(AtomicUsize::new(0));
+        let door = Arc::new(Mutex::new(Door::new(settings.edges.gate)));
         let accept = move || {
             for stream in listener.incoming() {
                 if stop.load(Ordering::Acquire) {
@@ -54,29 +59,27 @@
                     thread::sleep(std::time::Duration::from_millis(10));
                     continue;
                 };
-                if open.load(Ordering::Relaxed) >= settings.edges.players {
-                    tracing::warn!(players = settings.edges.players, "a player too many is turned away");
+                if let Err(turned) = hold(&door).knock() {
+                    tracing::debug!(?turned, "a player is turned away");
                     let _ =
                         (&stream).write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
                     continue;
                 }
-                open.fetch_add(1, Ordering::Relaxed);
-                let id = ClientId(clients.fetch_add(1, Ordering::Relaxed));
                 let player = Player {
-                    id,
+                    id: ClientId(clients.fetch_add(1, Ordering::Relaxed)),
                     settings: Arc::clone(&settings),
+                    clock,
                     engine: engine.clone(),
                     flusher: flusher.clone(),
+                    door: Arc::clone(&door),
                 };
-                let closed = Arc::clone(&open);
                 let run = move || {
-                    player.serve(stream);
-                    closed.fetch_sub(1, Ordering::Relaxed);
+                    let entered = player.serve(stream);
+                    hold(&player.door).left(entered);
                 };
-                let spawned = thread::Builder::new().name("player".into()).stack_size(STACK).spawn(run);
-                if spawned.is_err() {
+                if thread::Builder::new().name("player".into()).stack_size(STACK).spawn(run).is_err() {
                     tracing::warn!("no thread for a player: it is turned away");
-                    open.fetch_sub(1, Ordering::Relaxed);
+                    hold(&door).left(false);
                 }
             }
         };
@@ -103,8 +106,14 @@
 struct Player {
     id: ClientId,
     settings: Arc<Settings>,
+    clock: Clock,
     engine: Sender<Msg>,
     flusher: Sender<Arc<Outbox>>,
+    door: Arc<Mutex<Door>>,
+}
+
+fn hold(door: &Mutex<Door>) -> MutexGuard<'_, Door> {
+    door.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// The two ways of a player's socket: reads wait, writes go through the outbox and never do.
@@ -131,10 +140,13 @@
 }
 
 impl Player {
-    fn serve(&self, stream: TcpStream) {
+    /// Serves one connection to its end; returns whether it shook hands.
+    fn serve(&self, stream: TcpStream) -> bool {
         let _ = stream.set_nodelay(true);
-        let Ok(read) = stream.try_clone() else { return };
-        let outbox = Outbox::new(stream, self.settings.edges.backlog, self.flusher.clone());
+        let Ok(read) = stream.try_clone() else { return false };
+        let edges = &self.settings.edges;
+        let backlog = Backlog::new(edges.backlog, edges.stalled.as_micros() as u64);
+        let outbox = Outbox::new(stream, self.clock, backlog, self.flusher.clone());
         let _ = read.set_read_timeout(Some(self.settings.edges.handshake));
         let duplex = Duplex { read, write: Arc::clone(&outbox) };
         let socket = match tungstenite::accept_hdr_with_config(duplex, negotiate, Some(self.config())) {
@@ -142,11 +154,13 @@
             Err(error) => {
                 tracing::debug!(client = self.id.0, %error, "no handshake");
                 outbox.close();
-                return;
+                return false;
             }
         };
+        hold(&self.door).entered();
+        let calls = Calls::new(self.id, edges.opens);
         let _ = socket.get_ref().read.set_read_timeout(None);
-        if self.engine.send(Msg::Attach(self.id, Port::socket(Arc::clone(&outbox)))).is_ok() {
+        if self.engine.send(Msg::Attach(self.id, Port::socket(Arc::clone(&outbox), calls))).is_ok() {
             let mut duplex = self.read(socket, &outbox);
             let _ = self.engine.send(Msg::Core(Input::ClientGone(self.id)));
             // Bytes left unread would have the close answered by a reset, and the reason for it lost.
@@ -155,6 +169,7 @@
             let _ = io::copy(&mut (&mut duplex.read).take(1 << 20), &mut io::sink());
         }
         outbox.close();
+        true
     }
 
     fn config(&self) -> WebSocketConfig {
@@ -167,6 +182,7 @@
     }
 
     fn read(&self, mut socket: WebSocket<Duplex>, outbox: &Arc<Outbox>) -> Duplex {
+        let mut allowance = Allowance::new(self.settings.edges.gate, self.clock.now());
         loop {
             let message = match socket.read() {
                 Ok(Message::Text(text)) => rpc::read(text.as_str(), &self.settings),
@@ -181,8 +197,20 @@
                     break;
                 }
             };
-            if self.engine.send(Msg::Calls(self.id, message)).is_err() {
-                break;
+            match allowance.take(message.calls(), self.clock.now()) {
+                Allowed::Yes => {
+                    if self.engine.send(Msg::Calls(self.id, message)).is_err() {
+                        break;
+                    }
+                }
+                Allowed::Later(after) => {
+                    let errors = rpc::too_many(&message, after);
+                    outbox.send(&text_frame(errors.to_string()));
+                }
+                Allowed::Cut => {
+                    farewell(outbox, CloseCode::Policy, "far too many calls");
+                    break;
+                }
             }
         }
         socket.into_inner()
--- a/crates/front/src/settings/check.rs
+++ b/crates/front/src/settings/check.rs
@@ -99,8 +99,12 @@
     if limits.silent_after == 0 || limits.lost_after == 0 || limits.ask_within == 0 {
         return bad("`silent-after-ms`, `lost-after-ms` and `ask-within-ms` must be over 0");
     }
-    if limits.connections == 0 || edges.players == 0 {
-        return bad("`connections-per-box` and `players` must be over 0");
+    let gate = &edges.gate;
+    if limits.connections == 0 || gate.players == 0 || gate.shaking == 0 || edges.opens == 0 {
+        return bad("`connections-per-box`, `players`, `handshakes` and `opens-per-player` must be over 0");
+    }
+    if gate.calls_per_s == 0 || gate.calls_at_once == 0 {
+        return bad("`calls-per-s` and `calls-at-once` must be over 0");
     }
     if edges.message < 256 || edges.backlog < edges.message {
         return bad("`message-bytes` must be 256 at least and `backlog-bytes` not under it");
--- a/crates/front/src/settings/mod.rs
+++ b/crates/front/src/settings/mod.rs
@@ -2,6 +2,8 @@
 
 mod check;
 mod read;
+#[cfg(test)]
+pub(crate) mod tests;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -12,6 +14,7 @@
 use salttally_settings::{Document, Read};
 
 use crate::core::Limits;
+use crate::session_api::core::gate::GateLimits;
 
 /// Name of the sub-protocol that a player must offer (RFC 6455 section 1.9).
 pub const SUB_PROTOCOL: &str = "session.v1.salttally";
@@ -69,8 +72,10 @@
     pub stalled: Duration,
     /// Least and most patience that a viewer may state, ms.
     pub patience_ms: (u64, u64),
-    /// Connections of players at most.
-    pub players: usize,
+    /// Who is let in, and how much one player may ask.
+    pub gate: GateLimits,
+    /// Open calls of one player that may wait for their answers at once.
+    pub opens: usize,
 }
 
 impl Settings {
--- a/crates/front/src/settings/read.rs
+++ b/crates/front/src/settings/read.rs
@@ -10,6 +10,7 @@
 
 use super::{Edges, Settings, Title};
 use crate::core::Limits;
+use crate::session_api::core::gate::GateLimits;
 
 fn micros(ms: f64) -> Micros {
     (ms.clamp(0.0, 1e12) * 1000.0).round() as Micros
@@ -264,7 +265,14 @@
         backlog: block.or("backlog-bytes", 262_144)?,
         stalled: time("stalled-ms", 10_000)?,
         patience_ms: (block.or("patience-least-ms", 100)?, block.or("patience-most-ms", 60_000)?),
-        players: block.or("players", 15_000)?,
+        gate: GateLimits {
+            players: block.or("players", 15_000)?,
+            shaking: block.or("handshakes", 1_000)?,
+            calls_per_s: block.or("calls-per-s", 100)?,
+            calls_at_once: block.or("calls-at-once", 200)?,
+            surplus: block.or("calls-surplus", 1_000)?,
+        },
+        opens: block.or("opens-per-player", 64)?,
     };
     block.done()?;
     Ok((limits, edges))
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -132,7 +132,7 @@
         let request = http::read(&mut stream, &mut Vec::new())?;
         let front = request.map(|request| request.front).unwrap_or_default();
         http::write(&mut stream, http::EVENTS)?;
-        let mut sent = 0;
+        let (mut sent, mut revision) = (0, 0u64);
         let mut beat = 0;
         while !self.0.over.load(Ordering::Acquire) {
             let now = self.0.log.now();
@@ -165,7 +165,9 @@
                 }
                 let boxes: Vec<Value> = latest.values().map(|line| self.json(line)).collect();
                 let name = if first { "whole" } else { "changes" };
-                http::write(&mut stream, http::event(name, &json!({"boxes": boxes})).as_bytes())?;
+                revision += 1;
+                let data = json!({"revision": revision, "boxes": boxes});
+                http::write(&mut stream, http::event(name, &data).as_bytes())?;
                 beat = now.max(1);
             } else if now > beat + 400_000 {
                 http::write(&mut stream, b":\n\n")?;
--- a/crates/standin/src/players.rs
+++ b/crates/standin/src/players.rs
@@ -24,6 +24,8 @@
 pub const SUB_PROTOCOL: &str = "session.v1.salttally";
 /// Times that one viewer asks at most.
 const TRIES: u32 = 10;
+/// Times that one asks after a session whose front is gone.
+const CLAIMS: u32 = 5;
 
 /// A player's connection, which speaks the session API.
 #[derive(Debug)]
@@ -319,11 +321,30 @@
                     }
                     return Next::Done;
                 }
-                Err(Silence::Cut(_)) => {
-                    self.left = self.left.saturating_sub(played);
-                    return Next::Again(stage.habits.after);
-                }
+                Err(Silence::Cut(_)) => match self.claim(session) {
+                    Some(again) => *line = again,
+                    None => {
+                        self.left = self.left.saturating_sub(played);
+                        return Next::Again(stage.habits.after);
+                    }
+                },
+            }
+        }
+    }
+
+    /// The front is gone, but the session may play on at its box: asks the front for it when it is back.
+    fn claim(&self, session: &str) -> Option<Line> {
+        let (_, _, address) = self.front.and_then(|at| self.stage.fronts.get(at))?;
+        for _ in 0..CLAIMS {
+            thread::sleep(Duration::from_micros(self.stage.habits.after));
+            let Ok(mut line) = Line::connect(*address, Duration::from_secs(1)) else { continue };
+            let params = json!({"session": session, "viewer": self.arrival.viewer});
+            let id = line.call("session.status", &params).ok()?;
+            let answer = line.response(id, Instant::now() + Duration::from_secs(1), &mut Vec::new()).ok()?;
+            if answer["result"]["state"] == "playing" {
+                return Some(line);
             }
         }
+        None
     }
 }
