--- a/crates/front/src/core/tests.rs
+++ b/crates/front/src/core/tests.rs
@@ -315,7 +315,8 @@
 
     fn end_exchange(&mut self, conn: ConnId, draw: usize) {
         let Some(request) = self.exchanges.remove(&conn) else { return };
-        let answered = |answer| ExchangeEnd::Answered { answer, report: vec![3.0, 0.4], keep: draw.is_multiple_of(2) };
+        let answered =
+            |answer| ExchangeEnd::Answered { answer, report: vec![3.0, 0.4], keep: draw.is_multiple_of(2) };
         let end = match draw {
             0 => ExchangeEnd::Stale,
             1 => ExchangeEnd::Unwritten,
