--- /dev/null
+++ b/crates/front/tests/openrpc.rs
@@ -0,0 +1,107 @@
+//! The OpenRPC document says what the code does.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use salttally::interface::{ServerId, SessionId};
+use salttally_front::core::{Answer, EndReason, FailReason, News, Reply};
+use salttally_front::session_api::rpc;
+use serde_json::{json, Value};
+
+fn document() -> Value {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/session-api.openrpc.json");
+    serde_json::from_str(&std::fs::read_to_string(path).expect("the document")).expect("JSON")
+}
+
+fn method<'a>(document: &'a Value, name: &str) -> &'a Value {
+    let methods = document["methods"].as_array().expect("methods");
+    methods
+        .iter()
+        .find(|method| method["name"] == name)
+        .unwrap_or_else(|| panic!("`{name}` is not described"))
+}
+
+fn id() -> SessionId {
+    SessionId(Arc::from("s"))
+}
+
+#[test]
+fn every_method_and_parameter_is_described_and_no_other() {
+    let document = document();
+    let described: Vec<&str> =
+        document["methods"].as_array().expect("methods").iter().filter_map(|m| m["name"].as_str()).collect();
+    let real: Vec<&str> = rpc::METHODS.iter().map(|(name, _)| *name).collect();
+    assert_eq!(described, real);
+    for (name, params) in rpc::METHODS {
+        let described: Vec<(&str, bool)> = method(&document, name)["params"]
+            .as_array()
+            .expect("params")
+            .iter()
+            .map(|param| (param["name"].as_str().expect("name"), param["required"] == true))
+            .collect();
+        assert_eq!(described, params.to_vec(), "{name}");
+    }
+}
+
+#[test]
+fn results_have_the_described_fields() {
+    let document = document();
+    let fields = |value: &Value| -> BTreeSet<String> {
+        value.as_object().map(|object| object.keys().cloned().collect()).unwrap_or_default()
+    };
+    let address = "127.0.0.1:1".parse().expect("an address");
+    let plays = Answer::Plays { session: id(), server: ServerId(1), address, rung: 1, rate_kb: 2.5 };
+    let playing = Reply::Status { session: id(), playing: Some((ServerId(1), 1, 2.5)) };
+    for (name, response) in [
+        ("session.open", rpc::answer(&json!(1), &plays)),
+        ("session.cancel", rpc::reply(&json!(1), &Reply::Cancelled)),
+        ("session.close", rpc::reply(&json!(1), &Reply::Closed(id()))),
+        ("session.status", rpc::reply(&json!(1), &playing)),
+    ] {
+        let described = fields(&method(&document, name)["result"]["schema"]["properties"]);
+        assert_eq!(fields(&response["result"]), described, "{name}");
+    }
+}
+
+#[test]
+fn errors_have_the_described_codes_messages_and_fields() {
+    let document = document();
+    let error = |name: &str, code: i64| {
+        let errors = method(&document, name)["errors"].as_array().cloned().unwrap_or_default();
+        errors.into_iter().find(|e| e["code"] == code).unwrap_or_else(|| panic!("{name} has no {code}"))
+    };
+    let reasons = [FailReason::GivenUp, FailReason::Cancelled, FailReason::Overdue, FailReason::ShuttingDown];
+    for reason in reasons {
+        let real = rpc::answer(&json!(1), &Answer::Failed(id(), reason));
+        let described = error("session.open", rpc::FAILED);
+        let words = described["data"]["reason"].as_str().expect("reasons");
+        let word = real["error"]["data"]["reason"].as_str().expect("a reason");
+        assert!(words.split(" | ").any(|known| known == word), "{word} is not described");
+        assert_eq!(real["error"]["message"], described["message"]);
+    }
+    let real = rpc::answer(&json!(1), &Answer::Refused(id(), 1_500_000));
+    assert_eq!(real["error"]["data"], json!({"session": "s", "hold_off_ms": 1500}));
+    assert_eq!(real["error"]["message"], error("session.open", rpc::REFUSED)["message"]);
+    let real = rpc::reply(&json!(1), &Reply::Unknown);
+    for name in ["session.cancel", "session.close", "session.status"] {
+        assert_eq!(real["error"]["message"], error(name, rpc::UNKNOWN_SESSION)["message"]);
+    }
+}
+
+#[test]
+fn notifications_have_the_described_fields() {
+    let document = document();
+    let described = document["x-notifications"].as_array().expect("notifications");
+    let names: Vec<&str> = described.iter().filter_map(|n| n["name"].as_str()).collect();
+    assert_eq!(names, rpc::NOTIFICATIONS);
+    let all = [News::Rung(id(), 1, 2.0), News::Move(id()), News::Ended(id(), EndReason::Lost)];
+    for (news, described) in all.iter().zip(described) {
+        let real = rpc::news(news);
+        assert_eq!(real["method"], described["name"]);
+        let fields: BTreeSet<&str> =
+            real["params"].as_object().expect("params").keys().map(String::as_str).collect();
+        let words: BTreeSet<&str> =
+            described["params"].as_array().expect("names").iter().filter_map(Value::as_str).collect();
+        assert_eq!(fields, words);
+    }
+}
