A list says as of when it speaks; a front born with its boxes takes them for cold

A front born again together with the boxes of its building was told of these as the lagging list had them, running since long ago, and sent box 1 seven set-ups 25 ms after its start, where a window holds 6.8.

Change: each message of the list carries the time of which it speaks. Until that is after the front's own start the module is told that its list is remembered, and of no box since when it runs.

--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -3,7 +3,7 @@
 use std::error::Error;
 use std::fs;
 use std::io::{BufReader, IsTerminal, Write};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
 
@@ -21,14 +21,27 @@
 use crate::fronts::Company;
 use crate::Against;
 
-/// The built-in bad day.
-const BAD_DAY: &str = include_str!("../days/bad-day.kdl");
+/// Built-in days: name, script.
+const DAYS: [(&str, &str); 5] = [
+    ("bad-day", include_str!("../days/bad-day.kdl")),
+    ("deploy", include_str!("../days/deploy.kdl")),
+    ("lost-building", include_str!("../days/lost-building.kdl")),
+    ("cut-wing", include_str!("../days/cut-wing.kdl")),
+    ("rationed", include_str!("../days/rationed.kdl")),
+];
 
 /// Arguments of `salttally rehearse`.
 #[derive(Args)]
 pub struct Rehearse {
-    /// Script of the day, as KDL; the built-in bad day if there is none. See docs/operate/rehearsal.md
-    script: Option<PathBuf>,
+    /// Name of a built-in day, or a script as KDL; see docs/operate/rehearsal.md
+    #[arg(default_value = DAYS[0].0)]
+    day: String,
+    /// List the built-in days and end
+    #[arg(long)]
+    list: bool,
+    /// Print the script of the day and end: a script of your own may begin with it
+    #[arg(long)]
+    print: bool,
     /// Seed in place of the script's
     #[arg(long)]
     seed: Option<u64>,
@@ -49,9 +62,23 @@
 impl Rehearse {
     /// Plays the day.
     pub fn run(self) -> Result<ExitCode, Box<dyn Error>> {
-        let document = match &self.script {
-            Some(path) => Document::load(path),
-            None => Document::parse("the built-in bad day", BAD_DAY),
+        if self.list {
+            for (name, text) in DAYS {
+                println!("{name:14} {}", about(text));
+            }
+            return Ok(ExitCode::SUCCESS);
+        }
+        let built_in = DAYS.iter().find(|(name, _)| *name == self.day);
+        if self.print {
+            match built_in {
+                Some((_, text)) => print!("{text}"),
+                None => print!("{}", fs::read_to_string(&self.day)?),
+            }
+            return Ok(ExitCode::SUCCESS);
+        }
+        let document = match built_in {
+            Some((name, text)) => Document::parse(&format!("built-in day {name}"), text),
+            None => Document::load(Path::new(&self.day)),
         };
         let script = document.and_then(|document| {
             let mut script = Script::read(&document)?;
@@ -117,6 +144,12 @@
     }
 }
 
+/// The comment that a script begins with.
+fn about(text: &str) -> String {
+    let lines = text.lines().map_while(|line| line.strip_prefix("// "));
+    lines.collect::<Vec<_>>().join(" ")
+}
+
 /// Decides all that the fronts recorded again: the number of steps, and the first that differs.
 fn decided(fronts: &Company) -> (usize, Option<String>) {
     let (mut steps, mut differs) = (0, None);
--- a/crates/daemon/tests/bad_input.rs
+++ b/crates/daemon/tests/bad_input.rs
@@ -188,7 +188,9 @@
                         );
                         let bytes = match request.path.as_str() {
                             "/boxes" => {
-                                let boxes = json!({"revision": 1, "boxes": [
+                                let now =
+                                    std::time::UNIX_EPOCH.elapsed().expect("a clock").as_millis() as u64;
+                                let boxes = json!({"revision": 1, "as_of_ms": now + 100, "boxes": [
                                     {"box": 0, "address": address.to_string(), "cell": 0, "state": "ready"}]});
                                 let event = salttally_standin::http::event("whole", &boxes);
                                 Some([salttally_standin::http::EVENTS, event.as_bytes()].concat())
--- a/crates/front/src/box_list/core.rs
+++ b/crates/front/src/box_list/core.rs
@@ -3,11 +3,16 @@
 //!
 //! Danger: a change that was missed leaves a drained box for ready, and rule 3 speaks of what this front was told.
 //! So each message carries a revision, a gap is a loss of the list, and the module asks for the whole one again.
+//!
+//! Danger: a list lags, also one that is given whole. A front that starts together with boxes, after a building was
+//! lost say, is told of these boxes as they were before: running for long, and warm. So each message says as of when
+//! it speaks, and until that is after the front's own start the module is told that its list may be old, and of no
+//! box since when it runs: it may have started anew. The module takes every box of unknown age for a cold one.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use salttally::interface::{ListKind, ServerId, ServerState};
+use salttally::interface::{ListKind, Micros, ServerId, ServerState};
 use thiserror::Error;
 
 use crate::core::Listed;
@@ -38,13 +43,37 @@
     boxes: BTreeMap<ServerId, Listed>,
     /// Revision of the last message, once a whole list has come on this connection.
     revision: Option<u64>,
+    /// As of this time a list is no older than the front.
+    born: Micros,
+    /// The module has been told a list that is no older than the front.
+    fresh: bool,
 }
 
+/// What the module is told.
+pub type Told = (ListKind, Vec<Listed>);
+
 impl Listing {
-    /// A list that is remembered from before a restart: boxes, but no place in the row of messages.
-    pub fn remember(&mut self, lines: &[Listed]) {
-        self.boxes = lines.iter().map(|line| (line.entry.server, line.clone())).collect();
+    /// The list of a front that started at this time, on clocks that differ by no more than `skew`.
+    pub fn new(started: Micros, skew: Micros) -> Listing {
+        Listing { born: started + skew, ..Listing::default() }
+    }
+
+    /// A list that is remembered from before a restart: boxes, but no place in the row of messages. Returns what
+    /// the module is told.
+    pub fn remember(&mut self, lines: Vec<Listed>) -> Vec<Listed> {
+        self.boxes = lines.into_iter().map(|line| (line.entry.server, line)).collect();
         self.revision = None;
+        self.old()
+    }
+
+    /// The boxes without what an old list cannot tell of them: since when they run.
+    fn old(&self) -> Vec<Listed> {
+        let old = |line: &Listed| {
+            let mut line = line.clone();
+            line.entry.started = None;
+            line
+        };
+        self.boxes.values().map(old).collect()
     }
 
     /// The connection is gone: the boxes stay as they are known, the next message must be a whole list.
@@ -52,8 +81,9 @@
         self.revision = None;
     }
 
-    /// Applies a message. Returns what the module is told: a whole list as it stands, of changes only those lines
-    /// that change something.
+    /// Applies a message that speaks of this time. Returns what the module is told: a whole list as it stands, of
+    /// changes only those lines that change something, and the whole list again when it is first known to be no
+    /// older than the front.
     ///
     /// # Errors
     /// The message makes no sense or one is missing; then nothing has been applied.
@@ -61,8 +91,9 @@
         &mut self,
         kind: ListKind,
         revision: u64,
+        as_of: Micros,
         lines: Vec<Listed>,
-    ) -> Result<Vec<Listed>, BadList> {
+    ) -> Result<Option<Told>, BadList> {
         let mut places = BTreeMap::new();
         for (at, line) in lines.iter().enumerate() {
             let id = line.entry.server;
@@ -101,7 +132,19 @@
             }
         }
         (self.boxes, self.revision) = (boxes, Some(revision));
-        Ok(told)
+        if !self.fresh {
+            return Ok(self.beat(as_of).or_else(|| Some((ListKind::Remembered, self.old()))));
+        }
+        Ok((kind == ListKind::Whole || !told.is_empty()).then_some((kind, told)))
+    }
+
+    /// A sign of life that speaks of this time: nothing has changed until then. Returns what the module is told.
+    pub fn beat(&mut self, as_of: Micros) -> Option<Told> {
+        if self.fresh || self.revision.is_none() || as_of < self.born {
+            return None;
+        }
+        self.fresh = true;
+        Some((ListKind::Whole, self.boxes.values().cloned().collect()))
     }
 
     /// Boxes that are not gone, in the order of their numbers.
@@ -121,21 +164,57 @@
     }
 
     const READY: ServerState = ServerState::Ready;
+    const START: Micros = 1_000;
 
     fn two() -> Listing {
-        let mut list = Listing::default();
-        list.apply(ListKind::Whole, 7, vec![line(1, 1, READY), line(2, 2, READY)]).unwrap();
+        let mut list = Listing::new(START, 0);
+        let lines = vec![line(1, 1, READY), line(2, 2, READY)];
+        list.apply(ListKind::Whole, 7, START, lines).unwrap();
         list
     }
 
+    fn change(list: &mut Listing, revision: u64, lines: Vec<Listed>) -> Result<Vec<Listed>, BadList> {
+        list.apply(ListKind::Changes, revision, START, lines)
+            .map(|told| told.map_or(vec![], |(_, lines)| lines))
+    }
+
+    #[test]
+    fn a_list_older_than_the_front_is_not_taken_for_fresh_however_it_comes() {
+        let mut list = Listing::new(START, 50);
+        let kind = |told: Option<Told>| told.map(|(kind, lines)| (kind, lines.len()));
+        let lines = vec![line(1, 1, READY), line(2, 2, READY)];
+        assert_eq!(
+            kind(list.apply(ListKind::Whole, 1, START, lines).unwrap()),
+            Some((ListKind::Remembered, 2))
+        );
+        let more = list.apply(ListKind::Changes, 2, START + 20, vec![line(3, 3, READY)]).unwrap();
+        assert_eq!(kind(more), Some((ListKind::Remembered, 3)), "whole, as a remembered list is");
+        assert_eq!(list.beat(START + 49), None);
+        assert_eq!(kind(list.beat(START + 50)), Some((ListKind::Whole, 3)), "now nothing older is missing");
+        assert_eq!(list.beat(START + 60), None, "said once");
+        let more = list.apply(ListKind::Changes, 3, START + 70, vec![line(4, 4, READY)]).unwrap();
+        assert_eq!(kind(more), Some((ListKind::Changes, 1)));
+    }
+
+    #[test]
+    fn an_old_list_does_not_tell_since_when_a_box_runs() {
+        let mut list = Listing::new(START, 0);
+        let mut ran = line(1, 1, READY);
+        ran.entry.started = Some(10);
+        let (_, told) = list.apply(ListKind::Whole, 1, START - 1, vec![ran.clone()]).unwrap().unwrap();
+        assert_eq!(told[0].entry.started, None, "it may have started anew with the front");
+        assert_eq!(list.beat(START), Some((ListKind::Whole, vec![ran.clone()])));
+        assert_eq!(list.remember(vec![ran])[0].entry.started, None);
+    }
+
     #[test]
     fn a_missed_change_is_a_loss_and_not_passed_over() {
         let mut list = two();
         let drained = vec![line(1, 1, ServerState::Draining)];
-        assert_eq!(list.apply(ListKind::Changes, 9, drained.clone()), Err(BadList::Gap(9, 7)));
-        assert_eq!(list.apply(ListKind::Changes, 8, drained.clone()), Ok(drained.clone()));
+        assert_eq!(change(&mut list, 9, drained.clone()), Err(BadList::Gap(9, 7)));
+        assert_eq!(change(&mut list, 8, drained.clone()), Ok(drained.clone()));
         list.lost();
-        assert_eq!(list.apply(ListKind::Changes, 9, drained), Err(BadList::NoList));
+        assert_eq!(change(&mut list, 9, drained), Err(BadList::NoList));
         assert_eq!(list.boxes().count(), 2, "what is known stays known");
     }
 
@@ -143,23 +222,22 @@
     fn a_list_naming_a_box_twice_changes_nothing() {
         let mut list = two();
         let twice = vec![line(3, 3, READY), line(1, 4, READY), line(3, 5, READY)];
-        assert_eq!(list.apply(ListKind::Whole, 8, twice), Err(BadList::Twice(3, 1, 3)));
-        let same = vec![line(3, 2, READY)];
-        assert!(matches!(list.apply(ListKind::Changes, 8, same), Err(BadList::OneAddress(2, 3, _))));
+        let whole = list.apply(ListKind::Whole, 8, START, twice);
+        assert_eq!(whole, Err(BadList::Twice(3, 1, 3)));
+        assert!(matches!(change(&mut list, 8, vec![line(3, 2, READY)]), Err(BadList::OneAddress(2, 3, _))));
         assert_eq!(list.boxes().map(|b| b.address.port()).collect::<Vec<_>>(), [1, 2]);
     }
 
     #[test]
     fn a_successor_may_take_the_address_of_a_box_that_goes_with_the_same_message() {
         let mut list = two();
-        let change = vec![line(2, 2, ServerState::Gone), line(3, 2, READY)];
-        assert_eq!(list.apply(ListKind::Changes, 8, change.clone()), Ok(change));
+        let lines = vec![line(2, 2, ServerState::Gone), line(3, 2, READY)];
+        assert_eq!(change(&mut list, 8, lines.clone()), Ok(lines));
     }
 
     #[test]
     fn what_is_known_already_is_not_told_again() {
         let mut list = two();
-        let change = vec![line(1, 1, READY), line(9, 9, ServerState::Gone)];
-        assert_eq!(list.apply(ListKind::Changes, 8, change), Ok(vec![]));
+        assert_eq!(change(&mut list, 8, vec![line(1, 1, READY), line(9, 9, ServerState::Gone)]), Ok(vec![]));
     }
 }
--- a/crates/front/src/box_list/lines.rs
+++ b/crates/front/src/box_list/lines.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use salttally::interface::{ServerEntry, ServerId, ServerState};
+use salttally::interface::{Micros, ServerEntry, ServerId, ServerState};
 use serde::{Deserialize, Serialize};
 
 use crate::core::Listed;
@@ -39,13 +39,25 @@
 
 #[derive(Deserialize, Serialize)]
 struct List {
-    #[serde(default)]
     revision: u64,
+    as_of_ms: u64,
+    #[serde(default)]
     boxes: Vec<Line>,
 }
 
-/// Reads a message of the list: its revision and its lines.
-pub fn read(text: &str) -> serde_json::Result<(u64, Vec<Listed>)> {
+/// A message of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Message {
+    /// Its place in the row of messages of this connection.
+    pub revision: u64,
+    /// Time of which it speaks, us since the Unix epoch.
+    pub as_of: Micros,
+    /// Its lines; none in a sign of life.
+    pub lines: Vec<Listed>,
+}
+
+/// Reads a message of the list.
+pub fn read(text: &str) -> serde_json::Result<Message> {
     let list: List = serde_json::from_str(text)?;
     let listed = |line: Line| Listed {
         entry: ServerEntry {
@@ -63,7 +75,8 @@
         },
         address: line.address,
     };
-    Ok((list.revision, list.boxes.into_iter().map(listed).collect()))
+    let lines = list.boxes.into_iter().map(listed).collect();
+    Ok(Message { revision: list.revision, as_of: list.as_of_ms.saturating_mul(1000), lines })
 }
 
 /// Writes a list.
@@ -83,5 +96,6 @@
         started_ms: line.entry.started.map(|at| at / 1000),
     };
     // Plain data of our own: writing it does not fail.
-    serde_json::to_string(&List { revision: 0, boxes: lines.map(line).collect() }).unwrap_or_default()
+    serde_json::to_string(&List { revision: 0, as_of_ms: 0, boxes: lines.map(line).collect() })
+        .unwrap_or_default()
 }
--- a/crates/front/src/box_list/mod.rs
+++ b/crates/front/src/box_list/mod.rs
@@ -11,9 +11,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use crossbeam_channel::Sender;
-use salttally::interface::ListKind;
+use salttally::interface::{ListKind, Micros};
 
-use self::core::Listing;
+use self::core::{Listing, Told};
 use crate::boxes::link::{follow, spawn, Socket};
 use crate::core::{Input, Listed};
 use crate::engine::Msg;
@@ -30,13 +30,14 @@
 
 impl Follower {
     /// Follows nothing yet.
-    pub fn new(settings: Arc<Settings>, engine: Sender<Msg>) -> Follower {
+    pub fn new(settings: Arc<Settings>, engine: Sender<Msg>, started: Micros) -> Follower {
+        let listing = Listing::new(started, settings.limits.clock_skew);
         Follower {
             settings,
             engine,
             following: Arc::default(),
             socket: Arc::default(),
-            known: Arc::default(),
+            known: Arc::new(Mutex::new(listing)),
         }
     }
 
@@ -45,10 +46,7 @@
         let Some(path) = &self.settings.remember else { return Vec::new() };
         let Ok(text) = fs::read_to_string(path) else { return Vec::new() };
         match lines::read(&text) {
-            Ok((_, lines)) => {
-                self.known.lock().unwrap_or_else(PoisonError::into_inner).remember(&lines);
-                lines
-            }
+            Ok(message) => self.known.lock().unwrap_or_else(PoisonError::into_inner).remember(message.lines),
             Err(error) => {
                 tracing::warn!(path = %path.display(), %error, "the remembered list is not used");
                 Vec::new()
@@ -115,27 +113,36 @@
 
     /// Takes in an event. A list that cannot be taken whole is not taken in part: the old one stays.
     fn told(&self, name: &str, data: &str) -> Result<(), String> {
+        let message = lines::read(data).map_err(|error| format!("not a list: {error}"))?;
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         let kind = match name {
             "whole" => ListKind::Whole,
             "changes" => ListKind::Changes,
-            _ => return Ok(()),
-        };
-        let (revision, lines) = lines::read(data).map_err(|error| format!("not a list: {error}"))?;
-        let told = {
-            let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-            let told = known.apply(kind, revision, lines).map_err(|error| error.to_string())?;
-            if let Some(path) = &self.settings.remember {
-                if let Err(error) = write(path, &lines::write(known.boxes())) {
-                    tracing::warn!(path = %path.display(), %error, "the list is not remembered");
-                }
+            // A sign of life; other kinds of message may come from a newer list.
+            _ => {
+                let told = known.beat(message.as_of);
+                drop(known);
+                self.tell(told);
+                return Ok(());
             }
-            told
         };
-        if kind == ListKind::Whole || !told.is_empty() {
-            let _ = self.engine.send(Msg::Core(Input::List(kind, told)));
+        let applied = known.apply(kind, message.revision, message.as_of, message.lines);
+        let told = applied.map_err(|error| error.to_string())?;
+        if let Some(path) = &self.settings.remember {
+            if let Err(error) = write(path, &lines::write(known.boxes())) {
+                tracing::warn!(path = %path.display(), %error, "the list is not remembered");
+            }
         }
+        drop(known);
+        self.tell(told);
         Ok(())
     }
+
+    fn tell(&self, told: Option<Told>) {
+        if let Some((kind, lines)) = told {
+            let _ = self.engine.send(Msg::Core(Input::List(kind, lines)));
+        }
+    }
 }
 
 /// Writes beside and renames: a front killed meanwhile finds the old list whole, or the new one.
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -354,6 +354,8 @@
     pub ask_within: Micros,
     /// An idle connection is kept this long; shorter than any box keeps it.
     pub idle_kept: Micros,
+    /// Clocks of this machine and of the list differ by no more than this.
+    pub clock_skew: Micros,
     /// Connections to one box at most.
     pub connections: usize,
 }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -114,7 +114,7 @@
         if let Some(recorder) = &recorder {
             ledger = ledger.tapped(Box::new(recorder.tap()));
         }
-        let list = Follower::new(Arc::clone(&settings), engine.clone());
+        let list = Follower::new(Arc::clone(&settings), engine.clone(), started);
         let remembered = Input::List(ListKind::Remembered, list.remembered());
         let boxes = Boxes::new(Arc::clone(&settings), engine.clone());
         let clients = BTreeMap::new();
--- a/crates/front/src/settings/read.rs
+++ b/crates/front/src/settings/read.rs
@@ -256,6 +256,7 @@
         moved_kept: ms("moved-kept-ms", 30_000.0)?,
         ask_within: ms("ask-within-ms", 1_000.0)?,
         idle_kept: ms("idle-kept-ms", 10_000.0)?,
+        clock_skew: ms("clock-skew-ms", 20.0)?,
         connections: block.or("connections-per-box", 256)?,
     };
     let edges = Edges {
--- a/crates/front/tests/decoders.rs
+++ b/crates/front/tests/decoders.rs
@@ -150,7 +150,7 @@
     #[test]
     fn any_list_is_read_or_an_error(value in json_value(), text in "\\PC{0,100}") {
         let _ = lines::read(&text);
-        let _ = lines::read(&json!({"revision": 1, "boxes": [value]}).to_string());
+        let _ = lines::read(&json!({"revision": 1, "as_of_ms": 1, "boxes": [value]}).to_string());
     }
 
     #[test]
@@ -189,5 +189,5 @@
     let entry = ServerEntry { cell: 3, units: 1.5, started: Some(5_000_000), ..ServerEntry::default() };
     let line = salttally_front::core::Listed { entry, address: "127.0.0.1:9".parse().expect("an address") };
     let text = lines::write(std::iter::once(&line));
-    assert_eq!(lines::read(&text).expect("read").1, [line]);
+    assert_eq!(lines::read(&text).expect("read").lines, [line]);
 }
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -137,6 +137,8 @@
         while !self.0.over.load(Ordering::Acquire) {
             let now = self.0.log.now();
             let lag = self.0.lag.load(Ordering::Relaxed);
+            // What the list says, it says of that time.
+            let as_of = self.0.epoch_ms + now.saturating_sub(lag) / 1000;
             let news: Vec<Line> = {
                 let changes = self.0.changes.lock().unwrap_or_else(PoisonError::into_inner);
                 // What was so at the start of the day is known at once.
@@ -166,11 +168,12 @@
                 let boxes: Vec<Value> = latest.values().map(|line| self.json(line)).collect();
                 let name = if first { "whole" } else { "changes" };
                 revision += 1;
-                let data = json!({"revision": revision, "boxes": boxes});
+                let data = json!({"revision": revision, "as_of_ms": as_of, "boxes": boxes});
                 http::write(&mut stream, http::event(name, &data).as_bytes())?;
                 beat = now.max(1);
-            } else if now > beat + 400_000 {
-                http::write(&mut stream, b":\n\n")?;
+            } else if now > beat + 200_000 {
+                let data = json!({"revision": revision, "as_of_ms": as_of});
+                http::write(&mut stream, http::event("beat", &data).as_bytes())?;
                 beat = now;
             }
             thread::sleep(Duration::from_millis(20));
