--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod rehearse;
 mod tools;
 
+use std::io::IsTerminal;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -84,7 +85,9 @@
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     let filter = EnvFilter::new(&arguments.log_level);
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let colours = std::io::stderr().is_terminal();
+    let log =
+        tracing_subscriber::fmt().with_env_filter(filter).with_ansi(colours).with_writer(std::io::stderr);
     match arguments.log {
         LogForm::Text => log.init(),
         LogForm::Json => log.json().init(),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,7 @@
 //! salttallyd: a session front as a process. It reads its settings, starts the front, and ends it in order at
 //! SIGTERM or SIGINT; everything else is the library's.
 
+use std::io::IsTerminal;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -64,7 +65,9 @@
         settings.record = arguments.record;
     }
     let filter = EnvFilter::new(&arguments.log_level);
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let colours = std::io::stderr().is_terminal();
+    let log =
+        tracing_subscriber::fmt().with_env_filter(filter).with_ansi(colours).with_writer(std::io::stderr);
     match arguments.log {
         LogForm::Text => log.init(),
         LogForm::Json => log.json().init(),
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -96,8 +96,8 @@
         let clock = Clock::start();
         let started = clock.now();
         let settings = Arc::new(settings);
-        // Seconds are enough for two starts to differ: a front is not up twice within one, its address being one.
-        let boot = (started / 1_000_000) as u32;
+        // Milliseconds tell two starts apart, and come round after seven weeks, when no session is left of the first.
+        let boot = (started / 1_000) as u32;
         let seed = settings.seed.unwrap_or(started);
         let born = Born { at: started, front: settings.name.clone(), boot, seed };
         let recorder = settings.record.as_ref().map(|path| {
