Moves, probes and lists that contradict themselves on the whole path

Change: a crowd for a title on one box until a session of another title makes way and is opened again at the other holder; probes after a quiet while; a list that names a box twice, or one address twice, and is asked for again. Probes are counted.

--- a/crates/daemon/tests/bad_input.rs
+++ b/crates/daemon/tests/bad_input.rs
@@ -168,10 +168,25 @@
     address: SocketAddr,
 }
 
+/// A list that names the box, or another one as well at its address, or the box twice.
+fn list(address: SocketAddr, also: Option<u32>) -> Vec<u8> {
+    let now = std::time::UNIX_EPOCH.elapsed().expect("a clock").as_millis() as u64;
+    let line = |id: u32| json!({"box": id, "address": address.to_string(), "cell": 0, "state": "ready"});
+    let lines: Vec<Value> = std::iter::once(0).chain(also).map(line).collect();
+    let boxes = json!({"revision": 1, "as_of_ms": now + 100, "boxes": lines});
+    let event = salttally_standin::http::event("whole", &boxes);
+    [salttally_standin::http::EVENTS, event.as_bytes()].concat()
+}
+
 impl Crooked {
     fn start(answer: impl Fn(&str) -> Option<Vec<u8>> + Send + Sync + 'static) -> Crooked {
+        Crooked::at(move |_, request| answer(request))
+    }
+
+    fn at(answer: impl Fn(SocketAddr, &str) -> Option<Vec<u8>> + Send + Sync + 'static) -> Crooked {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
         let address = listener.local_addr().expect("bound");
+        let answer = move |request: &str| answer(address, request);
         let answer = std::sync::Arc::new(answer);
         std::thread::spawn(move || {
             for stream in listener.incoming() {
@@ -187,14 +202,7 @@
                             String::from_utf8_lossy(&request.body)
                         );
                         let bytes = match request.path.as_str() {
-                            "/boxes" => {
-                                let now =
-                                    std::time::UNIX_EPOCH.elapsed().expect("a clock").as_millis() as u64;
-                                let boxes = json!({"revision": 1, "as_of_ms": now + 100, "boxes": [
-                                    {"box": 0, "address": address.to_string(), "cell": 0, "state": "ready"}]});
-                                let event = salttally_standin::http::event("whole", &boxes);
-                                Some([salttally_standin::http::EVENTS, event.as_bytes()].concat())
-                            }
+                            "/boxes" => Some(answer(&text).unwrap_or_else(|| list(address, None))),
                             _ => answer(&text),
                         };
                         let Some(bytes) = bytes else { return };
@@ -252,6 +260,7 @@
         b"",
     ] {
         let crooked = Crooked::start(move |request| match request {
+            _ if request.starts_with("GET /boxes") => None,
             _ if request.starts_with("GET /events") => Some(HELD.to_vec()),
             _ if request.starts_with("POST") && answer.is_empty() => None,
             _ => Some(answer.to_vec()),
@@ -276,14 +285,51 @@
             if request.starts_with("GET /events") {
                 return Some(stream.to_vec());
             }
-            let body = request.splitn(3, ' ').nth(2)?;
-            let body: Value = serde_json::from_str(body).ok()?;
-            let answer =
-                json!({"session": body["session"], "attempt": body["attempt"], "load": {"link": 0.1}});
-            Some(salttally_standin::http::response(201, &answer))
+            good(request)
         });
         let (front, answer) = crooked.paid();
         assert!(answer.starts_with("Plays"), "{answer}");
         front.shut_down(SECOND * 5);
     }
 }
+
+/// What a good box answers.
+fn good(request: &str) -> Option<Vec<u8>> {
+    if request.starts_with("GET /events") {
+        return Some(HELD.to_vec());
+    }
+    let body: Value = serde_json::from_str(request.splitn(3, ' ').nth(2)?).ok()?;
+    let answer = json!({"session": body["session"], "attempt": body["attempt"], "load": {"link": 0.1}});
+    Some(salttally_standin::http::response(201, &answer))
+}
+
+#[test]
+fn a_list_that_contradicts_itself_is_not_taken_and_asked_for_again() {
+    for also in [0, 1] {
+        let asked = std::sync::atomic::AtomicUsize::new(0);
+        let crooked = Crooked::at(move |address, request| match request {
+            // Wrong once, then right: the module asks again half a second after the loss.
+            _ if request.starts_with("GET /boxes") => {
+                let first = asked.fetch_add(1, std::sync::atomic::Ordering::Relaxed) == 0;
+                first.then(|| list(address, Some(also)))
+            }
+            _ => good(request),
+        });
+        let (front, answer) = crooked.paid();
+        assert!(answer.starts_with("Refused"), "no box is known from such a list: {answer}");
+        std::thread::sleep(Duration::from_millis(600));
+        let asked = Asked {
+            viewer: "w".into(),
+            title: "a".into(),
+            class: "paid".into(),
+            top_rung: 1,
+            patience_ms: 1000,
+            ..Asked::default()
+        };
+        let session = front.open(&asked).expect("accepted");
+        let answer = format!("{:?}", session.answer(SECOND * 2));
+        assert!(answer.starts_with("Some(Plays"), "{answer}");
+        drop(session);
+        front.shut_down(SECOND * 5);
+    }
+}
--- a/crates/daemon/tests/hard_cases.rs
+++ b/crates/daemon/tests/hard_cases.rs
@@ -322,3 +322,53 @@
     rig.wait_held(0);
     rig.day.stop();
 }
+
+#[test]
+fn a_moved_session_plays_on_at_the_other_holder_for_the_same_viewer() {
+    let head = head(2, 5).replace("link-kb=20000", "link-kb=2400");
+    // One title lies on the first box alone, the others on both.
+    let rig = Rig::edited(script(&head, ""), |settings| {
+        settings.replace("title \"title-0\" first-cell=0 cells=2", "title \"title-0\" first-cell=0 cells=1")
+    });
+    let mut movable: Vec<_> = (0..6).map(|n| Viewer::connect(&rig, 0, &format!("both-{n}"))).collect();
+    for viewer in &mut movable {
+        assert!(viewer.open("title-1", "clip", 2000).is_plays());
+    }
+    // A crowd for the one title fills its box, until one of the others makes way.
+    let mut crowd = Vec::new();
+    while rig.front(0).look().counts.moved == 0 {
+        assert!(crowd.len() < 80, "nobody ever moves");
+        let mut viewer = Viewer::connect(&rig, 0, &format!("crowd-{}", crowd.len()));
+        viewer.open("title-0", "clip", 1000);
+        crowd.push(viewer);
+    }
+    let soon = Duration::from_millis(300);
+    let heard = movable.iter_mut().find_map(|viewer| {
+        let until = std::time::Instant::now() + soon;
+        let news =
+            std::iter::from_fn(|| viewer.line.next(until).ok()).find(|m| m["method"] == "session.move")?;
+        Some((viewer, news["params"]["session"].as_str().expect("named").to_owned()))
+    });
+    let (viewer, old) = heard.expect("its viewer is told");
+    assert_eq!(viewer.session.as_deref(), Some(old.as_str()));
+    assert!(rig.boxes_of(&old).is_empty(), "it was taken off its box");
+    let id = viewer.ask_moved("title-1", "clip", 2000, Some(&old));
+    let Heard::Plays(new) = viewer.hear(id, SECOND * 3) else { panic!("it goes where there is room") };
+    assert_eq!(rig.boxes_of(&new), [1]);
+    drop((movable, crowd));
+    rig.wait_held(0);
+    rig.end();
+}
+
+#[test]
+fn holders_that_were_not_heard_of_are_probed_where_that_is_allowed() {
+    let rig = Rig::edited(script(&head(3, 5), ""), |settings| format!("{settings}\nprices probe=0.001\n"));
+    // The fleet has been quiet for a while.
+    std::thread::sleep(Duration::from_millis(2_200));
+    let before = rig.front(0).look().counts.probes;
+    let mut viewer = Viewer::connect(&rig, 0, "probed");
+    assert!(viewer.open("title-0", "clip", 2000).is_plays());
+    assert!(rig.front(0).look().counts.probes > before, "{:?}", rig.front(0).look());
+    viewer.close();
+    rig.end();
+}
--- a/crates/daemon/tests/rig/mod.rs
+++ b/crates/daemon/tests/rig/mod.rs
@@ -68,13 +68,19 @@
 pub struct Rig {
     pub day: Day,
     pub fronts: InProcess,
+    edit: fn(&str) -> String,
 }
 
 impl Rig {
     /// Starts boxes, list and fronts, and waits until the fronts know the boxes.
     pub fn start(script: Script) -> Rig {
+        Rig::edited(script, str::to_owned)
+    }
+
+    /// The same, with the fronts' settings changed.
+    pub fn edited(script: Script, edit: fn(&str) -> String) -> Rig {
         let day = Day::start(script).expect("stand-ins start");
-        let mut rig = Rig { day, fronts: InProcess::default() };
+        let mut rig = Rig { day, fronts: InProcess::default(), edit };
         for number in 0..rig.day.script.fronts {
             rig.up(number);
         }
@@ -83,7 +89,7 @@
 
     pub fn up(&mut self, number: u32) {
         self.day.log.write(What::FrontUp { front: format!("f{number}") });
-        let settings = self.day.settings(number as usize).to_owned();
+        let settings = (self.edit)(self.day.settings(number as usize));
         self.fronts.start(number as usize, &settings).expect("the front starts");
         self.knows_boxes(number);
     }
@@ -195,9 +201,17 @@
 
     /// Writes `session.open`; returns the id of the call.
     pub fn ask(&mut self, title: &str, class: &str, patience_ms: u64) -> u64 {
-        let params = json!({
+        self.ask_moved(title, class, patience_ms, None)
+    }
+
+    /// The same for a session that was moved.
+    pub fn ask_moved(&mut self, title: &str, class: &str, patience_ms: u64, from: Option<&str>) -> u64 {
+        let mut params = json!({
             "viewer": self.name, "title": title, "class": class, "top_rung": 2, "patience_ms": patience_ms
         });
+        if let Some(old) = from {
+            params["moved_from"] = Value::from(old);
+        }
         let open = self.open_number();
         self.rig.day.log.write(What::Opened {
             open,
--- a/crates/front/src/core/ledger.rs
+++ b/crates/front/src/core/ledger.rs
@@ -33,6 +33,8 @@
     pub failed: u64,
     /// Set-ups sent.
     pub attempts: u64,
+    /// Probes sent.
+    pub probes: u64,
     /// Sessions moved.
     pub moved: u64,
     /// Sessions lost with their boxes.
@@ -368,6 +370,7 @@
             Action::Probe(server) => match self.boxes.get(&server) {
                 Some(address) => {
                     let to = (server, *address);
+                    self.counts.probes += 1;
                     self.ask(to, BoxRequest::Probe, out);
                 }
                 None => {
