A set-up whose answer is lost is released; exploration of the core begun; pairs of troubles

Cause: the first search of all orderings found, in seven moves, a session that plays for nobody: the box began, the connection broke before the answer came, the viewer was told that it failed, and no one told the box.

The module can be copied, shows its state and can have its draws begun anew; it decides as before. salttally pairs plays every two kinds of trouble at once.

--- a/crates/cli/src/fronts.rs
+++ b/crates/cli/src/fronts.rs
@@ -57,6 +57,10 @@
 
 impl Fronts for Company {
     fn start(&mut self, number: usize, settings: &str) -> io::Result<()> {
+        if self.running.contains_key(&number) {
+            // Two troubles have ended that had both killed it.
+            return Ok(());
+        }
         let start = self.starts.entry(number).or_insert(0);
         *start += 1;
         let file = |name: &str| self.folder.join(format!("f{number}{name}"));
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! salttally: the operators' command line.
 
 mod fronts;
+mod pairs;
 mod rehearse;
 mod tools;
 
@@ -48,6 +49,10 @@
     /// over the worth asked for and the verdict on the six rules. Exit 0 only if all six were kept, 1 if not, 2 if
     /// the day could not be played.
     Rehearse(rehearse::Rehearse),
+    /// Play every two kinds of trouble at once, in many short days, and judge each
+    ///
+    /// Prints a line for each pair. Exit 0 only if all rules were kept on all days.
+    Pairs(pairs::Pairs),
     /// Judge a record that a rehearsal wrote
     ///
     /// Prints each rule, kept or the lines that break it. Exit 0 only if all six were kept.
@@ -94,6 +99,7 @@
     }
     let done = match arguments.command {
         Command::Rehearse(rehearse) => rehearse.run(),
+        Command::Pairs(pairs) => pairs.run(),
         Command::Judge { record, json } => tools::judge(&record, json),
         Command::Replay { record, config } => tools::replay(&record, &config),
         Command::Check { config } => tools::check(&config),
--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -10,11 +10,11 @@
 use clap::Args;
 use salttally_front::record;
 use salttally_front::settings::Settings;
-use salttally_judge::record::Line;
 use salttally_judge::worth::{worth, Worth};
 use salttally_judge::{judge, Rule, Verdict};
 use salttally_settings::Document;
-use salttally_standin::day::Day;
+use salttally_standin::day::{Day, Progress};
+use salttally_standin::log::Log;
 use salttally_standin::script::Script;
 use serde_json::json;
 
@@ -92,17 +92,9 @@
                 return Ok(ExitCode::from(2));
             }
         };
-        let (folder, kept) = match &self.keep {
-            Some(folder) => (folder.clone(), true),
-            None => (std::env::temp_dir().join(format!("salttally-{}", std::process::id())), false),
-        };
-        fs::create_dir_all(&folder)?;
-        let begun = Instant::now();
-        let day = Day::start(script)?;
-        let mut fronts = Company::new(self.against, &folder);
         let show = !self.json && std::io::stderr().is_terminal();
-        let length = day.script.length / 1_000_000;
-        let played = day.play(&mut fronts, |progress| {
+        let length = script.length / 1_000_000;
+        let played = play(script, self.against, self.keep.as_deref(), |progress| {
             if show {
                 let (now, come, of, here) =
                     (progress.now / 1_000_000, progress.come, progress.of, progress.present);
@@ -110,40 +102,50 @@
                 let _ = std::io::stderr().flush();
             }
         });
-        fronts.end();
         if show {
             eprintln!();
         }
-        let lines = day.log.lines();
+        let played = played.map_err(|error| error.to_string())?;
         if let Some(path) = &self.record {
-            day.log.save(path)?;
-        }
-        day.stop();
-        played?;
-        let (decided, differs) = decided(&fronts);
-        if !kept {
-            fs::remove_dir_all(&folder)?;
+            played.log.save(path)?;
         }
-        let verdict = judge(&lines);
-        let worth = worth(&lines);
-        let result = Outcome {
-            verdict,
-            worth,
-            lines: &lines,
-            decided,
-            differs,
-            seconds: begun.elapsed().as_secs_f64(),
-        };
         if self.json {
-            println!("{}", result.json());
+            println!("{}", played.json());
         } else {
-            result.print();
+            played.print();
         }
-        let kept = result.verdict.all_kept() && result.differs.is_none();
-        Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        Ok(if played.kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
     }
 }
 
+/// Plays a day and judges it. Settings and decisions of the fronts stay in `keep`, if that is given.
+pub fn play(
+    script: Script,
+    against: Against,
+    keep: Option<&Path>,
+    shown: impl FnMut(Progress),
+) -> Result<Played, Box<dyn Error + Send + Sync>> {
+    let begun = Instant::now();
+    let day = Day::start(script)?;
+    // The day's first address is its own, so its folder is too.
+    let own = || std::env::temp_dir().join(format!("salttally-{}", day.list.address().ip()));
+    let folder = keep.map_or_else(own, Path::to_owned);
+    fs::create_dir_all(&folder)?;
+    let mut fronts = Company::new(against, &folder);
+    let played = day.play(&mut fronts, shown);
+    fronts.end();
+    let lines = day.log.lines();
+    day.stop();
+    let (decided, differs) = decided(&fronts);
+    if keep.is_none() {
+        fs::remove_dir_all(&folder)?;
+    }
+    played?;
+    let (verdict, worth) = (judge(&lines), worth(&lines));
+    let seconds = begun.elapsed().as_secs_f64();
+    Ok(Played { verdict, worth, log: day.log.clone(), lines: lines.len(), decided, differs, seconds })
+}
+
 /// The comment that a script begins with.
 fn about(text: &str) -> String {
     let lines = text.lines().map_while(|line| line.strip_prefix("// "));
@@ -170,16 +172,26 @@
     (steps, differs)
 }
 
-struct Outcome<'a> {
-    verdict: Verdict,
-    worth: Worth,
-    lines: &'a [Line],
+/// A day that was played.
+pub struct Played {
+    /// What the judge says.
+    pub verdict: Verdict,
+    /// What it was worth.
+    pub worth: Worth,
+    log: Log,
+    lines: usize,
     decided: usize,
-    differs: Option<String>,
+    /// The first decision that the module would not take.
+    pub differs: Option<String>,
     seconds: f64,
 }
 
-impl Outcome<'_> {
+impl Played {
+    /// Whether all rules were kept, and every decision was the module's.
+    pub fn kept(&self) -> bool {
+        self.verdict.all_kept() && self.differs.is_none()
+    }
+
     fn print(&self) {
         let [plays, refused, failed] = self.verdict.answers;
         println!("calls       {} owed, {} excused", self.verdict.owed, self.verdict.excused);
@@ -197,11 +209,12 @@
             None => println!("decisions   {} steps, each as the module alone decides it", self.decided),
             Some(differs) => println!("decisions   DIFFER: {differs}"),
         }
-        println!("record      {} lines, {:.1} s in all", self.lines.len(), self.seconds);
+        println!("record      {} lines, {:.1} s in all", self.lines, self.seconds);
         print_verdict(&self.verdict);
     }
 
-    fn json(&self) -> serde_json::Value {
+    /// All of it as JSON.
+    pub fn json(&self) -> serde_json::Value {
         let mut value = verdict_json(&self.verdict);
         value["worth"] = json!({
             "part": self.worth.part(), "delivered": self.worth.delivered, "asked": self.worth.asked,
--- a/crates/front/src/core/ledger.rs
+++ b/crates/front/src/core/ledger.rs
@@ -2,6 +2,7 @@
 //! keeps the one answer and the one attempt whatever the decider says.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -63,12 +64,12 @@
 }
 
 /// What the decider was told and what it answered; for the record.
-pub type Tap = Box<dyn FnMut(Micros, &Event, &[Action]) + Send>;
+pub type Tap = Box<dyn FnMut(Micros, &Event, &[Action]) + Send + Sync>;
 
 /// The state of one front. See [`crate::core`].
 pub struct Ledger<D> {
     decider: D,
-    settings: Settings,
+    settings: Arc<Settings>,
     limits: Limits,
     name: String,
     boot: u32,
@@ -93,13 +94,47 @@
     tap: Option<Tap>,
 }
 
+/// A copy goes its own way; it tells no tap, since what it does has not happened.
+impl<D: Clone> Clone for Ledger<D> {
+    fn clone(&self) -> Self {
+        Ledger {
+            decider: self.decider.clone(),
+            settings: Arc::clone(&self.settings),
+            limits: self.limits.clone(),
+            name: self.name.clone(),
+            sessions: self.sessions.clone(),
+            by_client: self.by_client.clone(),
+            boxes: self.boxes.clone(),
+            moved: self.moved.clone(),
+            releases: self.releases.clone(),
+            pool: self.pool.clone(),
+            streams: self.streams.clone(),
+            timers: self.timers.clone(),
+            found: self.found.clone(),
+            events: self.events.clone(),
+            tap: None,
+            ..*self
+        }
+    }
+}
+
+/// The state that decides what comes next, without settings and counts.
+impl<D: fmt::Debug> fmt::Debug for Ledger<D> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sessions = (&self.sessions, &self.by_client, &self.moved, &self.releases, &self.found);
+        let flags = (self.boot, self.opened, self.fresh, self.ending, self.finished);
+        write!(f, "{sessions:?} {:?} {:?} {:?} {:?}", self.boxes, self.pool, self.streams, self.timers)?;
+        write!(f, " {flags:?} {:?}", self.decider)
+    }
+}
+
 impl<D: Decider> Ledger<D> {
     /// The ledger of a front that has just started. `name` is the front's own, the same at each start; `boot`
     /// differs between its starts, so that no id of a session is used again.
     pub fn new(decider: D, settings: Settings, limits: Limits, name: &str, boot: u32) -> Self {
         Ledger {
             decider,
-            settings,
+            settings: Arc::new(settings),
             limits,
             name: name.to_owned(),
             boot,
@@ -129,6 +164,16 @@
         self
     }
 
+    /// Who decides.
+    pub fn decider(&mut self) -> &mut D {
+        &mut self.decider
+    }
+
+    /// What is due and when, the earliest first.
+    pub fn due_list(&self) -> impl Iterator<Item = &(Micros, Due)> {
+        self.timers.entries()
+    }
+
     /// When something is due next; the edge then hands in [`Input::Tick`].
     pub fn next_due(&self) -> Option<Micros> {
         self.timers.next()
@@ -144,6 +189,24 @@
         (self.sessions.len(), self.sessions.values().filter(|s| s.playing().is_some()).count())
     }
 
+    /// Releases that no box has confirmed yet.
+    pub fn releasing(&self) -> usize {
+        self.releases.len()
+    }
+
+    /// Which of this front's starts this is.
+    pub fn boot(&self) -> u32 {
+        self.boot
+    }
+
+    /// The session that this call of this client opened, while it is in the ledger.
+    pub fn session_of(&self, client: ClientId, ticket: Ticket) -> Option<SessionId> {
+        let own = self.by_client.get(&client)?;
+        own.iter()
+            .find(|id| self.sessions.get(*id).is_some_and(|s| s.client == Some((client, ticket))))
+            .cloned()
+    }
+
     /// Connections: being made, busy, idle; and requests that wait for one.
     pub fn connections(&self) -> [usize; 4] {
         self.pool.count()
@@ -516,9 +579,14 @@
                 self.rung_ended(&session, attempt, rung, &end, out)
             }
             BoxRequest::Release { session, attempt } => {
+                // Refused, the process is gone and all that it played.
                 let done = matches!(
                     end,
-                    End::Exchange(ExchangeEnd::Answered { answer: BoxAnswer::Done | BoxAnswer::Unknown, .. })
+                    End::NoConnection(DialError::Refused)
+                        | End::Exchange(ExchangeEnd::Answered {
+                            answer: BoxAnswer::Done | BoxAnswer::Unknown,
+                            ..
+                        })
                 );
                 self.release_ended(server, session, attempt, done);
             }
@@ -542,6 +610,10 @@
         self.timers.unset(attempt.expires, Due::Expire(id.clone(), number));
         let (outcome, report) = outcome_of(end);
         if outcome != Outcome::Ok {
+            if !outcome.never_ran() {
+                // Danger: it plays for nobody, found by the exploration. The answer was lost, and the box is told.
+                self.release((server, attempt.address), id, attempt.wire, out);
+            }
             return self.attempt_ended(server, id, number, outcome, report, out);
         }
         let Some(session) = self.sessions.get_mut(id) else { return };
--- a/crates/front/src/core/streams.rs
+++ b/crates/front/src/core/streams.rs
@@ -31,7 +31,7 @@
 struct Stream {
     address: SocketAddr,
     /// Number of the try; news of an older one are old.
-    number: u64,
+    try_no: u64,
     state: State,
     /// Since when there is no stream, until one stands or the box was called lost.
     down: Option<Micros>,
@@ -66,10 +66,10 @@
             if stream.address == address {
                 return;
             }
-            out.push(Output::StopListening(id, stream.number));
+            out.push(Output::StopListening(id, stream.try_no));
         }
         let state = State::Opening(now);
-        let stream = Stream { address, number: 0, state, down: Some(now), pause: PAUSE_FIRST, listed: true };
+        let stream = Stream { address, try_no: 0, state, down: Some(now), pause: PAUSE_FIRST, listed: true };
         self.streams.insert(id, stream);
         self.open(now, id, out);
     }
@@ -79,7 +79,7 @@
         let Some(stream) = self.streams.get_mut(&id) else { return };
         stream.listed = false;
         if !in_use {
-            out.push(Output::StopListening(id, stream.number));
+            out.push(Output::StopListening(id, stream.try_no));
             self.streams.remove(&id);
         }
     }
@@ -100,7 +100,7 @@
     /// Whether news of this number still count; they are a sign of life.
     pub fn heard(&mut self, now: Micros, id: ServerId, number: u64) -> bool {
         match self.streams.get_mut(&id) {
-            Some(stream) if stream.number == number => {
+            Some(stream) if stream.try_no == number => {
                 if let State::Up(at) = &mut stream.state {
                     *at = now;
                 }
@@ -114,7 +114,7 @@
     pub fn up(&mut self, now: Micros, id: ServerId, silent_after: Micros, timers: &mut Timers) {
         let Some(stream) = self.streams.get_mut(&id) else { return };
         (stream.state, stream.down, stream.pause) = (State::Up(now), None, PAUSE_FIRST);
-        timers.set(now + silent_after, Due::Silent(id, stream.number));
+        timers.set(now + silent_after, Due::Silent(id, stream.try_no));
     }
 
     /// A stream broke or could not be made.
@@ -143,7 +143,7 @@
             return Verdict::Lost;
         }
         stream.state = State::Pausing;
-        timers.set(now + stream.pause, Due::Listen(id, stream.number));
+        timers.set(now + stream.pause, Due::Listen(id, stream.try_no));
         stream.pause = (stream.pause * 2).min(PAUSE_MOST);
         if lost {
             // Said once for each time that it is down; a later try begins anew.
@@ -155,7 +155,7 @@
 
     /// The pause before a further try is over.
     pub fn again(&mut self, now: Micros, id: ServerId, number: u64, out: &mut Vec<Output>) {
-        if self.streams.get(&id).is_some_and(|s| s.number == number && s.state == State::Pausing) {
+        if self.streams.get(&id).is_some_and(|s| s.try_no == number && s.state == State::Pausing) {
             self.open(now, id, out);
         }
     }
@@ -170,7 +170,7 @@
         timers: &mut Timers,
         out: &mut Vec<Output>,
     ) -> bool {
-        let Some(stream) = self.streams.get_mut(&id).filter(|s| s.number == number) else { return false };
+        let Some(stream) = self.streams.get_mut(&id).filter(|s| s.try_no == number) else { return false };
         let State::Up(heard) = stream.state else { return false };
         if heard + silent_after > now {
             timers.set(heard + silent_after, Due::Silent(id, number));
@@ -190,14 +190,14 @@
     /// Stops listening to all boxes.
     pub fn stop(&mut self, out: &mut Vec<Output>) {
         for (id, stream) in std::mem::take(&mut self.streams) {
-            out.push(Output::StopListening(id, stream.number));
+            out.push(Output::StopListening(id, stream.try_no));
         }
     }
 
     fn open(&mut self, now: Micros, id: ServerId, out: &mut Vec<Output>) {
         self.last += 1;
         let Some(stream) = self.streams.get_mut(&id) else { return };
-        (stream.number, stream.state) = (self.last, State::Opening(now));
-        out.push(Output::Listen(id, stream.number, stream.address));
+        (stream.try_no, stream.state) = (self.last, State::Opening(now));
+        out.push(Output::Listen(id, stream.try_no, stream.address));
     }
 }
--- a/crates/front/src/core/tests.rs
+++ b/crates/front/src/core/tests.rs
@@ -566,6 +566,21 @@
     }
 }
 
+#[test]
+fn a_set_up_whose_answer_is_lost_does_not_play_on_for_nobody() {
+    let mut stage = Stage::new();
+    let (id, conn) = stage.set_up(CLIP);
+    stage.world.exchanges.remove(&conn);
+    stage.world.seen.get_mut(&id).unwrap().out.clear();
+    *stage.todo.borrow_mut() = vec![Action::Fail(id.clone())];
+    stage.world.give(Input::Exchanged(conn, ExchangeEnd::Broken));
+    for conn in std::mem::take(&mut stage.world.dials) {
+        stage.world.give(Input::Dialed(conn, Ok(())));
+    }
+    let released = BoxRequest::Release { session: id, attempt: 0 };
+    assert!(stage.world.exchanges.values().any(|request| *request == released));
+}
+
 #[test]
 fn a_paid_set_up_that_may_have_run_is_neither_sent_again_nor_refused() {
     let mut stage = Stage::new();
--- a/crates/front/src/core/timers.rs
+++ b/crates/front/src/core/timers.rs
@@ -61,6 +61,11 @@
         self.queue.pop_first().map(|(_, due)| due)
     }
 
+    /// All entries, the earliest first.
+    pub fn entries(&self) -> impl Iterator<Item = &(Micros, Due)> {
+        self.queue.iter()
+    }
+
     /// Number of entries.
     pub fn len(&self) -> usize {
         self.queue.len()
--- a/crates/front/src/record/mod.rs
+++ b/crates/front/src/record/mod.rs
@@ -55,7 +55,7 @@
     }
 
     /// What hands steps to the record.
-    pub fn tap(&self) -> impl FnMut(Micros, &Event, &[Action]) + Send + 'static {
+    pub fn tap(&self) -> impl FnMut(Micros, &Event, &[Action]) + Send + Sync + 'static {
         let (lines, lost) = (self.lines.clone(), Arc::clone(&self.lost));
         move |at, event, actions| {
             let Some(lines) = &lines else { return };
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -71,6 +71,7 @@
 const TAKEN_KEPT: Micros = 10 * SECOND; // over which the own rate of requests is taken
 
 /// The session controller of one front.
+#[derive(Clone)]
 pub struct Brain {
     set: Settings,
     rng: Pcg32,
@@ -95,6 +96,14 @@
     stepped: BTreeSet<SessionId>,
 }
 
+/// What it remembers, without settings and draws: two that show the same decide the same on the same draws.
+impl std::fmt::Debug for Brain {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let load = (&self.servers, &self.racks, &self.usual, &self.downs, &self.lengths);
+        write!(f, "{load:?} {:?} {:?}", self.sessions, (&self.plans, &self.taken, &self.further, self.unsure))
+    }
+}
+
 impl Brain {
     /// A front that has just started.
     pub fn new(set: Settings, seed: u64) -> Self {
@@ -122,6 +131,11 @@
         }
     }
 
+    /// Begins the draws anew: a search through all orderings of events goes through the draws too.
+    pub fn reseed(&mut self, seed: u64) {
+        self.rng = Pcg32::seed_from_u64(seed);
+    }
+
     // ---- REM: random early migration ----
 
     /// REM's probability of moving a session away, by the load of the chosen holder.
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,7 +15,7 @@
 }
 
 /// A listed server.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Server {
     pub entry: ServerEntry,
     pub link_kb: f64,
@@ -44,7 +44,7 @@
 }
 
 /// The uplink that the servers of a rack share.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Rack {
     pub asked: Heard,
     /// What its uplink carries over what is told of the mean; learnt from short delivery, and when.
@@ -54,6 +54,7 @@
 }
 
 /// A session from its request to its end.
+#[derive(Clone, Debug)]
 pub struct Session {
     pub request: Request,
     pub class: Class,
