salttally explore: the search on the command line; late starts told by boxes

Cause: a request of a dead front's connection can reach its box after the front is born again and has asked what the box holds; the session then played for nobody until the stream was made anew.

Change: a box tells on its event stream of a session that began and whose answer could not be written; the front takes it up or releases it.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! salttally: the operators' command line.
 
+mod explore;
 mod fronts;
 mod pairs;
 mod rehearse;
@@ -53,6 +54,12 @@
     ///
     /// Prints a line for each pair. Exit 0 only if all rules were kept on all days.
     Pairs(pairs::Pairs),
+    /// Search every ordering of sessions, attempts and connections in a small world
+    ///
+    /// Explored are the real ledger of each front and the real module, or a decider that asks for anything; all that
+    /// boxes, list, viewers and time may do is a move of the search. Exit 0 if every property held, 1 with a shortest
+    /// path to one that did not.
+    Explore(explore::Explore),
     /// Judge a record that a rehearsal wrote
     ///
     /// Prints each rule, kept or the lines that break it. Exit 0 only if all six were kept.
@@ -100,6 +107,7 @@
     let done = match arguments.command {
         Command::Rehearse(rehearse) => rehearse.run(),
         Command::Pairs(pairs) => pairs.run(),
+        Command::Explore(explore) => explore.run(),
         Command::Judge { record, json } => tools::judge(&record, json),
         Command::Replay { record, config } => tools::replay(&record, &config),
         Command::Check { config } => tools::check(&config),
--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -509,8 +509,8 @@
                 self.fronts[at as usize].dials.insert(conn, server);
             }
             Output::Exchange(conn, request) => {
-                if let BoxRequest::SetUp { session, attempt, rung, .. } = &request {
-                    self.set_up_written(at, conn, session, *attempt, *rung);
+                if let BoxRequest::SetUp { session, attempt, rung, opening, .. } = &request {
+                    self.set_up_written(at, conn, session, (opening.viewer.0 as u32, *attempt, *rung));
                 }
                 let front = &mut self.fronts[at as usize];
                 let server = front.stands.get(&conn).copied().unwrap_or_default();
@@ -582,14 +582,11 @@
         }
     }
 
-    fn set_up_written(&mut self, at: u32, conn: ConnId, session: &SessionId, attempt: u32, rung: usize) {
+    fn set_up_written(&mut self, at: u32, conn: ConnId, session: &SessionId, what: (u32, u32, usize)) {
+        let (viewer, attempt, rung) = what;
         let front = &self.fronts[at as usize];
         let server = front.stands.get(&conn).copied().unwrap_or_default();
         let told = front.told.get(&server.0).copied();
-        let holder = |viewer: &Viewer| matches!(viewer, Viewer::Asked { front, .. } if *front == at);
-        let asked = self.viewers.iter().position(holder).unwrap_or(0) as u32;
-        let known = self.seen.get(session).map(|seen| seen.viewer);
-        let viewer = known.unwrap_or(asked);
         let class = self.class_of(viewer);
         let now = self.now;
         let seen = self.seen.entry(session.clone()).or_default();
@@ -998,7 +995,15 @@
             }
             Move::Orphan { place } => {
                 let (front, server, session, attempt, rung) = self.orphans.remove(place);
-                self.begins(front, server, session, attempt, rung);
+                if self.begins(front, server, session.clone(), attempt, rung) {
+                    // Its answer cannot be written: the box tells it on the stream, if that stands.
+                    let id = ServerId(server);
+                    let held = self.held(session, attempt, rung);
+                    let stream = self.fronts[front as usize].streams.get(&id).copied();
+                    if let Some((number, true)) = stream.filter(|_| self.fronts[front as usize].up) {
+                        self.give(front, Input::Stream(id, number, StreamNews::Began(held)));
+                    }
+                }
             }
             Move::Up { front, server } => self.stream_up(front, server),
             Move::Down { front, server } => {
@@ -1218,12 +1223,33 @@
         }
     }
 
-    fn begins(&mut self, front: u32, server: u32, session: SessionId, attempt: u32, rung: usize) {
+    /// A box begins a session, unless it must not; returns whether it did.
+    fn begins(&mut self, front: u32, server: u32, session: SessionId, attempt: u32, rung: usize) -> bool {
         let sim = &mut self.boxes[server as usize];
         let key = (session, attempt);
-        if !sim.dead && !sim.draining && !sim.barred.contains(&key) {
+        let may = !sim.dead && !sim.draining && !sim.barred.contains(&key);
+        if may {
             sim.held.insert(key, (front, rung));
         }
+        may
+    }
+
+    /// A session as its box tells of it.
+    fn held(&self, session: SessionId, attempt: u32, rung: usize) -> Held {
+        let viewer = self.seen.get(&session).map_or(0, |seen| seen.viewer);
+        let opening = Opening {
+            viewer: ViewerId(u64::from(viewer)),
+            title: TitleId(1),
+            class: self.class_of(viewer),
+            first_cell: 0,
+            cell_count: self.bounds.boxes,
+            top_rung: 2,
+            patience: PATIENCE,
+            length: None,
+            returned: false,
+            moved_from: None,
+        };
+        Held { session, attempt, rung, opening: Some(opening) }
     }
 
     fn arrive(&mut self, front: u32, conn: ConnId, draw: usize) {
@@ -1275,22 +1301,7 @@
         let Some((number, _)) = self.fronts[front as usize].streams.get(&id).copied() else { return };
         self.fronts[front as usize].streams.insert(id, (number, true));
         let held = self.boxes[server as usize].held.iter().filter(|(_, (of, _))| *of == front);
-        let held = held.map(|((session, attempt), (_, rung))| {
-            let viewer = self.seen.get(session).map_or(0, |seen| seen.viewer);
-            let opening = Opening {
-                viewer: ViewerId(u64::from(viewer)),
-                title: TitleId(1),
-                class: self.class_of(viewer),
-                first_cell: 0,
-                cell_count: self.bounds.boxes,
-                top_rung: 2,
-                patience: PATIENCE,
-                length: None,
-                returned: false,
-                moved_from: None,
-            };
-            Held { session: session.clone(), attempt: *attempt, rung: *rung, opening: Some(opening) }
-        });
+        let held = held.map(|((session, attempt), (_, rung))| self.held(session.clone(), *attempt, *rung));
         let news = StreamNews::Up(held.collect());
         self.give(front, Input::Stream(id, number, news));
     }
--- a/crates/front/src/boxes/wire.rs
+++ b/crates/front/src/boxes/wire.rs
@@ -161,6 +161,10 @@
             let sessions: Vec<HeldBody> = serde_json::from_value(sessions).map_err(bad)?;
             vec![StreamNews::Up(sessions.into_iter().map(|held| self::held(held, settings)).collect())]
         }
+        "began" => {
+            let body: HeldBody = serde_json::from_value(data).map_err(bad)?;
+            vec![StreamNews::Began(held(body, settings))]
+        }
         "delivered" => {
             let share = figure("share").ok_or_else(|| missing("share"))?;
             vec![StreamNews::Note(session()?, Note::Delivered(share))]
--- a/crates/front/src/core/ledger.rs
+++ b/crates/front/src/core/ledger.rs
@@ -809,6 +809,7 @@
                 }
                 return;
             }
+            StreamNews::Began(held) => return self.found(server, held, out),
             StreamNews::Ended(session, wire) => {
                 let plays = self.sessions.get(&session).and_then(Session::playing);
                 if plays.is_some_and(|p| p.attempt.server == server && p.attempt.wire == wire) {
@@ -860,15 +861,20 @@
             self.ended_by_itself(&id, EndReason::Lost, Outcome::Broken, out);
         }
         for held in held {
-            let at = self.sessions.get(&held.session).and_then(Session::at);
-            if at.is_some_and(|a| a.server == server && a.wire == held.attempt) {
-                continue;
-            }
-            if self.fresh {
-                self.resume(server, held, out);
-            } else {
-                self.found.push((server, held));
-            }
+            self.found(server, held, out);
+        }
+    }
+
+    /// A box says that it holds this session.
+    fn found(&mut self, server: ServerId, held: Held, out: &mut Vec<Output>) {
+        let at = self.sessions.get(&held.session).and_then(Session::at);
+        if at.is_some_and(|a| a.server == server && a.wire == held.attempt) {
+            return;
+        }
+        if self.fresh {
+            self.resume(server, held, out);
+        } else {
+            self.found.push((server, held));
         }
     }
 
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -178,6 +178,8 @@
     Beat,
     /// A note on a playing session.
     Note(SessionId, Note),
+    /// A session began whose answer could not be given: whoever asked for it has gone.
+    Began(Held),
     /// A session ended at the box.
     Ended(SessionId, u32),
     /// The connection could not be made.
--- a/crates/standin/src/boxes.rs
+++ b/crates/standin/src/boxes.rs
@@ -365,7 +365,13 @@
         if !error.is_empty() {
             answer["error"] = Value::from(error);
         }
-        http::write(stream, &http::response(status, &answer)).is_ok()
+        let written = http::write(stream, &http::response(status, &answer)).is_ok();
+        if !written && end == SetUpEnd::Began {
+            // It plays, and whoever asked for it has gone.
+            let data = json!({"session": key.0, "attempt": key.1, "rung": rung, "context": body["context"]});
+            self.tell(id, &request.front, "began", &data);
+        }
+        written
     }
 
     /// Waits until a set-up is done, and begins to play unless the front has closed or released meanwhile.
