What a front found at a box counts as in use until its list is fresh

Cause: found by the exploration with two troubles on a path, in ten moves: a front born again has heard what a box holds, the first fresh list no longer names that box, its stream is closed and what was found there forgotten; the session plays for nobody.

Change: sessions found at a box keep its stream until they are taken up.

--- a/crates/front/src/core/ledger.rs
+++ b/crates/front/src/core/ledger.rs
@@ -775,7 +775,9 @@
             }
             for id in gone {
                 self.boxes.remove(&id);
-                let in_use = self.sessions.values().any(|s| s.at().is_some_and(|a| a.server == id));
+                // What was found there and waits for a fresh list counts too: it is about to be taken up.
+                let in_use = self.found.iter().any(|(server, _)| *server == id)
+                    || self.sessions.values().any(|s| s.at().is_some_and(|a| a.server == id));
                 self.streams.unlisted(id, in_use, out);
                 self.pool.forget(id, &mut self.timers, out);
             }
--- a/crates/front/src/core/tests.rs
+++ b/crates/front/src/core/tests.rs
@@ -833,3 +833,23 @@
     let released = BoxRequest::Release { session, attempt: 0 };
     assert!(stage.world.exchanges.values().any(|request| *request == released));
 }
+
+#[test]
+fn sessions_found_at_a_box_that_the_first_fresh_list_no_longer_names_are_not_forgotten() {
+    let settings = settings();
+    let (claim_within, limits) = (settings.limits.claim_within, settings.limits);
+    let mut ledger = Ledger::new(Puppet::default(), settings.module, limits, "f0", 1);
+    let mut out = Vec::new();
+    ledger.handle(1, Input::List(ListKind::Remembered, vec![listed(0, ServerState::Ready, None)]), &mut out);
+    let Some(Output::Listen(server, number, _)) = out.first().cloned() else { panic!("{out:?}") };
+    let session = SessionId("f0-00000000-0000000001".into());
+    let held = Held { session: session.clone(), attempt: 0, rung: 1, opening: Some(opening(7, CLIP)) };
+    ledger.handle(2, Input::Stream(server, number, StreamNews::Up(vec![held])), &mut out);
+    ledger.handle(3, Input::List(ListKind::Whole, Vec::new()), &mut out);
+    assert_eq!(ledger.held(), (1, 1));
+    out.clear();
+    ledger.handle(3 + claim_within, Input::Stream(server, number, StreamNews::Beat), &mut out);
+    let Some(Output::Dial(conn, ..)) = out.first().cloned() else { panic!("{out:?}") };
+    ledger.handle(4 + claim_within, Input::Dialed(conn, Ok(())), &mut out);
+    assert!(out.contains(&Output::Exchange(conn, BoxRequest::Release { session, attempt: 0 })), "{out:?}");
+}
