One way from an opening to its request, one moment at which an answer is overdue

Cause: read again, the request of a new and of a resumed session were written out twice, the moment at which the ledger answers by itself stood in three places, the explored world spelt an opening twice, and the benchmark kept a line that did nothing.

Change: Opening::request, overdue_at and World::opening serve all of them; the line is gone. Behaviour is the same.

Measured: lints clean; all tests of front, exploration and daemon pass as before, none of them changed.

--- a/crates/daemon/benches/front.rs
+++ b/crates/daemon/benches/front.rs
@@ -17,7 +17,6 @@
 use salttally_standin::players::Line;
 use salttally_standin::script::Script;
 use serde_json::{json, Value};
-use tungstenite::Message;
 
 const SCRIPT: &str = r#"
 day seconds=60 sessions=1
@@ -104,8 +103,6 @@
             note(&mut times, begun);
         }
     }
-    // The message type is named here so that both ends use the same library.
-    let _: fn(&str) -> Message = |text| Message::text(text);
     times
 }
 
--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -1136,18 +1136,7 @@
         self.troubles += u32::from(returned && moved_from.is_none());
         self.tickets += 1;
         let ticket = self.tickets;
-        let opening = Opening {
-            viewer: ViewerId(u64::from(viewer)),
-            title: TitleId(1),
-            class: self.class_of(viewer),
-            first_cell: 0,
-            cell_count: self.bounds.boxes,
-            top_rung: 2,
-            patience: PATIENCE,
-            length: None,
-            returned,
-            moved_from,
-        };
+        let opening = Opening { returned, moved_from, ..self.opening(viewer) };
         let until = self.now + PATIENCE;
         self.viewers[viewer as usize] = Viewer::Asked { front, ticket, until };
         let now = self.now;
@@ -1240,10 +1229,9 @@
         may
     }
 
-    /// A session as its box tells of it.
-    fn held(&self, session: SessionId, attempt: u32, rung: usize) -> Held {
-        let viewer = self.seen.get(&session).map_or(0, |seen| seen.viewer);
-        let opening = Opening {
+    /// What a viewer asks for when it first comes.
+    fn opening(&self, viewer: u32) -> Opening {
+        Opening {
             viewer: ViewerId(u64::from(viewer)),
             title: TitleId(1),
             class: self.class_of(viewer),
@@ -1254,7 +1242,13 @@
             length: None,
             returned: false,
             moved_from: None,
-        };
+        }
+    }
+
+    /// A session as its box tells of it.
+    fn held(&self, session: SessionId, attempt: u32, rung: usize) -> Held {
+        let viewer = self.seen.get(&session).map_or(0, |seen| seen.viewer);
+        let opening = self.opening(viewer);
         Held { session, attempt, rung, opening: Some(opening) }
     }
 
--- a/crates/front/src/core/ledger.rs
+++ b/crates/front/src/core/ledger.rs
@@ -268,23 +268,11 @@
         let moved = opening.moved_from.as_ref().is_some_and(|old| {
             self.moved.get(old) == Some(&opening.viewer) && self.moved.remove(old).is_some()
         });
-        let request = Request {
-            session: id.clone(),
-            class: opening.class,
-            viewer: opening.viewer,
-            title: opening.title,
-            patience: opening.patience,
-            length: opening.length,
-            first_cell: opening.first_cell,
-            cell_count: opening.cell_count,
-            top_rung: opening.top_rung,
-            moved,
-            again: opening.returned || moved,
-        };
+        let request = opening.request(&id, moved);
         let class = self.settings.classes.get(opening.class);
         let (effect, floor) = class.map_or((Effect::Safe, 0), |class| (class.effect, class.floor));
         let session = Session::new(Some((client, ticket)), opening, effect, floor, self.now);
-        self.timers.set(self.overdue_at(&session), Due::Overdue(id.clone()));
+        self.timers.set(overdue_at(&session, &self.limits), Due::Overdue(id.clone()));
         self.sessions.insert(id.clone(), session);
         self.by_client.entry(client).or_default().insert(id);
         self.events.push_back(Event::Request(request));
@@ -374,7 +362,7 @@
     /// No answer is owed any more; a session with no attempt out is over by that.
     fn settled(&mut self, id: &SessionId) {
         let Some(session) = self.sessions.get_mut(id) else { return };
-        let at = session.deadline + self.limits.answer_slack / 2;
+        let at = overdue_at(session, &self.limits);
         self.timers.unset(at, Due::Overdue(id.clone()));
         if session.settled() {
             self.drop_session(id);
@@ -392,10 +380,6 @@
         }
     }
 
-    fn overdue_at(&self, session: &Session) -> Micros {
-        session.deadline + self.limits.answer_slack / 2
-    }
-
     fn rate(&self, class: usize, rung: usize) -> f64 {
         let factor = self.settings.classes.get(class).map_or(1.0, |class| class.rate_factor);
         self.settings.ladder.get(rung).map_or(0.0, |step| step.kb * factor)
@@ -638,7 +622,7 @@
             out.push(Output::Answer(client, ticket, answer));
         }
         if let Some(session) = self.sessions.get_mut(id) {
-            let at = session.deadline + self.limits.answer_slack / 2;
+            let at = overdue_at(session, &self.limits);
             self.timers.unset(at, Due::Overdue(id.clone()));
             session.stage = Stage::Playing(Playing { attempt, changing: None, missed: 0 });
         }
@@ -899,19 +883,7 @@
         };
         self.counts.resumed += 1;
         let id = held.session;
-        let request = Request {
-            session: id.clone(),
-            class: opening.class,
-            viewer: opening.viewer,
-            title: opening.title,
-            patience: opening.patience,
-            length: opening.length,
-            first_cell: opening.first_cell,
-            cell_count: opening.cell_count,
-            top_rung: opening.top_rung,
-            moved: false,
-            again: opening.returned,
-        };
+        let request = opening.request(&id, false);
         let effect = self.settings.classes.get(opening.class).map_or(Effect::Safe, |class| class.effect);
         let mut session = Session::new(None, opening, effect, held.rung, self.now);
         let attempt = Attempt {
@@ -997,6 +969,11 @@
     }
 }
 
+/// When the ledger answers by itself, between the viewer's patience and the end of the slack.
+fn overdue_at(session: &Session, limits: &Limits) -> Micros {
+    session.deadline + limits.answer_slack / 2
+}
+
 /// What the end of a request proves; see [`Outcome`].
 fn outcome_of(end: End) -> (Outcome, Vec<f64>) {
     match end {
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -76,6 +76,25 @@
     pub moved_from: Option<SessionId>,
 }
 
+impl Opening {
+    /// The module's request for it.
+    fn request(&self, session: &SessionId, moved: bool) -> Request {
+        Request {
+            session: session.clone(),
+            class: self.class,
+            viewer: self.viewer,
+            title: self.title,
+            patience: self.patience,
+            length: self.length,
+            first_cell: self.first_cell,
+            cell_count: self.cell_count,
+            top_rung: self.top_rung,
+            moved,
+            again: self.returned || moved,
+        }
+    }
+}
+
 /// A line of the box list with the box's address.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
