--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -26,6 +26,11 @@
         self.base + self.started.elapsed().as_micros() as Micros
     }
 
+    /// This moment, to measure from.
+    pub fn moment_now(&self) -> Instant {
+        Instant::now()
+    }
+
     /// The moment of this time, for a wait; one that is past is now.
     pub fn moment(&self, at: Micros) -> Instant {
         self.started + Duration::from_micros(at.saturating_sub(self.base))
--- a/crates/front/src/core/ledger.rs
+++ b/crates/front/src/core/ledger.rs
@@ -77,6 +77,7 @@
     now: Micros,
     sessions: BTreeMap<SessionId, Session>,
     by_client: BTreeMap<ClientId, BTreeSet<SessionId>>,
+    by_viewer: BTreeMap<ViewerId, usize>,
     boxes: BTreeMap<ServerId, SocketAddr>,
     /// Sessions that this front moved, until they are opened again.
     moved: BTreeMap<SessionId, ViewerId>,
@@ -104,6 +105,7 @@
             name: self.name.clone(),
             sessions: self.sessions.clone(),
             by_client: self.by_client.clone(),
+            by_viewer: self.by_viewer.clone(),
             boxes: self.boxes.clone(),
             moved: self.moved.clone(),
             releases: self.releases.clone(),
@@ -142,6 +144,7 @@
             now: 0,
             sessions: BTreeMap::new(),
             by_client: BTreeMap::new(),
+            by_viewer: BTreeMap::new(),
             boxes: BTreeMap::new(),
             moved: BTreeMap::new(),
             releases: BTreeMap::new(),
@@ -216,13 +219,15 @@
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
         match input {
-            Input::Open(client, ticket, opening) => self.open(client, ticket, opening, out),
+            Input::Open(client, ticket, opening) => self.open(client, ticket, opening, false, out),
+            Input::Return(client, ticket, opening) => self.open(client, ticket, opening, true, out),
             Input::Cancel(client, ticket, open) => self.cancel(client, ticket, open, out),
             Input::Close(client, ticket, session) => self.close(client, ticket, &session, out),
             Input::Status(client, ticket, session, viewer) => {
                 self.status(client, ticket, &session, viewer, out);
             }
             Input::ClientGone(client) => self.client_gone(client, out),
+            Input::ClientLost(client) => self.client_lost(client, out),
             Input::List(kind, lines) => self.list(kind, lines, out),
             Input::Dialed(conn, result) => {
                 let kept = self.limits.idle_kept;
@@ -253,7 +258,23 @@
 
     // ---- Clients ----
 
-    fn open(&mut self, client: ClientId, ticket: Ticket, opening: Opening, out: &mut Vec<Output>) {
+    fn open(
+        &mut self,
+        client: ClientId,
+        ticket: Ticket,
+        opening: Opening,
+        only_back: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let moved = opening.moved_from.as_ref().filter(|old| self.moved.get(*old) == Some(&opening.viewer));
+        if only_back && moved.is_none() {
+            out.push(Output::Reply(client, ticket, Reply::OnlyBack(self.settings.max_hold_off)));
+            return;
+        }
+        if let Some((most, by)) = self.over(client, opening.viewer) {
+            out.push(Output::Reply(client, ticket, Reply::Over(most, by)));
+            return;
+        }
         self.opened += 1;
         // Of one width, so that ids sort as they were opened whatever the boot.
         let id = SessionId(Arc::from(format!("{}-{:08x}-{:010}", self.name, self.boot, self.opened)));
@@ -265,19 +286,41 @@
             return;
         }
         // A move counts as one only for the viewer and the session that it was done to, and once.
-        let moved = opening.moved_from.as_ref().is_some_and(|old| {
-            self.moved.get(old) == Some(&opening.viewer) && self.moved.remove(old).is_some()
-        });
+        let moved = moved.cloned().is_some_and(|old| self.moved.remove(&old).is_some());
         let request = opening.request(&id, moved);
         let class = self.settings.classes.get(opening.class);
         let (effect, floor) = class.map_or((Effect::Safe, 0), |class| (class.effect, class.floor));
         let session = Session::new(Some((client, ticket)), opening, effect, floor, self.now);
         self.timers.set(overdue_at(&session, &self.limits), Due::Overdue(id.clone()));
-        self.sessions.insert(id.clone(), session);
+        self.insert(id.clone(), session);
         self.by_client.entry(client).or_default().insert(id);
         self.events.push_back(Event::Request(request));
     }
 
+    /// Whose sessions are as many as they may be, if a further one of this client and viewer is asked for.
+    fn over(&self, client: ClientId, viewer: ViewerId) -> Option<(usize, HeldBy)> {
+        let own = self.by_client.get(&client).map_or(0, BTreeSet::len);
+        let of_viewer = self.by_viewer.get(&viewer).copied().unwrap_or(0);
+        let limits = &self.limits;
+        if own >= limits.per_connection {
+            Some((limits.per_connection, HeldBy::Connection))
+        } else if of_viewer >= limits.per_viewer {
+            Some((limits.per_viewer, HeldBy::Viewer))
+        } else {
+            None
+        }
+    }
+
+    fn insert(&mut self, id: SessionId, session: Session) {
+        *self.by_viewer.entry(session.opening.viewer).or_insert(0) += 1;
+        self.sessions.insert(id, session);
+    }
+
+    /// Whether this client has sessions, or opens that wait for their answers.
+    pub fn holds(&self, client: ClientId) -> bool {
+        self.by_client.contains_key(&client)
+    }
+
     fn cancel(&mut self, client: ClientId, ticket: Ticket, open: Ticket, out: &mut Vec<Output>) {
         let by = Some((client, open));
         let own = self.by_client.get(&client).into_iter().flatten();
@@ -314,8 +357,11 @@
         let mut reply = Reply::Unknown;
         if let Some(session) = self.sessions.get_mut(id) {
             if session.client.is_none() && viewer == Some(session.opening.viewer) {
-                // Found at a box after a restart of this front: its viewer has come back for it.
+                // Found at a box after a restart of this front, or left without a word: its viewer is back for it.
                 session.client = Some((client, ticket));
+                if let Some(at) = session.claim_by.take() {
+                    self.timers.unset(at, Due::Claim(id.clone()));
+                }
                 self.by_client.entry(client).or_default().insert(id.clone());
             }
             if session.client.is_some_and(|(of, _)| of == client) {
@@ -342,6 +388,25 @@
         }
     }
 
+    /// A client that is gone without a word. Danger: its sessions would play, and hold seats, for as long as their
+    /// titles last; or, ended at once, a viewer whose line was down for a moment would lose what it paid for. So they
+    /// wait a while for their viewer. What was not answered yet is given up: its answer can reach nobody.
+    fn client_lost(&mut self, client: ClientId, out: &mut Vec<Output>) {
+        let until = self.now + self.limits.silent_kept;
+        let own = self.by_client.get(&client).cloned().unwrap_or_default();
+        for id in own {
+            let Some(session) = self.sessions.get_mut(&id) else { continue };
+            if session.playing().is_some() {
+                (session.client, session.claim_by) = (None, Some(until));
+                self.timers.set(until, Due::Claim(id.clone()));
+                if let Some(own) = self.by_client.get_mut(&client) {
+                    own.remove(&id);
+                }
+            }
+        }
+        self.client_gone(client, out);
+    }
+
     // ---- Answers ----
 
     /// Gives the one answer, if it is still owed; returns whether it was.
@@ -371,6 +436,15 @@
 
     fn drop_session(&mut self, id: &SessionId) {
         let Some(session) = self.sessions.remove(id) else { return };
+        if let Some(count) = self.by_viewer.get_mut(&session.opening.viewer) {
+            *count -= 1;
+            if *count == 0 {
+                self.by_viewer.remove(&session.opening.viewer);
+            }
+        }
+        if let Some(at) = session.claim_by {
+            self.timers.unset(at, Due::Claim(id.clone()));
+        }
         let Some((client, _)) = session.client else { return };
         if let Some(own) = self.by_client.get_mut(&client) {
             own.remove(id);
@@ -897,8 +971,10 @@
         };
         (session.attempts, session.may_have_run) = (1, true);
         session.stage = Stage::Playing(Playing { attempt, changing: None, missed: 0 });
-        self.sessions.insert(id.clone(), session);
-        self.timers.set(self.now + self.limits.claim_within, Due::Claim(id.clone()));
+        let until = self.now + self.limits.claim_within;
+        session.claim_by = Some(until);
+        self.insert(id.clone(), session);
+        self.timers.set(until, Due::Claim(id.clone()));
         self.events.push_back(Event::Resumed(request, server));
         let note = Note::Rung(held.rung);
         self.events.push_back(Event::Note { session: id, server, note });
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -122,6 +122,9 @@
 pub enum Input {
     /// `session.open`; accepted from here on.
     Open(ClientId, Ticket, Opening),
+    /// The same of a client that may only return to a session: accepted only if this front moved it, and not
+    /// answered by the one answer otherwise.
+    Return(ClientId, Ticket, Opening),
     /// `session.cancel` of an unanswered open: the viewer gives up.
     Cancel(ClientId, Ticket, Ticket),
     /// `session.cancel` or `session.close` by session.
@@ -130,6 +133,8 @@
     Status(ClientId, Ticket, SessionId, Option<ViewerId>),
     /// The connection is gone, or the caller dropped its handle.
     ClientGone(ClientId),
+    /// The client is gone without a word: it may come back for what it has.
+    ClientLost(ClientId),
     /// News of the box list.
     List(ListKind, Vec<Listed>),
     /// A dial ended.
@@ -296,6 +301,19 @@
     },
     /// No session or open call of that name is this client's.
     Unknown,
+    /// The open is not accepted: there are as many sessions as there may be.
+    Over(usize, HeldBy),
+    /// The open is not accepted: the front is full, and this is no return to a session. Ask again after this long.
+    OnlyBack(Micros),
+}
+
+/// Whose sessions are counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeldBy {
+    /// Those of one connection.
+    Connection,
+    /// Those of one viewer.
+    Viewer,
 }
 
 /// What a client is told of its session without asking.
@@ -369,6 +387,12 @@
     pub lost_after: Micros,
     /// A session found at a box after a restart of the front waits so long for its viewer.
     pub claim_within: Micros,
+    /// A session of a player that is gone without a word waits so long for its viewer.
+    pub silent_kept: Micros,
+    /// Sessions of one connection at most, those that wait for an answer counted.
+    pub per_connection: usize,
+    /// Sessions of one viewer at most, likewise.
+    pub per_viewer: usize,
     /// A moved session may be opened again for this long.
     pub moved_kept: Micros,
     /// A request to a box other than a set-up is waited for so long.
--- a/crates/front/src/core/session.rs
+++ b/crates/front/src/core/session.rs
@@ -54,6 +54,8 @@
 pub struct Session {
     /// Whose it is; nobody's after a restart of the front, until it is claimed.
     pub client: Option<(ClientId, Ticket)>,
+    /// Nobody's: it ends then unless its viewer claims it.
+    pub claim_by: Option<Micros>,
     /// What was asked for.
     pub opening: Opening,
     /// When it was accepted.
@@ -84,6 +86,7 @@
         let deadline = now.saturating_add(opening.patience);
         Session {
             client,
+            claim_by: None,
             opening,
             taken: now,
             deadline,
--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -1,10 +1,10 @@
 //! The front's own thread: it feeds the ledger with what the other threads hear, carries out what the ledger
 //! says, and waits until the next of either. It never waits for a peer.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, PoisonError};
 
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Select, Sender, TryRecvError};
 use salttally::brain::Brain;
 use serde_json::Value;
 
@@ -13,6 +13,9 @@
 use crate::clock::Clock;
 use crate::core::{Answer, ClientId, Counts, Input, Ledger, Level, News, Output, Reply, Ticket};
 use crate::session_api::core::calls::Calls;
+use crate::session_api::core::door::DoorCounts;
+use crate::session_api::core::share::{Charge, Share};
+use crate::session_api::entrance::Entrance;
 use crate::session_api::outbox::Outbox;
 use crate::session_api::rpc::{self, Message};
 use crate::session_api::server::text_frame;
@@ -21,8 +24,8 @@
 pub enum Msg {
     /// A client begins.
     Attach(ClientId, Port),
-    /// A message of a player.
-    Calls(ClientId, Message),
+    /// A message of a player that has its turn.
+    Calls(Taken),
     /// Anything else for the ledger.
     Core(Input),
     /// How the front stands.
@@ -33,8 +36,18 @@
     Die,
 }
 
+/// A message of a player on its way to the front's thread.
+pub struct Taken {
+    /// Whose.
+    pub client: ClientId,
+    /// What it says.
+    pub message: Message,
+    /// What its sender was charged for it.
+    pub charge: Charge,
+}
+
 /// How a front stands.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Look {
     /// What it has done.
     pub counts: Counts,
@@ -46,6 +59,8 @@
     pub connections: [usize; 4],
     /// Players connected, and callers of the library.
     pub clients: usize,
+    /// Connections of players, and who was turned away.
+    pub door: DoorCounts,
 }
 
 /// The way to a client.
@@ -71,12 +86,15 @@
 pub struct Socket {
     outbox: Arc<Outbox>,
     calls: Calls,
+    share: Arc<Mutex<Share>>,
+    /// It has sessions, or opens that wait.
+    holds: bool,
 }
 
 impl Port {
     /// The port of a player's connection.
-    pub fn socket(outbox: Arc<Outbox>, calls: Calls) -> Port {
-        Port::Socket(Box::new(Socket { outbox, calls }))
+    pub fn socket(outbox: Arc<Outbox>, calls: Calls, share: Arc<Mutex<Share>>) -> Port {
+        Port::Socket(Box::new(Socket { outbox, calls, share, holds: false }))
     }
 }
 
@@ -110,10 +128,16 @@
     pub list: Follower,
     /// What is told.
     pub inbox: Receiver<Msg>,
+    /// Calls over their sender's share: heard when there is nothing else.
+    pub over: Receiver<Taken>,
+    /// Who is let in.
+    pub entrance: Arc<Entrance>,
     /// Clients by number.
     pub clients: BTreeMap<ClientId, Port>,
     /// Empty between two inputs; kept for its room.
     pub out: Vec<Output>,
+    /// Likewise: clients of which something was heard or said.
+    pub touched: BTreeSet<ClientId>,
 }
 
 impl Engine {
@@ -122,11 +146,7 @@
         let mut waits: Vec<Sender<Counts>> = Vec::new();
         loop {
             // The ledger looks at its timers with every input, so a flood of messages holds none of them up.
-            let next = self.ledger.next_due().map(|at| self.clock.moment(at));
-            let heard = match next {
-                Some(next) => self.inbox.recv_deadline(next),
-                None => self.inbox.recv().map_err(|_| RecvTimeoutError::Disconnected),
-            };
+            let heard = self.hear();
             let finished = match heard {
                 Err(RecvTimeoutError::Timeout) => self.input(Input::Tick),
                 Err(RecvTimeoutError::Disconnected) | Ok(Msg::Die) => return self.die(),
@@ -142,20 +162,10 @@
                     self.clients.insert(client, port);
                     false
                 }
-                Ok(Msg::Calls(client, calls)) => {
-                    let inputs = match self.clients.get_mut(&client) {
-                        Some(Port::Socket(socket)) => socket.take(calls),
-                        _ => Vec::new(),
-                    };
-                    let mut finished = false;
-                    for input in inputs {
-                        finished |= self.input(input);
-                    }
-                    finished
-                }
+                Ok(Msg::Calls(taken)) => self.calls(taken),
                 Ok(Msg::Core(input)) => {
                     let gone = match &input {
-                        Input::ClientGone(client) => Some(*client),
+                        Input::ClientGone(client) | Input::ClientLost(client) => Some(*client),
                         _ => None,
                     };
                     let finished = self.input(input);
@@ -172,12 +182,75 @@
         }
     }
 
+    /// The next message: those that have their turn first, and none later than what is due.
+    fn hear(&self) -> Result<Msg, RecvTimeoutError> {
+        match self.inbox.try_recv() {
+            Ok(msg) => return Ok(msg),
+            Err(TryRecvError::Disconnected) => return Err(RecvTimeoutError::Disconnected),
+            Err(TryRecvError::Empty) => {}
+        }
+        if let Ok(taken) = self.over.try_recv() {
+            return Ok(Msg::Calls(taken));
+        }
+        let mut either = Select::new();
+        either.recv(&self.inbox);
+        // Without a sender it would always be ready.
+        either.recv(&self.over);
+        let ready = match self.ledger.next_due() {
+            Some(at) => {
+                either.select_deadline(self.clock.moment(at)).map_err(|_| RecvTimeoutError::Timeout)?
+            }
+            None => either.select(),
+        };
+        if ready.index() == 0 {
+            ready.recv(&self.inbox).map_err(|_| RecvTimeoutError::Disconnected)
+        } else {
+            ready.recv(&self.over).map(Msg::Calls).map_err(|_| RecvTimeoutError::Disconnected)
+        }
+    }
+
+    /// Takes in a player's message and charges what it cost. Returns whether the front is done.
+    fn calls(&mut self, taken: Taken) -> bool {
+        let begun = self.clock.moment_now();
+        let (inputs, share) = match self.clients.get_mut(&taken.client) {
+            Some(Port::Socket(socket)) => (socket.take(taken.message), Arc::clone(&socket.share)),
+            _ => return false,
+        };
+        let mut finished = false;
+        for input in inputs {
+            finished |= self.input(input);
+        }
+        let nanos = u64::try_from(begun.elapsed().as_nanos()).unwrap_or(u64::MAX);
+        share.lock().unwrap_or_else(PoisonError::into_inner).cost(taken.charge, nanos);
+        finished
+    }
+
+    /// Tells the door whether a player holds something, where that has changed.
+    fn note_holds(&mut self, client: ClientId) {
+        let Some(Port::Socket(socket)) = self.clients.get_mut(&client) else { return };
+        let holds = self.ledger.holds(client);
+        if std::mem::replace(&mut socket.holds, holds) != holds {
+            if holds {
+                socket.calls.returned();
+            }
+            self.entrance.holds(client, holds);
+        }
+    }
+
     /// Hands one input to the ledger and carries out what it says; returns whether the front is done.
     fn input(&mut self, input: Input) -> bool {
         let mut out = std::mem::take(&mut self.out);
+        let mut touched = std::mem::take(&mut self.touched);
+        if let Input::Open(client, ..) | Input::Return(client, ..) = &input {
+            touched.insert(*client);
+        }
         self.ledger.handle(self.clock.now(), input, &mut out);
         let mut finished = false;
         for output in out.drain(..) {
+            if let Output::Answer(client, ..) | Output::Reply(client, ..) | Output::Tell(client, ..) = &output
+            {
+                touched.insert(*client);
+            }
             match &output {
                 Output::Answer(client, ticket, answer) => self.answer(*client, *ticket, answer),
                 Output::Reply(client, ticket, reply) => self.reply(*client, *ticket, reply),
@@ -194,7 +267,10 @@
                 Output::Finished => finished = true,
             }
         }
-        self.out = out;
+        while let Some(client) = touched.pop_first() {
+            self.note_holds(client);
+        }
+        (self.out, self.touched) = (out, touched);
         finished
     }
 
@@ -236,6 +312,7 @@
             playing,
             connections: self.ledger.connections(),
             clients: self.clients.len(),
+            door: self.entrance.counts(),
         }
     }
 
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -1,6 +1,6 @@
 //! The front as a library: started with its settings, asked for sessions in process, ended in order.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -20,8 +20,9 @@
 use crate::engine::{Engine, Look, Msg, Port, ToCaller};
 use crate::record::lines::Born;
 use crate::record::Recorder;
+use crate::session_api::entrance::Entrance;
 use crate::session_api::outbox;
-use crate::session_api::server::Server;
+use crate::session_api::server::{Server, Ways};
 use crate::settings::{viewer, Settings};
 
 /// Why a front does not start.
@@ -117,8 +118,20 @@
         let list = Follower::new(Arc::clone(&settings), engine.clone(), started);
         let remembered = Input::List(ListKind::Remembered, list.remembered());
         let boxes = Boxes::new(Arc::clone(&settings), engine.clone());
-        let clients = BTreeMap::new();
-        let running = Engine { clock, ledger, boxes, list, inbox, clients, out: Vec::new() };
+        let entrance = Arc::new(Entrance::new(clock, settings.edges.door));
+        let (over, beyond) = crossbeam_channel::bounded(settings.edges.calls_over);
+        let running = Engine {
+            clock,
+            ledger,
+            boxes,
+            list,
+            inbox,
+            over: beyond,
+            entrance: Arc::clone(&entrance),
+            clients: BTreeMap::new(),
+            out: Vec::new(),
+            touched: BTreeSet::new(),
+        };
         // The first thing that the module is told, before any player: it answers by following the list.
         let _ = engine.send(Msg::Core(remembered));
         let thread = thread::Builder::new()
@@ -126,12 +139,12 @@
             .spawn(move || running.run())
             .map_err(StartError::Thread)?;
         let clients = Arc::new(AtomicU64::new(1));
-        let server =
-            Server::start(Arc::clone(&settings), clock, Arc::clone(&clients), engine.clone(), flusher)
-                .map_err(|error| {
-                    let _ = engine.send(Msg::Die);
-                    StartError::Listen(settings.listen, error)
-                })?;
+        let ways = Ways { engine: engine.clone(), over, flusher };
+        let server = Server::start(Arc::clone(&settings), clock, Arc::clone(&clients), entrance, ways)
+            .map_err(|error| {
+                let _ = engine.send(Msg::Die);
+                StartError::Listen(settings.listen, error)
+            })?;
         Ok(Front { settings, engine, clients, server, thread: Some(thread), recorder, seed })
     }
 
@@ -248,7 +261,8 @@
         self.told.recv_timeout(within).ok()
     }
 
-    /// Waits for the one answer.
+    /// Waits for the one answer. Nothing also where the open is not accepted, because the viewer has as many
+    /// sessions as it may; [`Session::next`] tells the two apart.
     pub fn answer(&self, within: Duration) -> Option<Answer> {
         match self.next(within)? {
             ToCaller::Answer(answer) => Some(answer),
--- a/crates/front/src/session_api/core/calls.rs
+++ b/crates/front/src/session_api/core/calls.rs
@@ -20,6 +20,8 @@
     last: u64,
     /// Opens that may wait for their answers at once.
     opens_most: usize,
+    /// Let into the reserve: it may only return to a session.
+    only_back: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -47,8 +49,14 @@
 
 impl Calls {
     /// A player that has called for nothing yet.
-    pub fn new(client: ClientId, opens_most: usize) -> Calls {
-        Calls { client, waiting: BTreeMap::new(), batches: BTreeMap::new(), last: 0, opens_most }
+    pub fn new(client: ClientId, opens_most: usize, only_back: bool) -> Calls {
+        let (waiting, batches) = (BTreeMap::new(), BTreeMap::new());
+        Calls { client, waiting, batches, last: 0, opens_most, only_back }
+    }
+
+    /// It has returned to a session of its own, and may do what anybody may.
+    pub fn returned(&mut self) {
+        self.only_back = false;
     }
 
     /// Number of calls that wait for an answer.
@@ -122,6 +130,7 @@
         self.waiting.insert(ticket, Waiting { id: call.id, open, batch });
         let client = self.client;
         taken.inputs.push(match method {
+            Method::Open(opening) if self.only_back => Input::Return(client, ticket, opening),
             Method::Open(opening) => Input::Open(client, ticket, opening),
             // No ticket is 0: an id that names no open call finds none.
             Method::Cancel(_) => Input::Cancel(client, ticket, named.unwrap_or(Ticket(0))),
@@ -137,7 +146,7 @@
 
     /// Why an open call is not accepted, whose one answer could not be told from another or not be given at all.
     fn wrong_open(&self, open: bool, id: Option<&Value>) -> Option<RpcError> {
-        let error = |message: String| Some(RpcError { code: rpc::INVALID_REQUEST, message });
+        let error = |message: String| Some(RpcError::new(rpc::INVALID_REQUEST, message));
         if !open {
             return None;
         }
--- a/crates/front/src/session_api/core/gate.rs
+++ b/crates/front/src/session_api/core/gate.rs
@@ -1,20 +1,15 @@
-//! Who is let in, and how much one player may ask.
+//! How often one player may ask.
 //!
-//! A player costs a thread from its first byte on, and every call costs the front's one thread. So connections are
-//! counted, those that have not shaken hands apart from the others, and each player has an allowance of calls that
-//! fills up with time. What is over it is told so at once and costs the front's own thread nothing.
+//! Each player has an allowance of calls that ask for something, which fills up with time. What is over it is told
+//! so at once and costs the front's own thread nothing. What frees (close, cancel) is not counted here.
 
 use salttally::interface::Micros;
 
 const SECOND: Micros = 1_000_000;
 
-/// Limits of the gate.
+/// Limits of the allowance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GateLimits {
-    /// Connections at most.
-    pub players: usize,
-    /// Of those, connections that have not shaken hands yet at most.
-    pub shaking: usize,
     /// Calls that one player may make in a second.
     pub calls_per_s: u64,
     /// Calls that it may make at once after a rest.
@@ -23,63 +18,7 @@
     pub surplus: u64,
 }
 
-/// Why a connection is turned away.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Turned {
-    /// There are as many as there may be.
-    Full,
-    /// Too many are shaking hands: those that do not finish must not keep others out for long.
-    Busy,
-}
-
-/// The door: counts connections.
-#[derive(Clone, Debug)]
-pub struct Door {
-    limits: GateLimits,
-    shaking: usize,
-    inside: usize,
-    turned: u64,
-}
-
-impl Door {
-    /// Nobody is in.
-    pub fn new(limits: GateLimits) -> Door {
-        Door { limits, shaking: 0, inside: 0, turned: 0 }
-    }
-
-    /// A connection has come. Let in, it shakes hands.
-    pub fn knock(&mut self) -> Result<(), Turned> {
-        let turned = if self.inside + self.shaking >= self.limits.players {
-            Turned::Full
-        } else if self.shaking >= self.limits.shaking {
-            Turned::Busy
-        } else {
-            self.shaking += 1;
-            return Ok(());
-        };
-        self.turned += 1;
-        Err(turned)
-    }
-
-    /// A connection has shaken hands.
-    pub fn entered(&mut self) {
-        self.shaking = self.shaking.saturating_sub(1);
-        self.inside += 1;
-    }
-
-    /// A connection has ended, before or after its handshake.
-    pub fn left(&mut self, entered: bool) {
-        let of = if entered { &mut self.inside } else { &mut self.shaking };
-        *of = of.saturating_sub(1);
-    }
-
-    /// Connections that shake hands, that are in, and that were turned away so far.
-    pub fn count(&self) -> (usize, usize, u64) {
-        (self.shaking, self.inside, self.turned)
-    }
-}
-
-/// What a player's calls are worth.
+/// What becomes of a player's calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Allowed {
     /// They are taken.
--- a/crates/front/src/session_api/core/tests.rs
+++ b/crates/front/src/session_api/core/tests.rs
@@ -3,14 +3,15 @@
 
 use super::backlog::{Backlog, Step};
 use super::calls::Calls;
-use super::gate::{Allowance, Allowed, Door, GateLimits, Turned};
+use super::gate::{Allowance, Allowed, GateLimits};
 use crate::core::{Answer, ClientId, FailReason, Input, Ticket};
 use crate::session_api::rpc;
 use crate::settings::tests::settings;
 use salttally::interface::SessionId;
 
-const LIMITS: GateLimits =
-    GateLimits { players: 3, shaking: 2, calls_per_s: 10, calls_at_once: 4, surplus: 5 };
+mod doors;
+
+const LIMITS: GateLimits = GateLimits { calls_per_s: 10, calls_at_once: 4, surplus: 5 };
 
 fn open(id: Value) -> Value {
     json!({"jsonrpc": "2.0", "id": id, "method": "session.open", "params": {
@@ -24,7 +25,7 @@
 fn tickets(inputs: &[Input]) -> Vec<Ticket> {
     let ticket = |input: &Input| match input {
         Input::Open(_, ticket, _) | Input::Cancel(_, ticket, _) | Input::Close(_, ticket, _) => *ticket,
-        Input::Status(_, ticket, _, _) => *ticket,
+        Input::Status(_, ticket, _, _) | Input::Return(_, ticket, _) => *ticket,
         other => panic!("no call: {other:?}"),
     };
     inputs.iter().map(ticket).collect()
@@ -36,7 +37,7 @@
 
 #[test]
 fn an_open_call_without_an_id_or_with_one_in_use_is_not_accepted() {
-    let mut calls = Calls::new(ClientId(1), 8);
+    let mut calls = Calls::new(ClientId(1), 8, false);
     assert_eq!(take(&mut calls, &open(json!(1))).inputs.len(), 1);
     for wrong in [open(json!(1)), open(Value::Null), {
         let mut call = open(json!(2));
@@ -51,7 +52,7 @@
 
 #[test]
 fn a_cancellation_finds_its_open_call_and_no_other_players() {
-    let mut calls = Calls::new(ClientId(1), 8);
+    let mut calls = Calls::new(ClientId(1), 8, false);
     let opened = tickets(&take(&mut calls, &open(json!("mine"))).inputs)[0];
     let cancel =
         |id: &str| json!({"jsonrpc": "2.0", "id": 9, "method": "session.cancel", "params": {"open": id}});
@@ -63,7 +64,7 @@
 
 #[test]
 fn a_batch_is_answered_whole_and_once_and_notifications_not_at_all() {
-    let mut calls = Calls::new(ClientId(1), 8);
+    let mut calls = Calls::new(ClientId(1), 8, false);
     let close = |id: Option<u64>| {
         let mut call = json!({"jsonrpc": "2.0", "method": "session.close", "params": {"session": "s"}});
         if let Some(id) = id {
@@ -87,14 +88,44 @@
 
 #[test]
 fn a_second_open_in_a_batch_must_not_hold_the_firsts_answer_back() {
-    let mut calls = Calls::new(ClientId(1), 8);
+    let mut calls = Calls::new(ClientId(1), 8, false);
     let taken = take(&mut calls, &json!([open(json!(1)), open(json!(2))]));
     assert_eq!(taken.inputs.len(), 1);
 }
 
+#[test]
+fn a_player_in_the_reserve_may_only_return_until_it_has() {
+    let mut calls = Calls::new(ClientId(1), 8, true);
+    assert!(matches!(take(&mut calls, &open(json!(1))).inputs[0], Input::Return(..)));
+    calls.returned();
+    assert!(matches!(take(&mut calls, &open(json!(2))).inputs[0], Input::Open(..)));
+}
+
+#[test]
+fn a_flood_must_not_keep_what_it_holds_back_from_being_freed() {
+    let batch = json!([
+        {"jsonrpc": "2.0", "id": 1, "method": "session.close", "params": {"session": "s"}},
+        {"jsonrpc": "2.0", "id": 2, "method": "session.status", "params": {"session": "s"}},
+        {"jsonrpc": "2.0", "method": "session.cancel", "params": {"open": 9}}
+    ]);
+    let message = rpc::read(&batch.to_string(), &settings());
+    assert_eq!(message.weigh(), (2, 1));
+    let mut calls = Calls::new(ClientId(1), 8, false);
+    let taken = calls.take(message.held_back(1_500));
+    let freed = |input: &Input| matches!(input, Input::Close(..) | Input::Cancel(..));
+    assert!(taken.inputs.len() == 2 && taken.inputs.iter().all(freed), "{:?}", taken.inputs);
+    let tickets = tickets(&taken.inputs);
+    assert_eq!(calls.answered(tickets[1], failed), None, "a notification");
+    let all = calls.answered(tickets[0], failed).expect("a batch is answered whole");
+    assert_eq!(
+        (&all[0]["error"]["code"], &all[0]["error"]["data"]["hold_off_ms"]),
+        (&json!(-32004), &json!(2))
+    );
+}
+
 #[test]
 fn a_player_with_too_many_unanswered_opens_is_told_and_keeps_the_others() {
-    let mut calls = Calls::new(ClientId(1), 2);
+    let mut calls = Calls::new(ClientId(1), 2, false);
     take(&mut calls, &open(json!(1)));
     let second = tickets(&take(&mut calls, &open(json!(2))).inputs)[0];
     assert!(take(&mut calls, &open(json!(3))).inputs.is_empty());
@@ -102,19 +133,6 @@
     assert_eq!(take(&mut calls, &open(json!(4))).inputs.len(), 1);
 }
 
-#[test]
-fn slow_handshakes_must_not_keep_players_out_for_ever() {
-    let mut door = Door::new(LIMITS);
-    assert_eq!((door.knock(), door.knock(), door.knock()), (Ok(()), Ok(()), Err(Turned::Busy)));
-    door.entered();
-    assert_eq!(door.knock(), Ok(()));
-    assert_eq!(door.knock(), Err(Turned::Full));
-    door.left(true);
-    door.left(false);
-    assert_eq!(door.count(), (1, 0, 2));
-    assert_eq!(door.knock(), Ok(()));
-}
-
 #[test]
 fn a_flood_of_calls_is_told_to_wait_and_then_cut_off() {
     let mut allowance = Allowance::new(LIMITS, 0);
--- a/crates/front/src/session_api/outbox.rs
+++ b/crates/front/src/session_api/outbox.rs
@@ -23,7 +23,7 @@
 /// The way to one player.
 #[derive(Debug)]
 pub struct Outbox {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     clock: Clock,
     backlog: Mutex<Backlog>,
     flusher: Sender<Arc<Outbox>>,
@@ -32,7 +32,7 @@
 impl Outbox {
     /// The way to the player on this socket.
     pub fn new(
-        stream: TcpStream,
+        stream: Arc<TcpStream>,
         clock: Clock,
         backlog: Backlog,
         flusher: Sender<Arc<Outbox>>,
@@ -73,6 +73,11 @@
         let _ = self.stream.shutdown(Shutdown::Write);
     }
 
+    /// Whoever reads from it finds the end.
+    pub fn stop_reading(&self) {
+        let _ = self.stream.shutdown(Shutdown::Read);
+    }
+
     fn act(&self, step: Step) {
         if step == Step::Cut {
             tracing::debug!(peer = ?self.stream.peer_addr().ok(), "player reads nothing: cut off");
@@ -85,7 +90,7 @@
         let mut done = 0;
         while done < bytes.len() {
             let flags = libc::MSG_DONTWAIT | libc::MSG_NOSIGNAL;
-            match SockRef::from(&self.stream).send_with_flags(&bytes[done..], flags) {
+            match SockRef::from(&*self.stream).send_with_flags(&bytes[done..], flags) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(taken) => done += taken,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
--- a/crates/front/src/session_api/rpc.rs
+++ b/crates/front/src/session_api/rpc.rs
@@ -5,7 +5,7 @@
 use salttally::interface::{SessionId, ViewerId};
 use serde_json::{json, Map, Value};
 
-use crate::core::{Answer, EndReason, FailReason, News, Opening, Reply};
+use crate::core::{Answer, EndReason, FailReason, HeldBy as Held, News, Opening, Reply};
 use crate::settings::{viewer, Settings};
 
 /// Not JSON (JSON-RPC 2.0 section 5.1).
@@ -24,6 +24,10 @@
 pub const TOO_MANY_CALLS: i64 = -32004;
 /// No session or open call of that name is this connection's.
 pub const UNKNOWN_SESSION: i64 = -32003;
+/// The connection or the viewer has as many sessions as it may.
+pub const TOO_MANY_SESSIONS: i64 = -32005;
+/// The front is full: only viewers that come back for a session are let in.
+pub const FULL: i64 = -32006;
 
 /// A method, its parameters and whether each must be there.
 pub type MethodTable = [(&'static str, &'static [(&'static str, bool)])];
@@ -63,11 +67,19 @@
     pub code: i64,
     /// A sentence.
     pub message: String,
+    /// When to ask again, us from now.
+    pub hold_off: Option<u64>,
 }
 
 impl RpcError {
-    fn new(code: i64, message: impl Into<String>) -> RpcError {
-        RpcError { code, message: message.into() }
+    /// An error that asking again does not cure.
+    pub fn new(code: i64, message: impl Into<String>) -> RpcError {
+        RpcError { code, message: message.into(), hold_off: None }
+    }
+
+    /// An error of asking too early.
+    pub fn later(code: i64, message: impl Into<String>, hold_off: u64) -> RpcError {
+        RpcError { hold_off: Some(hold_off), ..RpcError::new(code, message) }
     }
 }
 
@@ -104,14 +116,50 @@
     Unreadable(RpcError),
 }
 
+impl Call {
+    /// Whether it frees what others wait for.
+    pub fn frees(&self) -> bool {
+        matches!(self.method, Ok(Method::Cancel(_) | Method::Close(_)))
+    }
+}
+
 impl Message {
-    /// Number of calls in it.
-    pub fn calls(&self) -> u64 {
+    /// Number of calls in it that free something, and of all others.
+    pub fn weigh(&self) -> (u64, u64) {
+        let calls = match self {
+            Message::Unreadable(_) => return (0, 1),
+            Message::One(call) => std::slice::from_ref(call),
+            Message::Batch(calls) => calls,
+        };
+        let frees = calls.iter().filter(|call| call.frees()).count();
+        (frees as u64, (calls.len() - frees) as u64)
+    }
+
+    /// Number of calls in it that ask for something and mean something: the front's thread must see them.
+    pub fn takes(&self) -> u64 {
+        let takes = |call: &Call| u64::from(!call.frees() && call.method.is_ok());
         match self {
-            Message::One(_) | Message::Unreadable(_) => 1,
-            Message::Batch(calls) => calls.len() as u64,
+            Message::Unreadable(_) => 0,
+            Message::One(call) => takes(call),
+            Message::Batch(calls) => calls.iter().map(takes).sum(),
         }
     }
+
+    /// Has all calls that ask for something answered that they are too many; those that free something stand.
+    pub fn held_back(mut self, after: u64) -> Message {
+        let hold = |call: &mut Call| {
+            if !call.frees() {
+                // A notification is not answered, and not told of this either.
+                call.method = Err(RpcError::later(TOO_MANY_CALLS, "too many calls", after));
+            }
+        };
+        match &mut self {
+            Message::Unreadable(_) => {}
+            Message::One(call) => hold(call),
+            Message::Batch(calls) => calls.iter_mut().for_each(hold),
+        }
+        self
+    }
 }
 
 /// Reads a message. Never fails as a whole: whatever is wrong stands in the call that it is wrong with.
@@ -261,7 +309,10 @@
 
 /// A response with an error.
 pub fn error(id: &Value, error: &RpcError) -> Value {
-    json!({"jsonrpc": "2.0", "id": id, "error": {"code": error.code, "message": error.message}})
+    match error.hold_off {
+        None => json!({"jsonrpc": "2.0", "id": id, "error": {"code": error.code, "message": error.message}}),
+        Some(after) => failure(id, error.code, &error.message, json!({"hold_off_ms": after.div_ceil(1000)})),
+    }
 }
 
 /// The response to a `session.open`.
@@ -294,16 +345,20 @@
     json!({"jsonrpc": "2.0", "id": id, "error": {"code": code, "message": message, "data": data}})
 }
 
-/// The response to calls over the allowance, none of which is taken: of a batch, all of them.
-pub fn too_many(message: &Message, after: u64) -> Value {
-    let one = |call: &Call| {
-        let id = call.id.clone().unwrap_or(Value::Null);
-        failure(&id, TOO_MANY_CALLS, "too many calls", json!({"hold_off_ms": after.div_ceil(1000)}))
+/// The response to a message of which nothing reaches the front; of a batch, to all of it. Nothing where no call
+/// is answered at all.
+pub fn only_errors(message: &Message) -> Option<Value> {
+    let one = |call: &Call| match (&call.id, &call.method) {
+        (Some(id), Err(error)) => Some(self::error(id, error)),
+        _ => None,
     };
     match message {
         Message::One(call) => one(call),
-        Message::Batch(calls) => Value::Array(calls.iter().map(one).collect()),
-        Message::Unreadable(error) => self::error(&Value::Null, error),
+        Message::Batch(calls) => {
+            let all: Vec<Value> = calls.iter().filter_map(one).collect();
+            (!all.is_empty()).then_some(Value::Array(all))
+        }
+        Message::Unreadable(error) => Some(self::error(&Value::Null, error)),
     }
 }
 
@@ -321,6 +376,18 @@
             });
             result(id, state)
         }
+        Reply::Over(most, of) => {
+            let of = match of {
+                Held::Connection => "this connection",
+                Held::Viewer => "this viewer",
+            };
+            let text = format!("{of} has {most} sessions, as many as it may: close one");
+            error(id, &RpcError::new(TOO_MANY_SESSIONS, text))
+        }
+        Reply::OnlyBack(hold_off) => {
+            let text = "the front is full: only viewers that come back for a session are let in";
+            error(id, &RpcError::later(FULL, text, *hold_off))
+        }
         Reply::Unknown => {
             let text = "no such session or open call on this connection";
             error(id, &RpcError::new(UNKNOWN_SESSION, text))
--- a/crates/front/src/session_api/server.rs
+++ b/crates/front/src/session_api/server.rs
@@ -5,8 +5,10 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
+use std::time::Duration;
 
-use crossbeam_channel::Sender;
+use crossbeam_channel::{Sender, TrySendError};
+use socket2::{SockRef, TcpKeepalive};
 use tungstenite::handshake::server::{ErrorResponse, Request, Response};
 use tungstenite::http::{HeaderValue, StatusCode};
 use tungstenite::protocol::frame::coding::{CloseCode, Data, OpCode};
@@ -14,18 +16,36 @@
 use tungstenite::protocol::WebSocketConfig;
 use tungstenite::{Error, Message, WebSocket};
 
+use super::core::accepting::{Accepting, Shortage};
 use super::core::backlog::Backlog;
 use super::core::calls::Calls;
-use super::core::gate::{Allowance, Allowed, Door};
+use super::core::door::{Place, Turned};
+use super::core::gate::{Allowance, Allowed};
+use super::core::share::{Charge, Share, Turn};
+use super::core::watch::{Sight, Watch};
+use super::entrance::Entrance;
 use super::outbox::Outbox;
 use super::rpc;
 use crate::clock::Clock;
 use crate::core::{ClientId, Input};
-use crate::engine::{Msg, Port};
+use crate::engine::{Msg, Port, Taken};
 use crate::settings::{Settings, SUB_PROTOCOL};
 
 /// Stack of a thread that reads one player: a message, its JSON and the WebSocket's buffers, which are on the heap.
 const STACK: usize = 128 * 1024;
+/// A connection that is told why it ends is read on for this long, so that the reason is not lost by a reset.
+const LINGER: Duration = Duration::from_millis(100);
+
+/// The ways from players to the front's thread.
+#[derive(Clone)]
+pub struct Ways {
+    /// All that must be heard.
+    pub engine: Sender<Msg>,
+    /// Calls over their sender's share of the front's thread; bounded.
+    pub over: Sender<Taken>,
+    /// Outboxes that the socket did not empty.
+    pub flusher: Sender<Arc<Outbox>>,
+}
 
 /// What accepts players, and how it is stopped.
 #[derive(Debug)]
@@ -41,48 +61,14 @@
         settings: Arc<Settings>,
         clock: Clock,
         clients: Arc<AtomicU64>,
-        engine: Sender<Msg>,
-        flusher: Sender<Arc<Outbox>>,
+        entrance: Arc<Entrance>,
+        ways: Ways,
     ) -> io::Result<Server> {
         let listener = TcpListener::bind(settings.listen)?;
         let address = listener.local_addr()?;
         let stopping = Arc::new(AtomicBool::new(false));
-        let stop = Arc::clone(&stopping);
-        let door = Arc::new(Mutex::new(Door::new(settings.edges.gate)));
-        let accept = move || {
-            for stream in listener.incoming() {
-                if stop.load(Ordering::Acquire) {
-                    return;
-                }
-                // Out of files, say: those that are open go on, and this one is tried again by its player.
-                let Ok(stream) = stream else {
-                    thread::sleep(std::time::Duration::from_millis(10));
-                    continue;
-                };
-                if let Err(turned) = hold(&door).knock() {
-                    tracing::debug!(?turned, "a player is turned away");
-                    let _ =
-                        (&stream).write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
-                    continue;
-                }
-                let player = Player {
-                    id: ClientId(clients.fetch_add(1, Ordering::Relaxed)),
-                    settings: Arc::clone(&settings),
-                    clock,
-                    engine: engine.clone(),
-                    flusher: flusher.clone(),
-                    door: Arc::clone(&door),
-                };
-                let run = move || {
-                    let entered = player.serve(stream);
-                    hold(&player.door).left(entered);
-                };
-                if thread::Builder::new().name("player".into()).stack_size(STACK).spawn(run).is_err() {
-                    tracing::warn!("no thread for a player: it is turned away");
-                    hold(&door).left(false);
-                }
-            }
-        };
+        let acceptor = Acceptor { settings, clock, clients, entrance, ways, stop: Arc::clone(&stopping) };
+        let accept = move || acceptor.run(&listener);
         let thread = thread::Builder::new().name("players".into()).stack_size(STACK).spawn(accept)?;
         Ok(Server { address, stopping, thread: Some(thread) })
     }
@@ -96,35 +82,153 @@
     pub fn stop(&mut self) {
         self.stopping.store(true, Ordering::Release);
         // A connection of our own wakes the thread that accepts.
-        let _ = TcpStream::connect_timeout(&self.address, std::time::Duration::from_secs(1));
+        let _ = TcpStream::connect_timeout(&self.address, Duration::from_secs(1));
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
     }
 }
 
+struct Acceptor {
+    settings: Arc<Settings>,
+    clock: Clock,
+    clients: Arc<AtomicU64>,
+    entrance: Arc<Entrance>,
+    ways: Ways,
+    stop: Arc<AtomicBool>,
+}
+
+impl Acceptor {
+    fn run(&self, listener: &TcpListener) {
+        let mut accepting = Accepting::default();
+        loop {
+            let accepted = listener.accept();
+            if self.stop.load(Ordering::Acquire) {
+                return;
+            }
+            let shortage = match accepted {
+                Ok((stream, from)) => self.accepted(stream, from).err(),
+                Err(error) => Shortage::of(error.raw_os_error()),
+            };
+            let now = self.clock.now();
+            match shortage {
+                None => accepting.went_well(),
+                Some(shortage) => {
+                    let step = accepting.short(now, shortage);
+                    if let Some(times) = step.tell {
+                        tracing::warn!(?shortage, times, "players cannot be taken: what is open goes on");
+                    }
+                    thread::sleep(Duration::from_micros(step.pause));
+                }
+            }
+        }
+    }
+
+    fn accepted(&self, stream: TcpStream, from: SocketAddr) -> Result<(), Shortage> {
+        let id = ClientId(self.clients.fetch_add(1, Ordering::Relaxed));
+        let _ = stream.set_nodelay(true);
+        let edges = &self.settings.edges;
+        // A second net below the pings, for a peer whose machine is gone.
+        let socket = SockRef::from(&stream);
+        let alive = TcpKeepalive::new().with_time(edges.keep_alive).with_interval(edges.keep_alive / 3);
+        let _ = socket.set_tcp_keepalive(&alive.with_retries(3));
+        let _ = socket.set_tcp_user_timeout(Some(edges.keep_alive * 2));
+        let stream = Arc::new(stream);
+        let backlog = Backlog::new(edges.backlog, edges.stalled.as_micros() as u64);
+        let outbox = Outbox::new(Arc::clone(&stream), self.clock, backlog, self.ways.flusher.clone());
+        if let Err(turned) = self.entrance.knock(id, from.ip(), &outbox) {
+            tracing::debug!(?turned, %from, "a player is turned away");
+            outbox.send(&busy(self.settings.module.max_hold_off));
+            return Ok(());
+        }
+        let watch = Watch::new(edges.watch, id.0, self.clock.now());
+        let player = Player {
+            id,
+            settings: Arc::clone(&self.settings),
+            clock: self.clock,
+            entrance: Arc::clone(&self.entrance),
+            ways: self.ways.clone(),
+            outbox: Arc::clone(&outbox),
+        };
+        let run = move || {
+            player.serve(stream, watch);
+            player.entrance.left(id);
+        };
+        if thread::Builder::new().name("player".into()).stack_size(STACK).spawn(run).is_err() {
+            outbox.send(&busy(self.settings.module.max_hold_off));
+            self.entrance.left(id);
+            return Err(Shortage::Threads);
+        }
+        Ok(())
+    }
+}
+
+/// An answer to whoever finds the door full, with the time to come again in (RFC 9110 section 10.2.3).
+fn busy(hold_off: u64) -> Vec<u8> {
+    let after = hold_off.div_ceil(1_000_000);
+    let head = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n";
+    format!("{head}Retry-After: {after}\r\n\r\n").into_bytes()
+}
+
 struct Player {
     id: ClientId,
     settings: Arc<Settings>,
     clock: Clock,
-    engine: Sender<Msg>,
-    flusher: Sender<Arc<Outbox>>,
-    door: Arc<Mutex<Door>>,
+    entrance: Arc<Entrance>,
+    ways: Ways,
+    outbox: Arc<Outbox>,
 }
 
-fn hold(door: &Mutex<Door>) -> MutexGuard<'_, Door> {
-    door.lock().unwrap_or_else(PoisonError::into_inner)
-}
+/// Why the watch ended a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Seen(Sight);
 
-/// The two ways of a player's socket: reads wait, writes go through the outbox and never do.
+/// The two ways of a player's socket: reads are watched, writes go through the outbox and never wait.
 struct Duplex {
-    read: TcpStream,
+    read: Arc<TcpStream>,
     write: Arc<Outbox>,
+    watch: Watch,
+    clock: Clock,
+    client: ClientId,
+    entrance: Arc<Entrance>,
+    ended: Option<Seen>,
 }
 
 impl Read for Duplex {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
-        self.read.read(buffer)
+        loop {
+            let now = self.clock.now();
+            match self.watch.look(now) {
+                Sight::Fine => {}
+                Sight::Ping => self.write.send(&ping()),
+                Sight::Newcomer if !self.entrance.in_reserve(self.client) => self.watch.returned(),
+                sight => {
+                    self.ended = Some(Seen(sight));
+                    return Err(io::ErrorKind::TimedOut.into());
+                }
+            }
+            let wait = self.watch.due().saturating_sub(now).clamp(1_000, 3_600_000_000);
+            self.read.set_read_timeout(Some(Duration::from_micros(wait)))?;
+            match (&*self.read).read(buffer) {
+                Ok(count) => {
+                    self.watch.heard(self.clock.now(), &buffer[..count]);
+                    if let Some(so_far) = self.watch.shaking() {
+                        self.entrance.progress(self.client, so_far);
+                    }
+                    return Ok(count);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                // The second net: the peer's machine is gone or cannot be reached.
+                Err(error) => {
+                    use io::ErrorKind::{HostUnreachable, NetworkUnreachable, TimedOut};
+                    if matches!(error.kind(), TimedOut | HostUnreachable | NetworkUnreachable) {
+                        self.ended = Some(Seen(Sight::Silent));
+                    }
+                    return Err(error);
+                }
+            }
+        }
     }
 }
 
@@ -140,36 +244,44 @@
 }
 
 impl Player {
-    /// Serves one connection to its end; returns whether it shook hands.
-    fn serve(&self, stream: TcpStream) -> bool {
-        let _ = stream.set_nodelay(true);
-        let Ok(read) = stream.try_clone() else { return false };
-        let edges = &self.settings.edges;
-        let backlog = Backlog::new(edges.backlog, edges.stalled.as_micros() as u64);
-        let outbox = Outbox::new(stream, self.clock, backlog, self.flusher.clone());
-        let _ = read.set_read_timeout(Some(self.settings.edges.handshake));
-        let duplex = Duplex { read, write: Arc::clone(&outbox) };
-        let socket = match tungstenite::accept_hdr_with_config(duplex, negotiate, Some(self.config())) {
+    /// Serves one connection to its end.
+    fn serve(&self, stream: Arc<TcpStream>, watch: Watch) {
+        let duplex = Duplex {
+            read: stream,
+            write: Arc::clone(&self.outbox),
+            watch,
+            clock: self.clock,
+            client: self.id,
+            entrance: Arc::clone(&self.entrance),
+            ended: None,
+        };
+        let mut place = Place::Ordinary;
+        #[allow(clippy::result_large_err)]
+        let enter = |request: &Request, response: Response| self.negotiate(request, response, &mut place);
+        let mut socket = match tungstenite::accept_hdr_with_config(duplex, enter, Some(self.config())) {
             Ok(socket) => socket,
             Err(error) => {
                 tracing::debug!(client = self.id.0, %error, "no handshake");
-                outbox.close();
-                return false;
+                self.outbox.end();
+                return;
             }
         };
-        hold(&self.door).entered();
-        let calls = Calls::new(self.id, edges.opens);
-        let _ = socket.get_ref().read.set_read_timeout(None);
-        if self.engine.send(Msg::Attach(self.id, Port::socket(Arc::clone(&outbox), calls))).is_ok() {
-            let mut duplex = self.read(socket, &outbox);
-            let _ = self.engine.send(Msg::Core(Input::ClientGone(self.id)));
+        let only_back = place == Place::Reserve;
+        socket.get_mut().watch.entered(self.clock.now(), only_back);
+        let calls = Calls::new(self.id, self.settings.edges.opens, only_back);
+        let share = Arc::new(Mutex::new(Share::new(self.clock.now())));
+        let port = Port::socket(Arc::clone(&self.outbox), calls, Arc::clone(&share));
+        if self.ways.engine.send(Msg::Attach(self.id, port)).is_ok() {
+            let duplex = self.read(socket, &share);
+            let lost = matches!(duplex.ended, Some(Seen(Sight::Silent | Sight::Slow)));
+            let gone = if lost { Input::ClientLost(self.id) } else { Input::ClientGone(self.id) };
+            let _ = self.ways.engine.send(Msg::Core(gone));
             // Bytes left unread would have the close answered by a reset, and the reason for it lost.
-            outbox.end();
-            let _ = duplex.read.set_read_timeout(Some(std::time::Duration::from_millis(100)));
-            let _ = io::copy(&mut (&mut duplex.read).take(1 << 20), &mut io::sink());
+            self.outbox.end();
+            let _ = duplex.read.set_read_timeout(Some(LINGER));
+            let _ = io::copy(&mut (&*duplex.read).take(1 << 20), &mut io::sink());
         }
-        outbox.close();
-        true
+        self.outbox.close();
     }
 
     fn config(&self) -> WebSocketConfig {
@@ -181,56 +293,139 @@
             .max_frame_size(Some(self.settings.edges.message))
     }
 
-    fn read(&self, mut socket: WebSocket<Duplex>, outbox: &Arc<Outbox>) -> Duplex {
+    fn read(&self, mut socket: WebSocket<Duplex>, share: &Arc<Mutex<Share>>) -> Duplex {
         let mut allowance = Allowance::new(self.settings.edges.gate, self.clock.now());
         loop {
-            let message = match socket.read() {
-                Ok(Message::Text(text)) => rpc::read(text.as_str(), &self.settings),
+            let read = socket.read();
+            // Control frames cost an answer each, and count as calls that ask.
+            let controls = socket.get_mut().watch.controls();
+            let message = match read {
+                Ok(Message::Text(text)) => Some(rpc::read(text.as_str(), &self.settings)),
                 Ok(Message::Binary(_)) => {
-                    farewell(outbox, CloseCode::Unsupported, "calls are text messages");
+                    farewell(&self.outbox, CloseCode::Unsupported, "calls are text messages");
                     break;
                 }
                 // Pings are answered by the library as it reads on.
-                Ok(_) => continue,
+                Ok(_) => None,
                 Err(error) => {
-                    self.failed(outbox, &error);
+                    self.failed(&error, socket.get_ref().ended);
                     break;
                 }
             };
-            match allowance.take(message.calls(), self.clock.now()) {
-                Allowed::Yes => {
-                    if self.engine.send(Msg::Calls(self.id, message)).is_err() {
-                        break;
-                    }
-                }
-                Allowed::Later(after) => {
-                    let errors = rpc::too_many(&message, after);
-                    outbox.send(&text_frame(errors.to_string()));
-                }
-                Allowed::Cut => {
-                    farewell(outbox, CloseCode::Policy, "far too many calls");
+            let (frees, asks) = message.as_ref().map_or((0, 0), rpc::Message::weigh);
+            let allowed = match asks + controls {
+                0 => Allowed::Yes,
+                some => allowance.take(some, self.clock.now()),
+            };
+            let message = match (allowed, message) {
+                (Allowed::Cut, _) => {
+                    farewell(&self.outbox, CloseCode::Policy, "far too many calls");
                     break;
                 }
+                (_, None) => continue,
+                (Allowed::Yes, Some(message)) => message,
+                (Allowed::Later(after), Some(message)) if asks > 0 => message.held_back(after),
+                (_, Some(message)) => message,
+            };
+            if !self.hand_on(message, frees, share) {
+                break;
             }
         }
         socket.into_inner()
     }
 
+    /// Hands a message on to the front's thread, or answers it here where nothing of it is taken. Returns whether
+    /// the front still runs.
+    fn hand_on(&self, message: rpc::Message, frees: u64, share: &Arc<Mutex<Share>>) -> bool {
+        let asks = message.takes();
+        if frees + asks == 0 {
+            if let Some(errors) = rpc::only_errors(&message) {
+                self.outbox.send(&text_frame(errors.to_string()));
+            }
+            return true;
+        }
+        let inside = self.entrance.inside();
+        let (turn, charge) = hold(share).take(self.clock.now(), frees + asks, inside);
+        if turn == Turn::Ahead {
+            return self.ways.engine.send(Msg::Calls(self.taken(message, charge))).is_ok();
+        }
+        let pause = hold(share).pause(inside);
+        if frees == 0 {
+            return match self.ways.over.try_send(self.taken(message, charge)) {
+                Ok(()) => true,
+                Err(TrySendError::Full(taken)) => {
+                    hold(share).give_back(charge);
+                    self.hand_on(taken.message.held_back(pause.max(1_000)), 0, share)
+                }
+                Err(TrySendError::Disconnected(_)) => false,
+            };
+        }
+        // What frees is always taken; its sender is read on the later for it.
+        let message = if asks > 0 { message.held_back(pause.max(1_000)) } else { message };
+        let sent = self.ways.engine.send(Msg::Calls(self.taken(message, charge))).is_ok();
+        thread::sleep(Duration::from_micros(pause));
+        sent
+    }
+
+    fn taken(&self, message: rpc::Message, charge: Charge) -> Taken {
+        Taken { client: self.id, message, charge }
+    }
+
     /// Tells the player why its connection ends, as RFC 6455 section 7.4.1 has the codes.
-    fn failed(&self, outbox: &Arc<Outbox>, error: &Error) {
-        tracing::debug!(client = self.id.0, %error, "connection ends");
-        let code = match error {
-            Error::Utf8(_) => CloseCode::Invalid,
-            Error::Capacity(_) => CloseCode::Size,
-            Error::Protocol(_) => CloseCode::Protocol,
+    fn failed(&self, error: &Error, ended: Option<Seen>) {
+        tracing::debug!(client = self.id.0, %error, ?ended, "connection ends");
+        let (code, reason) = match (error, ended) {
+            (_, Some(Seen(Sight::Slow))) => (CloseCode::Policy, "a message was begun and not ended".into()),
+            (_, Some(Seen(Sight::Silent))) => (CloseCode::Policy, "pings were not answered".into()),
+            (_, Some(Seen(Sight::Newcomer))) => {
+                (CloseCode::Again, "the front is full: only viewers that come back are let in".into())
+            }
+            (Error::Utf8(_), _) => (CloseCode::Invalid, error.to_string()),
+            (Error::Capacity(_), _) => (CloseCode::Size, error.to_string()),
+            (Error::Protocol(_), _) => (CloseCode::Protocol, error.to_string()),
             _ => return,
         };
-        farewell(outbox, code, &error.to_string());
+        farewell(&self.outbox, code, &reason);
+    }
+
+    /// The player must offer the sub-protocol: what it speaks otherwise is not known. And there must be a place.
+    // The library gives the size of the error.
+    #[allow(clippy::result_large_err)]
+    fn negotiate(
+        &self,
+        request: &Request,
+        mut response: Response,
+        place: &mut Place,
+    ) -> Result<Response, ErrorResponse> {
+        let offered = request.headers().get_all("Sec-WebSocket-Protocol");
+        let names = offered.iter().filter_map(|value| value.to_str().ok()).flat_map(|value| value.split(','));
+        if !names.map(str::trim).any(|name| name == SUB_PROTOCOL) {
+            let text = format!("offer the sub-protocol {SUB_PROTOCOL} in Sec-WebSocket-Protocol\n");
+            let mut refusal = ErrorResponse::new(Some(text));
+            *refusal.status_mut() = StatusCode::BAD_REQUEST;
+            return Err(refusal);
+        }
+        *place = self.entrance.enter(self.id).map_err(|turned: Turned| {
+            tracing::debug!(client = self.id.0, ?turned, "no place for a player");
+            let after = self.settings.module.max_hold_off.div_ceil(1_000_000);
+            let mut refusal = ErrorResponse::new(Some("the front is full\n".into()));
+            *refusal.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            refusal.headers_mut().insert("Retry-After", HeaderValue::from(after));
+            refusal
+        })?;
+        response.headers_mut().insert("Sec-WebSocket-Protocol", HeaderValue::from_static(SUB_PROTOCOL));
+        Ok(response)
     }
 }
 
-fn farewell(outbox: &Arc<Outbox>, code: CloseCode, reason: &str) {
-    let reason: String = reason.chars().take(100).collect();
+fn hold<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Writes the frame by which a connection ends, and why.
+pub fn farewell(outbox: &Arc<Outbox>, code: CloseCode, reason: &str) {
+    // A control frame holds 125 bytes at most (RFC 6455 section 5.5), and no half a character.
+    let reason: String = reason.chars().filter(char::is_ascii).take(100).collect();
     let frame = Frame::close(Some(CloseFrame { code, reason: reason.into() }));
     let mut bytes = Vec::new();
     if frame.format(&mut bytes).is_ok() {
@@ -238,6 +433,14 @@
     }
 }
 
+/// A ping with nothing in it.
+fn ping() -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(2);
+    // Writing to memory does not fail.
+    let _ = Frame::ping(Vec::new()).format(&mut bytes);
+    bytes
+}
+
 /// One text message as a frame of its own.
 pub fn text_frame(text: String) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(text.len() + 10);
@@ -246,19 +449,3 @@
     let _ = frame.format(&mut bytes);
     bytes
 }
-
-/// The player must offer the sub-protocol: what it speaks otherwise is not known.
-// The library gives the size of the error.
-#[allow(clippy::result_large_err)]
-fn negotiate(request: &Request, mut response: Response) -> Result<Response, ErrorResponse> {
-    let offered = request.headers().get_all("Sec-WebSocket-Protocol");
-    let names = offered.iter().filter_map(|value| value.to_str().ok()).flat_map(|value| value.split(','));
-    if names.map(str::trim).any(|name| name == SUB_PROTOCOL) {
-        response.headers_mut().insert("Sec-WebSocket-Protocol", HeaderValue::from_static(SUB_PROTOCOL));
-        return Ok(response);
-    }
-    let text = format!("offer the sub-protocol {SUB_PROTOCOL} in Sec-WebSocket-Protocol\n");
-    let mut refusal = ErrorResponse::new(Some(text));
-    *refusal.status_mut() = StatusCode::BAD_REQUEST;
-    Err(refusal)
-}
--- a/crates/front/src/settings/check.rs
+++ b/crates/front/src/settings/check.rs
@@ -99,18 +99,39 @@
     if limits.silent_after == 0 || limits.lost_after == 0 || limits.ask_within == 0 {
         return bad("`silent-after-ms`, `lost-after-ms` and `ask-within-ms` must be over 0");
     }
-    let gate = &edges.gate;
-    if limits.connections == 0 || gate.players == 0 || gate.shaking == 0 || edges.opens == 0 {
+    let (gate, door, watch) = (&edges.gate, &edges.door, &edges.watch);
+    if limits.connections == 0 || door.players == 0 || door.shaking == 0 || edges.opens == 0 {
         return bad("`connections-per-box`, `players`, `handshakes` and `opens-per-player` must be over 0");
     }
+    if limits.per_connection == 0 || limits.per_viewer == 0 || edges.calls_over == 0 {
+        return bad("`sessions-per-connection`, `sessions-per-viewer` and `calls-over` must be over 0");
+    }
+    if door.reserve >= door.players {
+        return bad("`reserve` is a part of `players`: there would be no place for newcomers");
+    }
+    if door.prefix.0 > 32 || door.prefix.1 > 128 {
+        return bad("`prefix-v4` is 32 bits at most and `prefix-v6` 128");
+    }
+    if watch.handshake.within == 0 || watch.message.within == 0 || watch.message.least == 0 {
+        return bad("`handshake-ms`, `message-ms` and `least-bytes-per-s` must be over 0");
+    }
+    if watch.message.grace == 0 {
+        return bad("`slow-grace-ms` of 0 cuts off every player whose message comes in two parts");
+    }
+    if watch.ping_every < 4 || watch.pong_within == 0 || watch.pings == 0 {
+        return bad("`ping-every-ms`, `pong-within-ms` and `pings-missed` must be over 0");
+    }
+    if watch.return_within == 0 || edges.keep_alive.as_secs() < 1 {
+        return bad("`return-within-ms` must be over 0 and `keep-alive-ms` 1000 at least");
+    }
     if gate.calls_per_s == 0 || gate.calls_at_once == 0 {
         return bad("`calls-per-s` and `calls-at-once` must be over 0");
     }
     if edges.message < 256 || edges.backlog < edges.message {
         return bad("`message-bytes` must be 256 at least and `backlog-bytes` not under it");
     }
-    if edges.connect.is_zero() || edges.handshake.is_zero() || edges.stalled.is_zero() {
-        return bad("`connect-ms`, `handshake-ms` and `stalled-ms` must be over 0");
+    if edges.connect.is_zero() || edges.stalled.is_zero() {
+        return bad("`connect-ms` and `stalled-ms` must be over 0");
     }
     Ok(())
 }
--- a/crates/front/src/settings/mod.rs
+++ b/crates/front/src/settings/mod.rs
@@ -14,7 +14,9 @@
 use salttally_settings::{Document, Read};
 
 use crate::core::Limits;
+use crate::session_api::core::door::DoorLimits;
 use crate::session_api::core::gate::GateLimits;
+use crate::session_api::core::watch::WatchLimits;
 
 /// Name of the sub-protocol that a player must offer (RFC 6455 section 1.9).
 pub const SUB_PROTOCOL: &str = "session.v1.salttally";
@@ -62,8 +64,12 @@
 pub struct Edges {
     /// A dial to a box or to the list takes this long at most.
     pub connect: Duration,
-    /// A player's opening handshake takes this long at most.
-    pub handshake: Duration,
+    /// Who is let in, and who goes to make room.
+    pub door: DoorLimits,
+    /// How slow a player may be, and when it counts as vanished.
+    pub watch: WatchLimits,
+    /// A player's connection on which nothing comes for this long is asked by the kernel whether it still stands.
+    pub keep_alive: Duration,
     /// Largest message of a player, bytes.
     pub message: usize,
     /// What may wait to be written to a player that does not read, bytes.
@@ -72,8 +78,10 @@
     pub stalled: Duration,
     /// Least and most patience that a viewer may state, ms.
     pub patience_ms: (u64, u64),
-    /// Who is let in, and how much one player may ask.
+    /// How often one player may ask.
     pub gate: GateLimits,
+    /// Calls over their senders' shares that may wait for the front's thread.
+    pub calls_over: usize,
     /// Open calls of one player that may wait for their answers at once.
     pub opens: usize,
 }
--- a/crates/front/src/settings/read.rs
+++ b/crates/front/src/settings/read.rs
@@ -10,7 +10,10 @@
 
 use super::{Edges, Settings, Title};
 use crate::core::Limits;
+use crate::session_api::core::door::DoorLimits;
 use crate::session_api::core::gate::GateLimits;
+use crate::session_api::core::steps::Pace;
+use crate::session_api::core::watch::WatchLimits;
 
 fn micros(ms: f64) -> Micros {
     (ms.clamp(0.0, 1e12) * 1000.0).round() as Micros
@@ -253,26 +256,52 @@
         silent_after: ms("silent-after-ms", 2_000.0)?,
         lost_after: ms("lost-after-ms", 3_000.0)?,
         claim_within: ms("claim-within-ms", 5_000.0)?,
+        silent_kept: ms("silent-kept-ms", 15_000.0)?,
+        per_connection: block.or("sessions-per-connection", 20_000)?,
+        per_viewer: block.or("sessions-per-viewer", 64)?,
         moved_kept: ms("moved-kept-ms", 30_000.0)?,
         ask_within: ms("ask-within-ms", 1_000.0)?,
         idle_kept: ms("idle-kept-ms", 10_000.0)?,
         clock_skew: ms("clock-skew-ms", 20.0)?,
         connections: block.or("connections-per-box", 256)?,
     };
+    let pace = |name: &str, within: f64| -> Read<Pace> {
+        Ok(Pace {
+            within: ms(name, within)?,
+            grace: ms("slow-grace-ms", 3_000.0)?,
+            least: block.or("least-bytes-per-s", 512)?,
+        })
+    };
+    let handshake = pace("handshake-ms", 5_000.0)?;
     let edges = Edges {
         connect: time("connect-ms", 250)?,
-        handshake: time("handshake-ms", 5_000)?,
+        door: DoorLimits {
+            players: block.or("players", 15_000)?,
+            reserve: block.or("reserve", 500)?,
+            shaking: block.or("handshakes", 1_000)?,
+            per_address: block.or("per-address", 0)?,
+            prefix: (block.or("prefix-v4", 32)?, block.or("prefix-v6", 64)?),
+            pace: handshake,
+        },
+        watch: WatchLimits {
+            handshake,
+            message: pace("message-ms", 10_000.0)?,
+            ping_every: ms("ping-every-ms", 20_000.0)?,
+            pong_within: ms("pong-within-ms", 5_000.0)?,
+            pings: block.or("pings-missed", 3)?,
+            return_within: ms("return-within-ms", 3_000.0)?,
+        },
+        keep_alive: time("keep-alive-ms", 30_000)?,
         message: block.or("message-bytes", 16_384)?,
         backlog: block.or("backlog-bytes", 262_144)?,
         stalled: time("stalled-ms", 10_000)?,
         patience_ms: (block.or("patience-least-ms", 100)?, block.or("patience-most-ms", 60_000)?),
         gate: GateLimits {
-            players: block.or("players", 15_000)?,
-            shaking: block.or("handshakes", 1_000)?,
             calls_per_s: block.or("calls-per-s", 100)?,
             calls_at_once: block.or("calls-at-once", 200)?,
             surplus: block.or("calls-surplus", 1_000)?,
         },
+        calls_over: block.or("calls-over", 512)?,
         opens: block.or("opens-per-player", 64)?,
     };
     block.done()?;
