Siege tool; calls weighed, shared out over all inside, and their senders read on later

An open weighs ten calls; `calls-per-s-all` is shared out evenly over those inside; who asks for too much is told at once and read on later; a newcomer begins with a small allowance.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod fronts;
 mod pairs;
 mod rehearse;
+mod siege;
 mod tools;
 
 use std::io::IsTerminal;
@@ -60,6 +61,11 @@
     /// boxes, list, viewers and time may do is a move of the search. Exit 0 if every property held, 1 with a shortest
     /// path to one that did not.
     Explore(explore::Explore),
+    /// Lay siege to a front and measure what proper viewers get meanwhile
+    ///
+    /// Slow, silent, vanished and greedy peers come by the thousand to a front on this machine, while others open
+    /// sessions and watch. Exit 0 if as many were served as `--least` asks for and no session was harmed, 1 if not.
+    Siege(siege::Siege),
     /// Judge a record that a rehearsal wrote
     ///
     /// Prints each rule, kept or the lines that break it. Exit 0 only if all six were kept.
@@ -108,6 +114,7 @@
         Command::Rehearse(rehearse) => rehearse.run(),
         Command::Pairs(pairs) => pairs.run(),
         Command::Explore(explore) => explore.run(),
+        Command::Siege(siege) => siege.run(),
         Command::Judge { record, json } => tools::judge(&record, json),
         Command::Replay { record, config } => tools::replay(&record, &config),
         Command::Check { config } => tools::check(&config),
--- a/crates/front/src/session_api/core/gate.rs
+++ b/crates/front/src/session_api/core/gate.rs
@@ -1,7 +1,12 @@
 //! How often one player may ask.
 //!
 //! Each player has an allowance of calls that ask for something, which fills up with time. What is over it is told
-//! so at once and costs the front's own thread nothing. What frees (close, cancel) is not counted here.
+//! so at once, costs the front's own thread nothing, and has its sender's next bytes read the later. The more players
+//! are inside the smaller the allowance of each, so that all of them together do not ask for more than the front
+//! can do. What frees (close, cancel) is not counted here.
+//!
+//! Danger: an allowance for each player alone is no limit. Four thousand that keep to theirs ask for more than there
+//! is, and those that only watch a film wait behind them.
 
 use salttally::interface::Micros;
 
@@ -16,8 +21,17 @@
     pub calls_at_once: u64,
     /// Calls over its allowance after which a player is cut off.
     pub surplus: u64,
+    /// Calls that all players together may make in a second, shared out evenly over those inside.
+    pub all_per_s: u64,
 }
 
+/// Calls that a `session.open` weighs: it has the module decide and a box set up, where a status only looks.
+pub const OPEN: u64 = 10;
+/// The smallest allowance at once: opening a session or two, and looking after them.
+const AT_ONCE_LEAST: u64 = 4 * OPEN;
+/// A part of the common allowance is kept for this long.
+const KEPT_S: u64 = 4;
+
 /// What becomes of a player's calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Allowed {
@@ -40,29 +54,32 @@
 }
 
 impl Allowance {
-    /// A full one.
+    /// That of a player who has just come. Danger: whoever is cut off comes again, and must not find a full one.
     pub fn new(limits: GateLimits, now: Micros) -> Allowance {
-        Allowance { limits, left: limits.calls_at_once * SECOND, at: now, surplus: 0 }
+        Allowance { limits, left: limits.calls_at_once.min(AT_ONCE_LEAST) * SECOND, at: now, surplus: 0 }
     }
 
-    /// So many calls have come in one message.
-    pub fn take(&mut self, calls: u64, now: Micros) -> Allowed {
+    /// Calls of this weight have come in one message, while so many are inside.
+    pub fn take(&mut self, weight: u64, now: Micros, inside: usize) -> Allowed {
+        let limits = &self.limits;
+        let per_s = (limits.all_per_s / inside.max(1) as u64).clamp(1, limits.calls_per_s.max(1));
+        let at_once = (per_s * KEPT_S).max(AT_ONCE_LEAST).min(limits.calls_at_once);
         let since = now.saturating_sub(self.at);
         self.at = self.at.max(now);
-        let most = self.limits.calls_at_once * SECOND;
-        self.left = self.left.saturating_add(since.saturating_mul(self.limits.calls_per_s)).min(most);
-        let cost = calls.max(1).saturating_mul(SECOND);
+        let most = at_once * SECOND;
+        self.left = self.left.saturating_add(since.saturating_mul(per_s)).min(most);
+        let cost = weight.max(1).saturating_mul(SECOND);
         if cost <= self.left {
             self.left -= cost;
             self.surplus = 0;
             return Allowed::Yes;
         }
-        self.surplus += calls.max(1);
+        self.surplus += weight.max(1);
         if self.surplus > self.limits.surplus {
             return Allowed::Cut;
         }
         // A message larger than the whole allowance never fits; it is told the time of a full one.
         let missing = cost.min(most) - self.left.min(cost.min(most));
-        Allowed::Later(missing.div_ceil(self.limits.calls_per_s.max(1)))
+        Allowed::Later(missing.div_ceil(per_s))
     }
 }
--- a/crates/front/src/session_api/core/share.rs
+++ b/crates/front/src/session_api/core/share.rs
@@ -16,8 +16,9 @@
 const SHARED: u64 = 2;
 /// What is earned is kept for this long at most.
 const KEPT: Micros = 4_000_000;
-/// A connection begins with this much, us: an open call or two.
-const FIRST: i64 = 3_000;
+/// A connection begins with this much, us, and is let go so far ahead of what is known of its calls: any open call
+/// has its turn as long as something is left.
+const FIRST: i64 = 200;
 /// The longest that a sender is held back before its next bytes are read; it must not miss its pings.
 const PAUSE_MOST: Micros = 1_000_000;
 /// Cost that a call is taken for before any has been handled, us.
--- a/crates/front/src/session_api/core/steps.rs
+++ b/crates/front/src/session_api/core/steps.rs
@@ -89,6 +89,13 @@
         self.step
     }
 
+    /// Nothing was read for this long, by no fault of the peer.
+    pub fn held_up(&mut self, pause: Micros) {
+        if let Some((begun, _)) = &mut self.step {
+            *begun = begun.saturating_add(pause);
+        }
+    }
+
     /// Control frames that were whole since this was asked last.
     pub fn controls(&mut self) -> u64 {
         std::mem::take(&mut self.controls)
--- a/crates/front/src/session_api/core/tests.rs
+++ b/crates/front/src/session_api/core/tests.rs
@@ -3,7 +3,7 @@
 
 use super::backlog::{Backlog, Step};
 use super::calls::Calls;
-use super::gate::{Allowance, Allowed, GateLimits};
+use super::gate::{Allowance, Allowed, GateLimits, OPEN};
 use crate::core::{Answer, ClientId, FailReason, Input, Ticket};
 use crate::session_api::rpc;
 use crate::settings::tests::settings;
@@ -11,7 +11,7 @@
 
 mod doors;
 
-const LIMITS: GateLimits = GateLimits { calls_per_s: 10, calls_at_once: 4, surplus: 5 };
+const LIMITS: GateLimits = GateLimits { calls_per_s: 10, calls_at_once: 4, surplus: 5, all_per_s: 1_000 };
 
 fn open(id: Value) -> Value {
     json!({"jsonrpc": "2.0", "id": id, "method": "session.open", "params": {
@@ -110,6 +110,8 @@
     ]);
     let message = rpc::read(&batch.to_string(), &settings());
     assert_eq!(message.weigh(), (2, 1));
+    let dear = rpc::read(&open(json!(1)).to_string(), &settings());
+    assert_eq!(dear.weigh(), (0, OPEN));
     let mut calls = Calls::new(ClientId(1), 8, false);
     let taken = calls.take(message.held_back(1_500));
     let freed = |input: &Input| matches!(input, Input::Close(..) | Input::Cancel(..));
@@ -136,13 +138,33 @@
 #[test]
 fn a_flood_of_calls_is_told_to_wait_and_then_cut_off() {
     let mut allowance = Allowance::new(LIMITS, 0);
-    assert_eq!(allowance.take(4, 0), Allowed::Yes);
-    assert_eq!(allowance.take(1, 0), Allowed::Later(100_000));
-    assert_eq!(allowance.take(1, 100_000), Allowed::Yes, "what it was told to wait for is enough");
+    assert_eq!(allowance.take(4, 0, 1), Allowed::Yes);
+    assert_eq!(allowance.take(1, 0, 1), Allowed::Later(100_000));
+    assert_eq!(allowance.take(1, 100_000, 1), Allowed::Yes, "what it was told to wait for is enough");
     for _ in 0..5 {
-        assert!(matches!(allowance.take(1, 100_000), Allowed::Later(_)));
+        assert!(matches!(allowance.take(1, 100_000, 1), Allowed::Later(_)));
     }
-    assert_eq!(allowance.take(1, 100_000), Allowed::Cut);
+    assert_eq!(allowance.take(1, 100_000, 1), Allowed::Cut);
+}
+
+#[test]
+fn thousands_that_keep_to_their_allowance_must_not_ask_for_more_than_there_is() {
+    let limits =
+        GateLimits { calls_per_s: 1_000, calls_at_once: 2_000, surplus: u64::MAX, all_per_s: 20_000 };
+    let asked = |inside: usize| {
+        let mut allowance = Allowance::new(limits, 0);
+        // The first look tells it how many are inside.
+        let taken = (0..200_000).filter(|at| allowance.take(1, at * 1_000, inside) == Allowed::Yes).count();
+        taken * inside / 200
+    };
+    assert!((20_000..=22_000).contains(&asked(4_000)), "{}", asked(4_000));
+    assert!((1_000..=1_100).contains(&asked(1)), "{}", asked(1));
+    let mut allowance = Allowance::new(limits, 0);
+    assert_eq!(
+        allowance.take(2 * OPEN, 0, 15_000),
+        Allowed::Yes,
+        "a session or two are always opened at once"
+    );
 }
 
 #[test]
@@ -189,7 +211,7 @@
         let (mut now, mut taken) = (0, 0);
         for (pause, calls) in steps {
             now += pause;
-            if allowance.take(calls, now) == Allowed::Yes {
+            if allowance.take(calls, now, 1) == Allowed::Yes {
                 taken += calls;
             }
             prop_assert!(taken <= 4 + now * 10 / 1_000_000, "{} by {}", taken, now);
--- a/crates/front/src/session_api/core/watch.rs
+++ b/crates/front/src/session_api/core/watch.rs
@@ -120,6 +120,12 @@
         }
     }
 
+    /// The front itself has read nothing for this long: that is not the player's slowness.
+    pub fn held_up(&mut self, pause: Micros) {
+        self.frames.held_up(pause);
+        self.next = self.next.saturating_add(pause);
+    }
+
     /// When to look again, if nothing is heard before.
     pub fn due(&self) -> Micros {
         self.step_due().min(self.next).min(self.reserve.unwrap_or(Micros::MAX))
--- a/crates/front/src/session_api/rpc.rs
+++ b/crates/front/src/session_api/rpc.rs
@@ -5,6 +5,7 @@
 use salttally::interface::{SessionId, ViewerId};
 use serde_json::{json, Map, Value};
 
+use super::core::gate::OPEN;
 use crate::core::{Answer, EndReason, FailReason, HeldBy as Held, News, Opening, Reply};
 use crate::settings::{viewer, Settings};
 
@@ -124,15 +125,18 @@
 }
 
 impl Message {
-    /// Number of calls in it that free something, and of all others.
+    /// Number of calls in it that free something, and weight of all others.
     pub fn weigh(&self) -> (u64, u64) {
         let calls = match self {
             Message::Unreadable(_) => return (0, 1),
             Message::One(call) => std::slice::from_ref(call),
             Message::Batch(calls) => calls,
         };
-        let frees = calls.iter().filter(|call| call.frees()).count();
-        (frees as u64, (calls.len() - frees) as u64)
+        calls.iter().fold((0, 0), |(frees, asks), call| match &call.method {
+            _ if call.frees() => (frees + 1, asks),
+            Ok(Method::Open(_)) => (frees, asks + OPEN),
+            _ => (frees, asks + 1),
+        })
     }
 
     /// Number of calls in it that ask for something and mean something: the front's thread must see them.
--- a/crates/front/src/session_api/server.rs
+++ b/crates/front/src/session_api/server.rs
@@ -35,6 +35,8 @@
 const STACK: usize = 128 * 1024;
 /// A connection that is told why it ends is read on for this long, so that the reason is not lost by a reset.
 const LINGER: Duration = Duration::from_millis(100);
+/// A player is read on after this at the latest, us: its pongs and its end are among what it sends.
+const PAUSE_MOST: u64 = 1_000_000;
 
 /// The ways from players to the front's thread.
 #[derive(Clone)]
@@ -315,56 +317,63 @@
             let (frees, asks) = message.as_ref().map_or((0, 0), rpc::Message::weigh);
             let allowed = match asks + controls {
                 0 => Allowed::Yes,
-                some => allowance.take(some, self.clock.now()),
+                some => allowance.take(some, self.clock.now(), self.entrance.inside()),
             };
-            let message = match (allowed, message) {
+            let pause = match (allowed, message) {
                 (Allowed::Cut, _) => {
                     farewell(&self.outbox, CloseCode::Policy, "far too many calls");
                     break;
                 }
-                (_, None) => continue,
-                (Allowed::Yes, Some(message)) => message,
-                (Allowed::Later(after), Some(message)) if asks > 0 => message.held_back(after),
-                (_, Some(message)) => message,
+                (Allowed::Yes, None) => Some(0),
+                (Allowed::Later(after), None) => Some(after),
+                (Allowed::Yes, Some(message)) => self.hand_on(message, frees, share),
+                (Allowed::Later(after), Some(message)) => {
+                    let more = self.hand_on(message.held_back(after), frees, share);
+                    more.map(|pause| pause.max(after))
+                }
             };
-            if !self.hand_on(message, frees, share) {
-                break;
+            // Told at once, and read on later: whoever asks for too much fills its own socket, and nobody's thread.
+            match pause.map(|pause| pause.min(PAUSE_MOST)) {
+                None => break,
+                Some(0) => {}
+                Some(pause) => {
+                    thread::sleep(Duration::from_micros(pause));
+                    socket.get_mut().watch.held_up(pause);
+                }
             }
         }
         socket.into_inner()
     }
 
-    /// Hands a message on to the front's thread, or answers it here where nothing of it is taken. Returns whether
-    /// the front still runs.
-    fn hand_on(&self, message: rpc::Message, frees: u64, share: &Arc<Mutex<Share>>) -> bool {
+    /// Hands a message on to the front's thread, or answers it here where nothing of it is taken. Returns how long
+    /// to wait before reading on, or nothing where the front has ended.
+    fn hand_on(&self, message: rpc::Message, frees: u64, share: &Arc<Mutex<Share>>) -> Option<u64> {
         let asks = message.takes();
         if frees + asks == 0 {
             if let Some(errors) = rpc::only_errors(&message) {
                 self.outbox.send(&text_frame(errors.to_string()));
             }
-            return true;
+            return Some(0);
         }
         let inside = self.entrance.inside();
         let (turn, charge) = hold(share).take(self.clock.now(), frees + asks, inside);
         if turn == Turn::Ahead {
-            return self.ways.engine.send(Msg::Calls(self.taken(message, charge))).is_ok();
+            return self.ways.engine.send(Msg::Calls(self.taken(message, charge))).ok().map(|()| 0);
         }
-        let pause = hold(share).pause(inside);
+        let pause = hold(share).pause(inside).max(1_000);
         if frees == 0 {
             return match self.ways.over.try_send(self.taken(message, charge)) {
-                Ok(()) => true,
+                Ok(()) => Some(0),
                 Err(TrySendError::Full(taken)) => {
                     hold(share).give_back(charge);
-                    self.hand_on(taken.message.held_back(pause.max(1_000)), 0, share)
+                    self.hand_on(taken.message.held_back(pause), 0, share).map(|_| pause)
                 }
-                Err(TrySendError::Disconnected(_)) => false,
+                Err(TrySendError::Disconnected(_)) => None,
             };
         }
         // What frees is always taken; its sender is read on the later for it.
-        let message = if asks > 0 { message.held_back(pause.max(1_000)) } else { message };
-        let sent = self.ways.engine.send(Msg::Calls(self.taken(message, charge))).is_ok();
-        thread::sleep(Duration::from_micros(pause));
-        sent
+        let message = if asks > 0 { message.held_back(pause) } else { message };
+        self.ways.engine.send(Msg::Calls(self.taken(message, charge))).ok().map(|()| pause)
     }
 
     fn taken(&self, message: rpc::Message, charge: Charge) -> Taken {
--- a/crates/front/src/settings/check.rs
+++ b/crates/front/src/settings/check.rs
@@ -124,8 +124,8 @@
     if watch.return_within == 0 || edges.keep_alive.as_secs() < 1 {
         return bad("`return-within-ms` must be over 0 and `keep-alive-ms` 1000 at least");
     }
-    if gate.calls_per_s == 0 || gate.calls_at_once == 0 {
-        return bad("`calls-per-s` and `calls-at-once` must be over 0");
+    if gate.calls_per_s == 0 || gate.calls_at_once == 0 || gate.all_per_s == 0 {
+        return bad("`calls-per-s`, `calls-at-once` and `calls-per-s-all` must be over 0");
     }
     if edges.message < 256 || edges.backlog < edges.message {
         return bad("`message-bytes` must be 256 at least and `backlog-bytes` not under it");
--- a/crates/front/src/settings/read.rs
+++ b/crates/front/src/settings/read.rs
@@ -297,9 +297,10 @@
         stalled: time("stalled-ms", 10_000)?,
         patience_ms: (block.or("patience-least-ms", 100)?, block.or("patience-most-ms", 60_000)?),
         gate: GateLimits {
-            calls_per_s: block.or("calls-per-s", 100)?,
-            calls_at_once: block.or("calls-at-once", 200)?,
+            calls_per_s: block.or("calls-per-s", 1_000)?,
+            calls_at_once: block.or("calls-at-once", 2_000)?,
             surplus: block.or("calls-surplus", 1_000)?,
+            all_per_s: block.or("calls-per-s-all", 10_000)?,
         },
         calls_over: block.or("calls-over", 512)?,
         opens: block.or("opens-per-player", 64)?,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`script`]: a day as KDL: fleet, terms, load and faults. [`deal`]: the draws that make a day of it.
 //! - [`fleet`]: what boxes hold and deliver, with no socket.
 //! - [`boxes`], [`list`], [`players`]: the sockets.
+//! - [`siege`]: peers that mean harm, beside viewers that do not.
 //! - [`day`]: plays a day against fronts that somebody else starts.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -18,3 +19,4 @@
 pub mod log;
 pub mod players;
 pub mod script;
+pub mod siege;
