--- a/crates/cli/src/pairs.rs
+++ b/crates/cli/src/pairs.rs
@@ -20,7 +20,7 @@
 
 /// The kinds, each as it is played for two seconds from the first on. The second of a pair begins a moment after
 /// the first, in the middle of what that causes.
-const KINDS: [(&str, &str); 13] = [
+const KINDS: [(&str, &str); 14] = [
     ("crash", "part=0.25"),
     ("vanish", "part=0.2"),
     ("preempt", "part=0.25 notice-ms=300"),
@@ -34,6 +34,7 @@
     ("list-drop", ""),
     ("front-crash", "fronts=1"),
     ("slow", "part=1.0 times=1.8"),
+    ("siege", "peers=60 first=\"slow-handshake\" second=\"calls\" third=\"idle\""),
 ];
 
 /// Arguments of `salttally pairs`.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,7 +8,7 @@
 
 use clap::{Parser, ValueEnum};
 use miette::Report;
-use salttally_front::settings::Settings;
+use salttally_front::settings::{room, Settings};
 use salttally_front::Front;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -49,7 +49,7 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    let mut settings = match Settings::load(&arguments.config) {
+    let mut settings = match Settings::load_within(&arguments.config, &room::of_process()) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("salttallyd: {error}");
--- a/crates/front/src/box_list/core.rs
+++ b/crates/front/src/box_list/core/mod.rs
@@ -9,7 +9,9 @@
 //! it speaks, and until that is after the front's own start the module is told that its list may be old, and of no
 //! box since when it runs: it may have started anew. The module takes every box of unknown age for a cold one.
 
-use std::collections::BTreeMap;
+pub mod damping;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use salttally::interface::{ListKind, Micros, ServerId, ServerState};
@@ -35,12 +37,20 @@
     /// A message is missing in between.
     #[error("revision {0} after {1}: something was missed")]
     Gap(u64, u64),
+    /// More boxes than any fleet has.
+    #[error("{0} boxes, {BOXES_MOST} at most")]
+    TooMany(usize),
 }
 
+/// Boxes that a list may name: a list that names ever more of them must not fill the front's memory.
+pub const BOXES_MOST: usize = 20_000;
+
 /// The list as it is held.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
     boxes: BTreeMap<ServerId, Listed>,
+    /// The boxes by their addresses.
+    addresses: BTreeMap<SocketAddr, ServerId>,
     /// Revision of the last message, once a whole list has come on this connection.
     revision: Option<u64>,
     /// As of this time a list is no older than the front.
@@ -62,6 +72,7 @@
     /// the module is told.
     pub fn remember(&mut self, lines: Vec<Listed>) -> Vec<Listed> {
         self.boxes = lines.into_iter().map(|line| (line.entry.server, line)).collect();
+        self.addresses = self.boxes.iter().map(|(id, line)| (line.address, *id)).collect();
         self.revision = None;
         self.old()
     }
@@ -104,38 +115,65 @@
                 return Err(BadList::Units(id.0, line.entry.units));
             }
         }
-        let mut boxes = match (kind, self.revision) {
-            (ListKind::Whole, _) => BTreeMap::new(),
+        match (kind, self.revision) {
+            (ListKind::Whole, _) => {}
             (_, None) => return Err(BadList::NoList),
             (_, Some(last)) if revision != last + 1 => return Err(BadList::Gap(revision, last)),
-            _ => self.boxes.clone(),
-        };
+            _ => {}
+        }
+        let whole = kind == ListKind::Whole;
+        self.one_address_each(whole, &lines)?;
+        if whole {
+            self.boxes.clear();
+            self.addresses.clear();
+        }
+        // First those that go, so that a successor in the same message may have the address of one of them.
+        let known: Vec<Option<Listed>> = lines.iter().map(|line| self.take(line.entry.server)).collect();
         let mut told = Vec::new();
-        for line in lines {
-            let id = line.entry.server;
-            let known = if line.entry.state == ServerState::Gone {
-                boxes.remove(&id)
-            } else {
-                boxes.insert(id, line.clone())
-            };
+        for (line, known) in lines.into_iter().zip(known) {
             // A box that nobody knew of is gone already: there is nothing to tell.
+            let gone = line.entry.state == ServerState::Gone;
             let new = known.as_ref() != Some(&line);
-            if kind == ListKind::Whole || new && (known.is_some() || line.entry.state != ServerState::Gone) {
+            if !gone {
+                self.addresses.insert(line.address, line.entry.server);
+                self.boxes.insert(line.entry.server, line.clone());
+            }
+            if whole || new && (known.is_some() || !gone) {
                 told.push(line);
             }
         }
-        // A successor may have the address of a box that is gone, but not of one that runs.
-        let mut addresses: BTreeMap<SocketAddr, ServerId> = BTreeMap::new();
-        for (id, line) in &boxes {
-            if let Some(other) = addresses.insert(line.address, *id) {
-                return Err(BadList::OneAddress(other.0, id.0, line.address));
-            }
+        if self.boxes.len() > BOXES_MOST {
+            // What is held is not the list any more: the next message must be a whole one.
+            self.revision = None;
+            return Err(BadList::TooMany(self.boxes.len()));
         }
-        (self.boxes, self.revision) = (boxes, Some(revision));
+        self.revision = Some(revision);
         if !self.fresh {
             return Ok(self.beat(as_of).or_else(|| Some((ListKind::Remembered, self.old()))));
         }
-        Ok((kind == ListKind::Whole || !told.is_empty()).then_some((kind, told)))
+        Ok((whole || !told.is_empty()).then_some((kind, told)))
+    }
+
+    fn take(&mut self, id: ServerId) -> Option<Listed> {
+        let known = self.boxes.remove(&id)?;
+        self.addresses.remove(&known.address);
+        Some(known)
+    }
+
+    /// A successor may have the address of a box that goes, but not of one that runs. Only what the message touches
+    /// is looked at: a list that changes without end must not cost its length each time.
+    fn one_address_each(&self, whole: bool, lines: &[Listed]) -> Result<(), BadList> {
+        let touched: BTreeSet<ServerId> = lines.iter().map(|line| line.entry.server).collect();
+        let mut addresses: BTreeMap<SocketAddr, ServerId> = BTreeMap::new();
+        for line in lines.iter().filter(|line| line.entry.state != ServerState::Gone) {
+            let id = line.entry.server;
+            let others = self.addresses.get(&line.address).copied();
+            let runs = others.filter(|other| !whole && !touched.contains(other));
+            if let Some(other) = runs.or_else(|| addresses.insert(line.address, id)) {
+                return Err(BadList::OneAddress(other.0.min(id.0), other.0.max(id.0), line.address));
+            }
+        }
+        Ok(())
     }
 
     /// A sign of life that speaks of this time: nothing has changed until then. Returns what the module is told.
@@ -235,6 +273,32 @@
         assert_eq!(change(&mut list, 8, lines.clone()), Ok(lines));
     }
 
+    #[test]
+    fn two_boxes_may_change_addresses_with_each_other_and_one_may_not_take_anothers() {
+        let mut list = two();
+        let swapped = vec![line(1, 2, READY), line(2, 1, READY)];
+        assert_eq!(change(&mut list, 8, swapped.clone()), Ok(swapped));
+        assert!(matches!(change(&mut list, 9, vec![line(1, 1, READY)]), Err(BadList::OneAddress(1, 2, _))));
+        assert_eq!(change(&mut list, 9, vec![line(1, 7, READY)]).map(|told| told.len()), Ok(1));
+        assert_eq!(
+            change(&mut list, 10, vec![line(3, 2, READY)]).map(|told| told.len()),
+            Ok(1),
+            "it is free"
+        );
+    }
+
+    #[test]
+    fn a_list_of_ever_more_boxes_must_not_fill_the_memory() {
+        let mut list = two();
+        let lines = (10..10 + BOXES_MOST as u32).map(|id| {
+            let mut line = line(id, 1, READY);
+            line.address = SocketAddr::from(([127, 9, (id >> 8) as u8, id as u8], (id >> 16) as u16 + 1));
+            line
+        });
+        assert_eq!(change(&mut list, 8, lines.collect()), Err(BadList::TooMany(BOXES_MOST + 2)));
+        assert_eq!(change(&mut list, 9, vec![]), Err(BadList::NoList), "a whole one is due");
+    }
+
     #[test]
     fn what_is_known_already_is_not_told_again() {
         let mut list = two();
--- a/crates/front/src/boxes/events.rs
+++ b/crates/front/src/boxes/events.rs
@@ -51,6 +51,11 @@
         Ok(events)
     }
 
+    /// Whether an event or a line is begun and not ended.
+    pub fn begun(&self) -> bool {
+        !self.line.is_empty() || self.has_data || !self.event.name.is_empty()
+    }
+
     fn line_done(&mut self) -> Option<Event> {
         let line = std::mem::take(&mut self.line);
         if line.is_empty() {
--- a/crates/front/src/boxes/link.rs
+++ b/crates/front/src/boxes/link.rs
@@ -9,8 +9,10 @@
 use salttally::interface::ServerId;
 use socket2::SockRef;
 
+use super::core::Meter;
 use super::events::Decoder;
 use super::{http, wire};
+use crate::clock::Clock;
 use crate::core::{BoxRequest, ConnId, DialError, ExchangeEnd, Input, StreamNews};
 use crate::engine::Msg;
 use crate::settings::Settings;
@@ -41,15 +43,10 @@
 
     /// Connects, unless it has been closed meanwhile.
     pub(crate) fn connect(&self, address: SocketAddr, settings: &Settings) -> Result<TcpStream, DialError> {
-        let stream =
-            TcpStream::connect_timeout(&address, settings.edges.connect).map_err(|error| {
-                match error.kind() {
-                    io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => DialError::TimedOut,
-                    _ => DialError::Refused,
-                }
-            })?;
+        let stream = TcpStream::connect_timeout(&address, settings.edges.connect)
+            .map_err(|error| dial_error(&error))?;
         let _ = stream.set_nodelay(true);
-        let other = stream.try_clone().map_err(|_| DialError::Refused)?;
+        let other = stream.try_clone().map_err(|error| dial_error(&error))?;
         let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         match *state {
             State::Making => *state = State::Open(other),
@@ -59,6 +56,17 @@
     }
 }
 
+/// What a dial that failed says. Danger: the front's own lack of files or ports, taken for a refusal, would prove a
+/// box's process dead, and all its sessions would be given up.
+fn dial_error(error: &io::Error) -> DialError {
+    let ours = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM, libc::EAGAIN, libc::EADDRNOTAVAIL];
+    match error.kind() {
+        io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => DialError::TimedOut,
+        _ if error.raw_os_error().is_some_and(|code| ours.contains(&code)) => DialError::TimedOut,
+        _ => DialError::Refused,
+    }
+}
+
 /// Starts a thread; `instead` is done where there is none to be had.
 pub fn spawn(name: &str, run: impl FnOnce() + Send + 'static, instead: impl FnOnce()) {
     if thread::Builder::new().name(name.into()).stack_size(STACK).spawn(run).is_err() {
@@ -67,9 +75,9 @@
     }
 }
 
-/// Tells that a connection had no thread: nothing was sent.
+/// Tells that a connection had no thread: nothing was sent, and the box is not to blame.
 pub fn no_thread(engine: &Sender<Msg>, id: ConnId) {
-    let _ = engine.send(Msg::Core(Input::Dialed(id, Err(DialError::Refused))));
+    let _ = engine.send(Msg::Core(Input::Dialed(id, Err(DialError::TimedOut))));
 }
 
 /// Tells that a stream had no thread; the box is not to blame, so this is no refusal.
@@ -152,6 +160,7 @@
     pub settings: Arc<Settings>,
     pub engine: Sender<Msg>,
     pub socket: Arc<Socket>,
+    pub clock: Clock,
 }
 
 impl Listener {
@@ -160,20 +169,35 @@
         let last = match self.socket.connect(self.address, &self.settings) {
             Err(error) => StreamNews::NoConnection(error),
             Ok(mut stream) => {
-                let ended = follow(&mut stream, "/events", &self.settings, |event| {
+                let mut meter = Meter::new(self.settings.edges.meter, self.clock.now());
+                let mut over = None;
+                let ended = follow(&mut stream, "/events", &self.settings, |event, begun| {
                     let all = match event {
                         None => vec![StreamNews::Beat],
                         Some(event) => wire::news(event, &self.settings)?,
                     };
+                    let now = self.clock.now();
+                    if let Err(why) = meter.take(now, &all).and_then(|()| meter.unended(now, begun)) {
+                        over = Some(why);
+                        return Err(why.to_string());
+                    }
                     all.into_iter().for_each(|news| self.tell(news));
                     Ok(())
                 });
-                if let Some(reason) = ended {
-                    tracing::warn!(server = self.server.0, "event stream: {reason}");
+                match (over, ended) {
+                    // The ledger tells that once, however often it happens.
+                    (Some(why), _) => StreamNews::CutOff(why.to_string()),
+                    (None, reason) => {
+                        if let Some(reason) = reason {
+                            tracing::warn!(server = self.server.0, "event stream: {reason}");
+                        }
+                        StreamNews::Broken
+                    }
                 }
-                StreamNews::Broken
             }
         };
+        // Whoever is cut off must not be able to go on writing.
+        self.socket.close();
         self.tell(last);
     }
 
@@ -182,13 +206,13 @@
     }
 }
 
-/// Reads an event stream until it ends; `None` is handed on for a sign of life without an event. Returns the
-/// reason where the peer is to blame.
+/// Reads an event stream until it ends; `None` is handed on for a sign of life without an event, and with each
+/// whether an event is begun and not ended. Returns the reason where the peer is to blame.
 pub fn follow(
     stream: &mut TcpStream,
     path: &str,
     settings: &Settings,
-    mut told: impl FnMut(Option<&super::events::Event>) -> Result<(), String>,
+    mut told: impl FnMut(Option<&super::events::Event>, bool) -> Result<(), String>,
 ) -> Option<String> {
     if stream.write_all(&wire::follow(path, settings)).is_err() {
         return None;
@@ -223,11 +247,24 @@
         };
         bytes.clear();
         let done = match events.is_empty() {
-            true => told(None),
-            false => events.iter().try_for_each(|event| told(Some(event))),
+            true => told(None, decoder.begun()),
+            false => events.iter().try_for_each(|event| told(Some(event), decoder.begun())),
         };
         if let Err(reason) = done {
             return Some(reason);
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_fronts_own_lack_of_files_must_not_prove_a_box_dead() {
+        let error = |code: i32| dial_error(&io::Error::from_raw_os_error(code));
+        assert_eq!(error(libc::EMFILE), DialError::TimedOut);
+        assert_eq!(error(libc::EADDRNOTAVAIL), DialError::TimedOut);
+        assert_eq!(error(libc::ECONNREFUSED), DialError::Refused);
+    }
+}
--- a/crates/front/src/boxes/mod.rs
+++ b/crates/front/src/boxes/mod.rs
@@ -1,9 +1,10 @@
 //! Client of media boxes: HTTP/1.1 with keep-alive connections, and one event stream for each box. Described in
 //! `docs/box-api.md`.
 //!
-//! [`http`] and [`events`] read bytes and know no socket; [`wire`] is what the bodies say. Each connection and
+//! [`core`] decides what one box may cost; [`http`] and [`events`] read bytes and know no socket; [`wire`] is what the bodies say. Each connection and
 //! each stream has a thread of its own that does what the ledger says and tells what came of it.
 
+pub mod core;
 pub mod events;
 pub mod http;
 pub(crate) mod link;
@@ -16,6 +17,7 @@
 use crossbeam_channel::Sender;
 use salttally::interface::ServerId;
 
+use crate::clock::Clock;
 use crate::core::{BoxRequest, ConnId};
 use crate::engine::Msg;
 use crate::settings::Settings;
@@ -27,6 +29,7 @@
     engine: Sender<Msg>,
     conns: BTreeMap<ConnId, Conn>,
     streams: BTreeMap<u64, Arc<Socket>>,
+    clock: Clock,
 }
 
 struct Conn {
@@ -36,12 +39,20 @@
 
 impl Boxes {
     /// No connection yet.
-    pub fn new(settings: Arc<Settings>, engine: Sender<Msg>) -> Boxes {
-        Boxes { settings, engine, conns: BTreeMap::new(), streams: BTreeMap::new() }
+    pub fn new(settings: Arc<Settings>, engine: Sender<Msg>, clock: Clock) -> Boxes {
+        Boxes { settings, engine, conns: BTreeMap::new(), streams: BTreeMap::new(), clock }
+    }
+
+    /// Whether there is room for one more thread.
+    fn has_room(&self) -> bool {
+        self.conns.len() + self.streams.len() < self.settings.edges.to_boxes
     }
 
     /// Begins to connect.
     pub fn dial(&mut self, id: ConnId, server: ServerId, address: SocketAddr) {
+        if !self.has_room() {
+            return link::no_thread(&self.engine, id);
+        }
         let (requests, inbox) = crossbeam_channel::unbounded();
         let socket = Arc::new(Socket::default());
         let conn = link::Exchanger {
@@ -76,6 +87,9 @@
 
     /// Opens an event stream.
     pub fn listen(&mut self, server: ServerId, number: u64, address: SocketAddr) {
+        if !self.has_room() {
+            return link::no_stream(&self.engine, server, number);
+        }
         let socket = Arc::new(Socket::default());
         let listener = link::Listener {
             server,
@@ -84,6 +98,7 @@
             settings: Arc::clone(&self.settings),
             engine: self.engine.clone(),
             socket: Arc::clone(&socket),
+            clock: self.clock,
         };
         self.streams.insert(number, socket);
         link::spawn("events", move || listener.run(), {
@@ -93,7 +108,7 @@
     }
 
     /// Closes an event stream.
-    pub fn stop_listening(&mut self, _server: ServerId, number: u64) {
+    pub fn stop_listening(&mut self, number: u64) {
         if let Some(socket) = self.streams.remove(&number) {
             socket.close();
         }
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -31,6 +31,11 @@
         Instant::now()
     }
 
+    /// How long ago that moment was, ns.
+    pub fn nanos_since(&self, moment: Instant) -> u64 {
+        u64::try_from(moment.elapsed().as_nanos()).unwrap_or(u64::MAX)
+    }
+
     /// The moment of this time, for a wait; one that is past is now.
     pub fn moment(&self, at: Micros) -> Instant {
         self.started + Duration::from_micros(at.saturating_sub(self.base))
--- a/crates/front/src/core/ledger.rs
+++ b/crates/front/src/core/ledger.rs
@@ -16,6 +16,8 @@
 
 /// Releases of one attempt that are tried before it is left to the box's own account of what it holds.
 const RELEASES: u32 = 4;
+/// Releases under way at one box, of sessions that it names and nobody knows.
+const RELEASES_AT_ONCE: usize = 32;
 /// Pause before the second of them; it doubles.
 const RELEASE_PAUSE: Micros = 100_000;
 /// Changes of rung in a row that may fail before the module is told the rung in force.
@@ -82,6 +84,8 @@
     /// Sessions that this front moved, until they are opened again.
     moved: BTreeMap<SessionId, ViewerId>,
     releases: BTreeMap<(ServerId, SessionId, u32), u32>,
+    /// Sessions named by boxes that nobody knows, until they are released too.
+    unknown: BTreeMap<ServerId, BTreeSet<(SessionId, u32)>>,
     pool: Pool,
     streams: Streams,
     timers: Timers,
@@ -109,6 +113,7 @@
             boxes: self.boxes.clone(),
             moved: self.moved.clone(),
             releases: self.releases.clone(),
+            unknown: self.unknown.clone(),
             pool: self.pool.clone(),
             streams: self.streams.clone(),
             timers: self.timers.clone(),
@@ -126,7 +131,7 @@
         let sessions = (&self.sessions, &self.by_client, &self.moved, &self.releases, &self.found);
         let flags = (self.boot, self.opened, self.fresh, self.ending, self.finished);
         write!(f, "{sessions:?} {:?} {:?} {:?} {:?}", self.boxes, self.pool, self.streams, self.timers)?;
-        write!(f, " {flags:?} {:?}", self.decider)
+        write!(f, " {:?} {flags:?} {:?}", self.unknown, self.decider)
     }
 }
 
@@ -134,6 +139,7 @@
     /// The ledger of a front that has just started. `name` is the front's own, the same at each start; `boot`
     /// differs between its starts, so that no id of a session is used again.
     pub fn new(decider: D, settings: Settings, limits: Limits, name: &str, boot: u32) -> Self {
+        let streams = Streams::new(limits.silent_after);
         Ledger {
             decider,
             settings: Arc::new(settings),
@@ -148,8 +154,9 @@
             boxes: BTreeMap::new(),
             moved: BTreeMap::new(),
             releases: BTreeMap::new(),
+            unknown: BTreeMap::new(),
             pool: Pool::default(),
-            streams: Streams::default(),
+            streams,
             timers: Timers::default(),
             found: Vec::new(),
             fresh: false,
@@ -647,6 +654,7 @@
                         })
                 );
                 self.release_ended(server, session, attempt, done);
+                self.next_unknown(server, out);
             }
             BoxRequest::Probe => {
                 let (outcome, report) = outcome_of(end);
@@ -787,6 +795,44 @@
         self.ask(to, BoxRequest::Release { session: id.clone(), attempt: wire }, out);
     }
 
+    /// Releases what plays for nobody. Danger: a box that names thousands of sessions that never were would have as
+    /// many requests sent to it at once, each with a connection and a thread of its own.
+    fn release_unknown(
+        &mut self,
+        to: (ServerId, SocketAddr),
+        id: SessionId,
+        wire: u32,
+        out: &mut Vec<Output>,
+    ) {
+        if self.releases.contains_key(&(to.0, id.clone(), wire)) {
+            return;
+        }
+        if self.releasing_at(to.0) < RELEASES_AT_ONCE {
+            return self.release(to, &id, wire, out);
+        }
+        self.unknown.entry(to.0).or_default().insert((id, wire));
+    }
+
+    fn releasing_at(&self, server: ServerId) -> usize {
+        let from = (server, SessionId(Arc::from("")), 0);
+        self.releases.range(from..).take_while(|((at, ..), _)| *at == server).take(RELEASES_AT_ONCE).count()
+    }
+
+    /// A release at this box has ended: the next one of those that wait.
+    fn next_unknown(&mut self, server: ServerId, out: &mut Vec<Output>) {
+        if self.releasing_at(server) >= RELEASES_AT_ONCE {
+            return;
+        }
+        let Some(mut waiting) = self.unknown.remove(&server) else { return };
+        // A box that is gone has taken with it what it played.
+        let Some(address) = self.streams.address(server) else { return };
+        let Some((id, wire)) = waiting.pop_first() else { return };
+        if !waiting.is_empty() {
+            self.unknown.insert(server, waiting);
+        }
+        self.release((server, address), &id, wire, out);
+    }
+
     /// A release that did not reach the box is tried again a few times. After that the box's own account of
     /// what it holds, sent whenever its stream is made, shows what plays for nobody.
     fn release_ended(&mut self, server: ServerId, id: SessionId, wire: u32, done: bool) {
@@ -828,7 +874,7 @@
                     gone.push(id);
                 } else {
                     self.boxes.insert(id, line.address);
-                    self.streams.listed(self.now, id, line.address, out);
+                    self.streams.listed(self.now, id, line.address, &mut self.timers, out);
                 }
             }
             for id in gone {
@@ -855,11 +901,11 @@
         if !self.streams.heard(self.now, server, number) {
             return;
         }
-        let (silent_after, lost_after) = (self.limits.silent_after, self.limits.lost_after);
+        let lost_after = self.limits.lost_after;
         let why = match news {
             StreamNews::Beat => return,
             StreamNews::Up(held) => {
-                self.streams.up(self.now, server, silent_after, &mut self.timers);
+                self.streams.up(self.now, server, &mut self.timers);
                 return self.compare(server, asked.unwrap_or(self.now), held, out);
             }
             StreamNews::Note(session, note) => {
@@ -877,6 +923,14 @@
                 }
                 return;
             }
+            StreamNews::CutOff(reason) => {
+                self.counts.faults += 1;
+                if self.streams.cut_off(self.now, server, &mut self.timers) {
+                    let text = format!("box {} is cut off now and then: {reason}", server.0);
+                    out.push(Output::Log(Level::Warn, text));
+                }
+                return;
+            }
             StreamNews::NoConnection(error) => Some(error),
             StreamNews::Broken => None,
         };
@@ -953,7 +1007,7 @@
         let known = self.sessions.contains_key(&held.session);
         let opening = held.opening.filter(|_| earlier && !known && !self.ending);
         let Some(opening) = opening else {
-            return self.release((server, address), &held.session, held.attempt, out);
+            return self.release_unknown((server, address), held.session, held.attempt, out);
         };
         self.counts.resumed += 1;
         let id = held.session;
@@ -1000,10 +1054,11 @@
             Due::Moved(id) => {
                 self.moved.remove(&id);
             }
-            Due::Listen(server, number) => self.streams.again(self.now, server, number, out),
+            Due::Listen(server, number) => {
+                self.streams.again(self.now, server, number, &mut self.timers, out);
+            }
             Due::Silent(server, number) => {
-                let after = self.limits.silent_after;
-                if self.streams.silent(self.now, server, number, after, &mut self.timers, out) {
+                if self.streams.silent(self.now, server, number, &mut self.timers, out) {
                     let why = Some(DialError::TimedOut);
                     let lost = self.limits.lost_after;
                     let verdict = self.streams.broke(self.now, server, why, lost, &mut self.timers, out);
@@ -1018,6 +1073,7 @@
                     }
                     _ => {
                         self.releases.remove(&(server, id, wire));
+                        self.next_unknown(server, out);
                     }
                 }
             }
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -10,10 +10,12 @@
 //! - [`session`]: the stages of one session; a wrong order does not compile or is told.
 //! - [`pool`]: keep-alive connections to boxes: which to use, dial, keep, hang up.
 //! - [`streams`]: the event stream from each box: when a box counts as lost, when to try again.
+//! - [`room`]: what of the process's files and threads is whose.
 //! - [`timers`]: one queue of all that is due.
 
 mod ledger;
 pub mod pool;
+pub mod room;
 pub mod session;
 pub mod streams;
 #[cfg(test)]
@@ -210,6 +212,8 @@
     NoConnection(DialError),
     /// It broke, or was not understood.
     Broken,
+    /// It was cut off here, since the box cost the front more than one box may.
+    CutOff(String),
 }
 
 /// What is asked of a box.
--- a/crates/front/src/core/streams.rs
+++ b/crates/front/src/core/streams.rs
@@ -38,6 +38,17 @@
     pause: Micros,
     /// The list names this box.
     listed: bool,
+    /// It was cut off before for what it cost; that was told.
+    greedy: bool,
+}
+
+impl Stream {
+    /// It is no longer waited for to stand.
+    fn not_awaited(&self, id: ServerId, silent_after: Micros, timers: &mut Timers) {
+        if let State::Opening(asked) = self.state {
+            timers.unset(asked + silent_after, Due::Silent(id, self.try_no));
+        }
+    }
 }
 
 /// What follows from news of a stream.
@@ -56,22 +67,45 @@
 pub struct Streams {
     streams: BTreeMap<ServerId, Stream>,
     last: u64,
+    /// A stream on which nothing came for this long is silent, also one that was asked for and never stood.
+    silent_after: Micros,
 }
 
 impl Streams {
+    /// No stream yet.
+    pub fn new(silent_after: Micros) -> Streams {
+        Streams { silent_after, ..Streams::default() }
+    }
+
     /// The list names this box at this address: its stream is opened, or opened anew if the address is another.
-    pub fn listed(&mut self, now: Micros, id: ServerId, address: SocketAddr, out: &mut Vec<Output>) {
+    pub fn listed(
+        &mut self,
+        now: Micros,
+        id: ServerId,
+        address: SocketAddr,
+        timers: &mut Timers,
+        out: &mut Vec<Output>,
+    ) {
         if let Some(stream) = self.streams.get_mut(&id) {
             stream.listed = true;
             if stream.address == address {
                 return;
             }
+            stream.not_awaited(id, self.silent_after, timers);
             out.push(Output::StopListening(id, stream.try_no));
         }
         let state = State::Opening(now);
-        let stream = Stream { address, try_no: 0, state, down: Some(now), pause: PAUSE_FIRST, listed: true };
+        let stream = Stream {
+            address,
+            try_no: 0,
+            state,
+            down: Some(now),
+            pause: PAUSE_FIRST,
+            listed: true,
+            greedy: false,
+        };
         self.streams.insert(id, stream);
-        self.open(now, id, out);
+        self.open(now, id, timers, out);
     }
 
     /// The list does not name this box any more: its stream is kept while sessions play there, or may: until it has
@@ -113,8 +147,10 @@
     }
 
     /// A stream stands.
-    pub fn up(&mut self, now: Micros, id: ServerId, silent_after: Micros, timers: &mut Timers) {
+    pub fn up(&mut self, now: Micros, id: ServerId, timers: &mut Timers) {
+        let silent_after = self.silent_after;
         let Some(stream) = self.streams.get_mut(&id) else { return };
+        stream.not_awaited(id, silent_after, timers);
         (stream.state, stream.down, stream.pause) = (State::Up(now), None, PAUSE_FIRST);
         timers.set(now + silent_after, Due::Silent(id, stream.try_no));
     }
@@ -131,10 +167,11 @@
     ) -> Verdict {
         let Some(stream) = self.streams.get_mut(&id) else { return Verdict::Old };
         let stood = matches!(stream.state, State::Up(_));
+        stream.not_awaited(id, self.silent_after, timers);
         let since = *stream.down.get_or_insert(now);
         if stood && why.is_none() {
             // One try at once: the answer tells a dead process from a broken connection.
-            self.open(now, id, out);
+            self.open(now, id, timers, out);
             return Verdict::Nothing;
         }
         // Refused, nobody listens there: the process is dead. Silent, it may be a cut: sessions play on behind it
@@ -156,30 +193,48 @@
     }
 
     /// The pause before a further try is over.
-    pub fn again(&mut self, now: Micros, id: ServerId, number: u64, out: &mut Vec<Output>) {
+    pub fn again(
+        &mut self,
+        now: Micros,
+        id: ServerId,
+        number: u64,
+        timers: &mut Timers,
+        out: &mut Vec<Output>,
+    ) {
         if self.streams.get(&id).is_some_and(|s| s.try_no == number && s.state == State::Pausing) {
-            self.open(now, id, out);
+            self.open(now, id, timers, out);
         }
     }
 
-    /// Whether a stream has been silent for too long; if so it is closed, and counts as not made in time.
+    /// A box costs more than one may and its stream was cut off: it is tried again after the longest pause, and its
+    /// sessions play on. Returns whether that is the first time.
+    pub fn cut_off(&mut self, now: Micros, id: ServerId, timers: &mut Timers) -> bool {
+        let Some(stream) = self.streams.get_mut(&id) else { return false };
+        stream.not_awaited(id, self.silent_after, timers);
+        (stream.state, stream.down) = (State::Pausing, None);
+        timers.set(now + PAUSE_MOST, Due::Listen(id, stream.try_no));
+        !std::mem::replace(&mut stream.greedy, true)
+    }
+
+    /// Whether a stream has been silent for too long; if so it is closed, and counts as not made in time. Danger: a
+    /// box that takes the connection and never says what it holds would be waited for without end.
     pub fn silent(
         &mut self,
         now: Micros,
         id: ServerId,
         number: u64,
-        silent_after: Micros,
         timers: &mut Timers,
         out: &mut Vec<Output>,
     ) -> bool {
+        let silent_after = self.silent_after;
         let Some(stream) = self.streams.get_mut(&id).filter(|s| s.try_no == number) else { return false };
-        let State::Up(heard) = stream.state else { return false };
+        let (State::Up(heard) | State::Opening(heard)) = stream.state else { return false };
         if heard + silent_after > now {
             timers.set(heard + silent_after, Due::Silent(id, number));
             return false;
         }
-        // It has been down since it was last heard.
-        stream.down = Some(heard);
+        // It has been down since it was last heard, or for as long as it could not be made.
+        stream.down = Some(stream.down.map_or(heard, |down| down.min(heard)));
         out.push(Output::StopListening(id, number));
         true
     }
@@ -196,10 +251,11 @@
         }
     }
 
-    fn open(&mut self, now: Micros, id: ServerId, out: &mut Vec<Output>) {
+    fn open(&mut self, now: Micros, id: ServerId, timers: &mut Timers, out: &mut Vec<Output>) {
         self.last += 1;
         let Some(stream) = self.streams.get_mut(&id) else { return };
         (stream.try_no, stream.state) = (self.last, State::Opening(now));
+        timers.set(now + self.silent_after, Due::Silent(id, stream.try_no));
         out.push(Output::Listen(id, stream.try_no, stream.address));
     }
 }
--- a/crates/front/src/core/tests.rs
+++ b/crates/front/src/core/tests.rs
@@ -11,6 +11,8 @@
 use super::*;
 use crate::settings::tests::settings;
 
+mod doors;
+
 const CLIP: usize = 0;
 const PAID: usize = 1;
 const MS: Micros = 1_000;
@@ -242,7 +244,8 @@
                 let client = ClientId(self.below(3) as u64 + 1);
                 self.gone.insert(client);
                 self.playing.retain(|_, (of, ..)| *of != client);
-                self.give(Input::ClientGone(client));
+                let lost = self.below(2) == 0;
+                self.give(if lost { Input::ClientLost(client) } else { Input::ClientGone(client) });
             }
             5 => {
                 let id = self.below(4) as u32;
@@ -277,7 +280,8 @@
                 opening: Some(opening(1, CLIP)),
             })
             .collect();
-        let news = match self.below(8) {
+        let news = match self.below(9) {
+            8 => StreamNews::CutOff("greedy".into()),
             0 => StreamNews::NoConnection(DialError::Refused),
             1 => StreamNews::NoConnection(DialError::TimedOut),
             2 => StreamNews::Broken,
--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -14,7 +14,7 @@
 use crate::core::{Answer, ClientId, Counts, Input, Ledger, Level, News, Output, Reply, Ticket};
 use crate::session_api::core::calls::Calls;
 use crate::session_api::core::door::DoorCounts;
-use crate::session_api::core::share::{Charge, Share};
+use crate::session_api::core::share::{Aftermath, Charge, Share};
 use crate::session_api::entrance::Entrance;
 use crate::session_api::outbox::Outbox;
 use crate::session_api::rpc::{self, Message};
@@ -130,6 +130,8 @@
     pub inbox: Receiver<Msg>,
     /// Calls over their sender's share: heard when there is nothing else.
     pub over: Receiver<Taken>,
+    /// What opens cost beside their calls.
+    pub aftermath: Aftermath,
     /// Who is let in.
     pub entrance: Arc<Entrance>,
     /// Clients by number.
@@ -168,7 +170,9 @@
                         Input::ClientGone(client) | Input::ClientLost(client) => Some(*client),
                         _ => None,
                     };
+                    let begun = self.clock.moment_now();
                     let finished = self.input(input);
+                    self.aftermath.spent(self.clock.nanos_since(begun));
                     gone.and_then(|client| self.clients.remove(&client));
                     finished
                 }
@@ -216,11 +220,13 @@
             Some(Port::Socket(socket)) => (socket.take(taken.message), Arc::clone(&socket.share)),
             _ => return false,
         };
+        let opens =
+            inputs.iter().filter(|input| matches!(input, Input::Open(..) | Input::Return(..))).count();
         let mut finished = false;
         for input in inputs {
             finished |= self.input(input);
         }
-        let nanos = u64::try_from(begun.elapsed().as_nanos()).unwrap_or(u64::MAX);
+        let nanos = self.clock.nanos_since(begun).saturating_add(self.aftermath.opened(opens as u64));
         share.lock().unwrap_or_else(PoisonError::into_inner).cost(taken.charge, nanos);
         finished
     }
@@ -259,7 +265,7 @@
                 Output::Exchange(conn, request) => self.boxes.exchange(*conn, request),
                 Output::Hang(conn) => self.boxes.hang(*conn),
                 Output::Listen(server, number, address) => self.boxes.listen(*server, *number, *address),
-                Output::StopListening(server, number) => self.boxes.stop_listening(*server, *number),
+                Output::StopListening(_, number) => self.boxes.stop_listening(*number),
                 Output::FollowList => self.list.follow(),
                 Output::Log(Level::Debug, text) => tracing::debug!("{text}"),
                 Output::Log(Level::Info, text) => tracing::info!("{text}"),
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -20,6 +20,7 @@
 use crate::engine::{Engine, Look, Msg, Port, ToCaller};
 use crate::record::lines::Born;
 use crate::record::Recorder;
+use crate::session_api::core::share::Aftermath;
 use crate::session_api::entrance::Entrance;
 use crate::session_api::outbox;
 use crate::session_api::server::{Server, Ways};
@@ -115,9 +116,9 @@
         if let Some(recorder) = &recorder {
             ledger = ledger.tapped(Box::new(recorder.tap()));
         }
-        let list = Follower::new(Arc::clone(&settings), engine.clone(), started);
+        let list = Follower::new(Arc::clone(&settings), engine.clone(), clock, started);
         let remembered = Input::List(ListKind::Remembered, list.remembered());
-        let boxes = Boxes::new(Arc::clone(&settings), engine.clone());
+        let boxes = Boxes::new(Arc::clone(&settings), engine.clone(), clock);
         let entrance = Arc::new(Entrance::new(clock, settings.edges.door));
         let (over, beyond) = crossbeam_channel::bounded(settings.edges.calls_over);
         let running = Engine {
@@ -127,6 +128,7 @@
             list,
             inbox,
             over: beyond,
+            aftermath: Aftermath::default(),
             entrance: Arc::clone(&entrance),
             clients: BTreeMap::new(),
             out: Vec::new(),
--- a/crates/front/src/session_api/core/gate.rs
+++ b/crates/front/src/session_api/core/gate.rs
@@ -28,7 +28,7 @@
 /// Calls that a `session.open` weighs: it has the module decide and a box set up, where a status only looks.
 pub const OPEN: u64 = 10;
 /// The smallest allowance at once: opening a session or two, and looking after them.
-const AT_ONCE_LEAST: u64 = 4 * OPEN;
+const AT_ONCE_LEAST: u64 = 2 * OPEN;
 /// A part of the common allowance is kept for this long.
 const KEPT_S: u64 = 4;
 
--- a/crates/front/src/session_api/core/share.rs
+++ b/crates/front/src/session_api/core/share.rs
@@ -21,6 +21,8 @@
 const FIRST: i64 = 200;
 /// The longest that a sender is held back before its next bytes are read; it must not miss its pings.
 const PAUSE_MOST: Micros = 1_000_000;
+/// An open after a long rest does not bear all that the front did meanwhile, ns.
+const AFTERMATH_MOST: u64 = 5_000_000;
 /// Cost that a call is taken for before any has been handled, us.
 const GUESS: i64 = 50;
 
@@ -40,6 +42,32 @@
     nanos: i64,
 }
 
+/// What opens cost the front's thread beside their calls: connections to boxes that are made, end and are told of,
+/// releases, wakes. It cannot be told whose each is, so each open bears the mean of late.
+#[derive(Clone, Debug, Default)]
+pub struct Aftermath {
+    /// Spent since the last open, ns.
+    spent: u64,
+    /// Running mean of what an open brings with it, ns.
+    mean: u64,
+}
+
+impl Aftermath {
+    /// The thread was at work for something that is nobody's call.
+    pub fn spent(&mut self, nanos: u64) {
+        self.spent = self.spent.saturating_add(nanos);
+    }
+
+    /// So many opens were taken: what they bear, ns.
+    pub fn opened(&mut self, opens: u64) -> u64 {
+        for _ in 0..opens.min(64) {
+            let spent = std::mem::take(&mut self.spent).min(AFTERMATH_MOST);
+            self.mean = (self.mean * 15 + spent) / 16;
+        }
+        self.mean.saturating_mul(opens)
+    }
+}
+
 /// One player's account.
 #[derive(Clone, Debug)]
 pub struct Share {
--- a/crates/front/src/session_api/core/tests/doors.rs
+++ b/crates/front/src/session_api/core/tests/doors.rs
@@ -6,7 +6,7 @@
 
 use super::super::accepting::{Accepting, Shortage};
 use super::super::door::{Door, DoorLimits, Place, Turned};
-use super::super::share::{Share, Turn};
+use super::super::share::{Aftermath, Share, Turn};
 use super::super::steps::{Frames, Pace};
 use super::super::watch::{Sight, Watch, WatchLimits};
 use crate::core::ClientId;
@@ -352,6 +352,21 @@
     assert_eq!(share.pause(4_000), SECOND);
 }
 
+#[test]
+fn an_open_bears_what_it_brings_with_it_and_not_what_went_before() {
+    let mut aftermath = Aftermath::default();
+    aftermath.spent(60_000_000_000);
+    assert!(aftermath.opened(1) < 400_000, "a minute of other work is not one open's");
+    let borne: u64 = (0..100)
+        .map(|_| {
+            aftermath.spent(700_000);
+            aftermath.opened(1)
+        })
+        .last()
+        .expect("some");
+    assert!((690_000..=710_000).contains(&borne), "{borne}");
+}
+
 proptest! {
     #[test]
     fn what_was_charged_and_given_back_is_worth_nothing(
--- a/crates/front/src/session_api/server.rs
+++ b/crates/front/src/session_api/server.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crossbeam_channel::{Sender, TrySendError};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use socket2::{SockRef, TcpKeepalive};
 use tungstenite::handshake::server::{ErrorResponse, Request, Response};
 use tungstenite::http::{HeaderValue, StatusCode};
@@ -337,7 +338,10 @@
                 None => break,
                 Some(0) => {}
                 Some(pause) => {
-                    thread::sleep(Duration::from_micros(pause));
+                    // Gone meanwhile, nothing of what it sent is of use to anybody; its thread must not stay.
+                    if hung_up(&socket.get_ref().read, pause) {
+                        break;
+                    }
                     socket.get_mut().watch.held_up(pause);
                 }
             }
@@ -427,6 +431,15 @@
     }
 }
 
+/// Waits for this long, or until the peer has hung up. Danger: a thread that sleeps on for a peer that has left, while
+/// that comes again at once, is one more thread each time.
+fn hung_up(stream: &TcpStream, pause: u64) -> bool {
+    let mut ends = [PollFd::new(stream, PollFlags::RDHUP)];
+    let nanos = i64::try_from(pause * 1_000).unwrap_or(i64::MAX);
+    let timeout = Timespec { tv_sec: nanos / 1_000_000_000, tv_nsec: nanos % 1_000_000_000 };
+    poll(&mut ends, Some(&timeout)).is_ok_and(|ready| ready > 0)
+}
+
 fn hold<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
     shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/front/src/settings/check.rs
+++ b/crates/front/src/settings/check.rs
@@ -4,6 +4,7 @@
 use salttally_settings::{Block, Read};
 
 use super::Settings;
+use crate::core::room::Room;
 
 /// Checks settings against the rules; the error stands at the node that is wrong.
 pub(super) fn rules(root: &Block<'_>, settings: &Settings) -> Read<()> {
@@ -86,6 +87,36 @@
     limits(root, settings)
 }
 
+/// Checks what the process may have against what the front would take of it.
+pub(super) fn room(root: &Block<'_>, settings: &mut Settings, room: &Room) -> Read<()> {
+    let node = match root.one("limits")? {
+        Some(node) => node,
+        None => root.need("front")?,
+    };
+    let edges = &mut settings.edges;
+    let door = &mut edges.door;
+    if !edges.players_stated {
+        // Kept apart, in the proportion of the defaults: those inside, those that shake hands, and the reserve.
+        let room = usize::try_from(room.players(edges.to_boxes)).unwrap_or(usize::MAX);
+        door.shaking = door.shaking.min(room / 8);
+        door.players = door.players.min(room - door.shaking);
+        door.reserve = door.reserve.min(door.players / 8);
+        if door.shaking == 0 || door.players == 0 {
+            return Err(node.bad(format!(
+                "this process has no room for players beside {} connections to boxes; lower \
+                 `connections-to-boxes` or let it open more files",
+                edges.to_boxes
+            )));
+        }
+    }
+    room.holds(door.players + door.shaking, edges.to_boxes).map_err(|error| {
+        node.bad(format!(
+            "`players` {}, `handshakes` {} and `connections-to-boxes` {}: {error}",
+            door.players, door.shaking, edges.to_boxes
+        ))
+    })
+}
+
 fn limits(root: &Block<'_>, settings: &Settings) -> Read<()> {
     let node = match root.one("limits")? {
         Some(node) => node,
@@ -103,6 +134,9 @@
     if limits.connections == 0 || door.players == 0 || door.shaking == 0 || edges.opens == 0 {
         return bad("`connections-per-box`, `players`, `handshakes` and `opens-per-player` must be over 0");
     }
+    if edges.to_boxes < 8 {
+        return bad("`connections-to-boxes` must be 8 at least");
+    }
     if limits.per_connection == 0 || limits.per_viewer == 0 || edges.calls_over == 0 {
         return bad("`sessions-per-connection`, `sessions-per-viewer` and `calls-over` must be over 0");
     }
@@ -127,6 +161,12 @@
     if gate.calls_per_s == 0 || gate.calls_at_once == 0 || gate.all_per_s == 0 {
         return bad("`calls-per-s`, `calls-at-once` and `calls-per-s-all` must be over 0");
     }
+    let meter = &edges.meter;
+    if meter.per_s == 0 || meter.at_once < 1_000 || meter.event_within == 0 {
+        return bad(
+            "`box-events-per-s` and `box-event-ms` must be over 0, `box-events-at-once` 1000 at least",
+        );
+    }
     if edges.message < 256 || edges.backlog < edges.message {
         return bad("`message-bytes` must be 256 at least and `backlog-bytes` not under it");
     }
--- a/crates/front/src/settings/mod.rs
+++ b/crates/front/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod read;
+pub mod room;
 #[cfg(test)]
 pub(crate) mod tests;
 
@@ -13,6 +14,8 @@
 use salttally::interface::{Settings as Module, TitleId, ViewerId};
 use salttally_settings::{Document, Read};
 
+use crate::boxes::core::MeterLimits;
+use crate::core::room::Room;
 use crate::core::Limits;
 use crate::session_api::core::door::DoorLimits;
 use crate::session_api::core::gate::GateLimits;
@@ -72,6 +75,12 @@
     pub keep_alive: Duration,
     /// Largest message of a player, bytes.
     pub message: usize,
+    /// The number of players is stated, and not what there happens to be room for.
+    pub players_stated: bool,
+    /// Connections to boxes at most, event streams counted; each has a thread.
+    pub to_boxes: usize,
+    /// What one box may cost the front's thread.
+    pub meter: MeterLimits,
     /// What may wait to be written to a player that does not read, bytes.
     pub backlog: usize,
     /// A player that reads nothing for this long while something waits is cut off.
@@ -92,6 +101,15 @@
         Settings::from_document(&Document::load(path)?)
     }
 
+    /// The same for a process that may have so much: as many players as there is room for are taken, and a number
+    /// that is stated must fit.
+    pub fn load_within(path: &Path, room: &Room) -> Read<Settings> {
+        let document = Document::load(path)?;
+        let mut settings = Settings::from_document(&document)?;
+        check::room(&document.root(), &mut settings, room)?;
+        Ok(settings)
+    }
+
     /// Reads and checks a text; `name` stands in errors as the file's name.
     pub fn parse(name: &str, text: &str) -> Read<Settings> {
         Settings::from_document(&Document::parse(name, text)?)
--- a/crates/front/src/settings/read.rs
+++ b/crates/front/src/settings/read.rs
@@ -9,6 +9,7 @@
 use salttally_settings::{Block, Node, Read};
 
 use super::{Edges, Settings, Title};
+use crate::boxes::core::MeterLimits;
 use crate::core::Limits;
 use crate::session_api::core::door::DoorLimits;
 use crate::session_api::core::gate::GateLimits;
@@ -273,10 +274,11 @@
         })
     };
     let handshake = pace("handshake-ms", 5_000.0)?;
+    let stated = block.one("players")?.map(|node| node.argument()).transpose()?;
     let edges = Edges {
         connect: time("connect-ms", 250)?,
         door: DoorLimits {
-            players: block.or("players", 15_000)?,
+            players: stated.unwrap_or(12_000),
             reserve: block.or("reserve", 500)?,
             shaking: block.or("handshakes", 1_000)?,
             per_address: block.or("per-address", 0)?,
@@ -292,6 +294,13 @@
             return_within: ms("return-within-ms", 3_000.0)?,
         },
         keep_alive: time("keep-alive-ms", 30_000)?,
+        players_stated: stated.is_some(),
+        to_boxes: block.or("connections-to-boxes", 2_048)?,
+        meter: MeterLimits {
+            per_s: block.or("box-events-per-s", 4_000)?,
+            at_once: block.or("box-events-at-once", 40_000)?,
+            event_within: ms("box-event-ms", 10_000.0)?,
+        },
         message: block.or("message-bytes", 16_384)?,
         backlog: block.or("backlog-bytes", 262_144)?,
         stalled: time("stalled-ms", 10_000)?,
@@ -300,7 +309,7 @@
             calls_per_s: block.or("calls-per-s", 1_000)?,
             calls_at_once: block.or("calls-at-once", 2_000)?,
             surplus: block.or("calls-surplus", 1_000)?,
-            all_per_s: block.or("calls-per-s-all", 10_000)?,
+            all_per_s: block.or("calls-per-s-all", 5_000)?,
         },
         calls_over: block.or("calls-over", 512)?,
         opens: block.or("opens-per-player", 64)?,
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
 use crate::log::Log;
 use crate::players::{watch, Stage};
 use crate::script::{Kind, Script};
+use crate::siege::{self, Besiegers};
 
 /// Port of boxes, list and fronts; each has an address of its own.
 const PORT: u16 = 7411;
@@ -76,6 +77,7 @@
     builds: BTreeMap<u32, Build>,
     block: Block,
     settings: Vec<String>,
+    sieges: Mutex<BTreeMap<usize, Vec<Besiegers>>>,
 }
 
 /// How a day goes, for whoever shows it.
@@ -110,7 +112,8 @@
         let builds: BTreeMap<u32, Build> = builds.into_iter().map(|build| (build.id, build)).collect();
         let links: f64 = builds.values().map(|build| build.link_kb).sum();
         let uplink = uplinks.iter().sum::<f64>() / uplinks.len().max(1) as f64;
-        let mut day = Day { script, log, boxes, list, builds, block, settings: Vec::new() };
+        let mut day =
+            Day { script, log, boxes, list, builds, block, settings: Vec::new(), sieges: Mutex::default() };
         day.settings = (0..day.script.fronts).map(|at| day.front_settings(at, links, uplink)).collect();
         Ok(day)
     }
@@ -353,6 +356,8 @@
                     }
                 }
             }
+            Kind::Siege(peers, kinds) if begins => self.besiege(step.number, peers, kinds, end - fault.at),
+            Kind::Siege(..) => self.call_off(step.number),
             Kind::Slow(..) | Kind::Ageing(..) => {
                 self.boxes.fleet().boxes.values_mut().for_each(|state| state.slower = 1.0);
             }
@@ -403,6 +408,32 @@
         self.boxes.fleet().boxes.get(&id).map(|state| state.build.clone())
     }
 
+    fn besiege(&self, number: usize, peers: usize, kinds: [siege::Kind; 3], length: u64) {
+        let script = &self.script;
+        let plan = |at: u32| siege::Plan {
+            kinds: kinds.to_vec(),
+            front: self.front_address(at),
+            peers,
+            sources: 1,
+            length: Duration::from_micros(length),
+            before: Duration::ZERO,
+            viewers: 0,
+            watchers: 0,
+            title: deal::title(0),
+            class: script.viewers.first().map_or(String::new(), |viewers| viewers.class.clone()),
+            seed: script.seed,
+        };
+        let besiegers = (0..script.fronts).map(|at| Besiegers::begin(&plan(at))).collect();
+        self.sieges.lock().unwrap_or_else(PoisonError::into_inner).insert(number, besiegers);
+    }
+
+    fn call_off(&self, number: usize) {
+        let besiegers = self.sieges.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
+        let ended = besiegers.unwrap_or_default().into_iter().map(Besiegers::end);
+        let (stood, cut) = ended.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        tracing::info!(stood, cut, "a siege is called off");
+    }
+
     fn fronts_down(&self, fronts: &mut dyn Fronts, of: impl Fn(u32) -> bool) {
         for at in (0..self.script.fronts).filter(|at| of(*at)) {
             self.log.write(What::FrontDown { front: front(at) });
