--- a/crates/explore/src/bounds.rs
+++ b/crates/explore/src/bounds.rs
@@ -39,6 +39,8 @@
     GiveUp,
     /// A viewer's connection ends.
     Gone,
+    /// A viewer's machine is gone without a word; it may come back for its session.
+    Silent,
     /// A viewer asks again, at any front, after a refusal or a loss.
     Again,
     /// An event stream breaks.
@@ -53,7 +55,7 @@
 
 impl Fault {
     /// All kinds, with the names that the command line has for them.
-    pub const ALL: [(&'static str, Fault); 15] = [
+    pub const ALL: [(&'static str, Fault); 16] = [
         ("death", Fault::Death),
         ("full", Fault::Full),
         ("error", Fault::Error),
@@ -64,6 +66,7 @@
         ("drain", Fault::Drain),
         ("give-up", Fault::GiveUp),
         ("gone", Fault::Gone),
+        ("silent", Fault::Silent),
         ("again", Fault::Again),
         ("stream", Fault::Stream),
         ("front", Fault::Front),
--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -126,6 +126,10 @@
     GiveUp { viewer: u32 },
     /// The viewer's connection ends.
     Gone { viewer: u32 },
+    /// The viewer's machine is gone without a word.
+    Vanish { viewer: u32 },
+    /// It is back, and asks for the session that it watched.
+    Back { viewer: u32 },
     /// The viewer closes its playing session.
     Close { viewer: u32 },
     /// The decider asks, of a session that this viewer opened last.
@@ -187,6 +191,8 @@
             }
             Move::GiveUp { viewer } => write!(f, "viewer {viewer} gives up"),
             Move::Gone { viewer } => write!(f, "the connection of viewer {viewer} ends"),
+            Move::Vanish { viewer } => write!(f, "viewer {viewer} vanishes without a word"),
+            Move::Back { viewer } => write!(f, "viewer {viewer} is back for its session"),
             Move::Close { viewer } => write!(f, "viewer {viewer} closes its session"),
             Move::Decide { viewer, ask } => {
                 write!(f, "the decider asks {ask:?} for the session of viewer {viewer}")
@@ -304,6 +310,8 @@
     Asked { front: u32, ticket: u64, until: Micros },
     /// Watches.
     Watching { front: u32, session: SessionId },
+    /// Has vanished without a word, and may come back for what it watched.
+    Silent { front: u32, session: SessionId },
     /// Was refused, or lost its session; it may come again.
     Turned { moved: Option<(u32, SessionId)> },
     /// Has seen what it wanted, or stays away.
@@ -537,7 +545,17 @@
                     News::Rung(..) => {}
                 }
             }
-            Output::Reply(..) | Output::FollowList | Output::Log(..) | Output::Finished => {}
+            // Back for what it watched: it has it again, or is told that it is over.
+            Output::Reply(client, _, reply) => {
+                let Some(viewer) = self.viewers.get_mut(client.0 as usize) else { return };
+                if let Viewer::Silent { front, session } = viewer.clone() {
+                    *viewer = match reply {
+                        Reply::Status { .. } => Viewer::Watching { front, session },
+                        _ => Viewer::Done,
+                    };
+                }
+            }
+            Output::FollowList | Output::Log(..) | Output::Finished => {}
         }
     }
 
@@ -677,7 +695,14 @@
 
     /// Whether a front still counts a session as its own: its viewer watches it there.
     fn known_to(&self, at: u32, session: &SessionId) -> bool {
-        let watches = |viewer: &Viewer| matches!(viewer, Viewer::Watching { front, session: of } if *front == at && of == session);
+        let watches = |viewer: &Viewer| match viewer {
+            Viewer::Watching { front, session: of } => *front == at && of == session,
+            // Its seat is kept for as long as it may come back.
+            Viewer::Silent { front, session: of } => {
+                *front == at && of == session && self.fronts[at as usize].ledger.knows(session)
+            }
+            _ => false,
+        };
         self.viewers.iter().any(watches)
     }
 
@@ -789,6 +814,9 @@
                     if may(Fault::Gone) {
                         moves.push(Move::Gone { viewer: id });
                     }
+                    if may(Fault::Silent) {
+                        moves.push(Move::Vanish { viewer: id });
+                    }
                     self.decisions(id, moves);
                 }
                 Viewer::Watching { .. } => {
@@ -796,6 +824,9 @@
                     if may(Fault::Gone) {
                         moves.push(Move::Gone { viewer: id });
                     }
+                    if may(Fault::Silent) {
+                        moves.push(Move::Vanish { viewer: id });
+                    }
                     self.decisions(id, moves);
                 }
                 Viewer::Turned { moved: Some((front, _)) } if self.fronts[*front as usize].up => {
@@ -806,7 +837,10 @@
                         moves.push(Move::Open { viewer: id, front, draw: 0 });
                     }
                 }
-                Viewer::Turned { .. } | Viewer::Done => {}
+                Viewer::Silent { front, .. } if self.fronts[*front as usize].up => {
+                    moves.push(Move::Back { viewer: id });
+                }
+                Viewer::Silent { .. } | Viewer::Turned { .. } | Viewer::Done => {}
             }
         }
     }
@@ -973,6 +1007,25 @@
                     self.give(front, Input::ClientGone(ClientId(u64::from(viewer))));
                 }
             }
+            Move::Vanish { viewer } => {
+                self.troubles += 1;
+                let state = std::mem::replace(&mut self.viewers[viewer as usize], Viewer::Done);
+                if let Viewer::Watching { front, session } = &state {
+                    let (front, session) = (*front, session.clone());
+                    self.viewers[viewer as usize] = Viewer::Silent { front, session };
+                }
+                if let Viewer::Asked { front, .. } | Viewer::Watching { front, .. } = state {
+                    self.give(front, Input::ClientLost(ClientId(u64::from(viewer))));
+                }
+            }
+            Move::Back { viewer } => {
+                if let Viewer::Silent { front, session } = self.viewers[viewer as usize].clone() {
+                    self.tickets += 1;
+                    let (client, ticket) = (ClientId(u64::from(viewer)), Ticket(self.tickets));
+                    let id = self.opening(viewer).viewer;
+                    self.give(front, Input::Status(client, ticket, session, Some(id)));
+                }
+            }
             Move::Close { viewer } => {
                 let state = std::mem::replace(&mut self.viewers[viewer as usize], Viewer::Done);
                 if let Viewer::Watching { front, session } = state {
--- a/crates/explore/tests/small.rs
+++ b/crates/explore/tests/small.rs
@@ -11,7 +11,7 @@
     // Bounds that are seen whole: no limit of time or states may end the search before.
     let found = search(bounds, 2, usize::MAX, Duration::from_secs(600));
     for trace in &found.traces {
-        eprintln!("{}: {}", trace.property.sentence(), trace.text);
+        eprintln!("trace of {} moves: {}: {}", trace.moves.len(), trace.property.sentence(), trace.text);
         trace.moves.iter().for_each(|chosen| eprintln!("    {chosen}"));
     }
     assert!(found.whole, "{bounds}: a property is broken, see above");
--- a/crates/front/src/core/ledger.rs
+++ b/crates/front/src/core/ledger.rs
@@ -199,6 +199,11 @@
         (self.sessions.len(), self.sessions.values().filter(|s| s.playing().is_some()).count())
     }
 
+    /// Whether this session is in the ledger.
+    pub fn knows(&self, id: &SessionId) -> bool {
+        self.sessions.contains_key(id)
+    }
+
     /// Releases that no box has confirmed yet.
     pub fn releasing(&self) -> usize {
         self.releases.len()
--- a/crates/front/src/session_api/rpc.rs
+++ b/crates/front/src/session_api/rpc.rs
@@ -382,15 +382,13 @@
         }
         Reply::Over(most, of) => {
             let of = match of {
-                Held::Connection => "this connection",
-                Held::Viewer => "this viewer",
+                Held::Connection => "connection",
+                Held::Viewer => "viewer",
             };
-            let text = format!("{of} has {most} sessions, as many as it may: close one");
-            error(id, &RpcError::new(TOO_MANY_SESSIONS, text))
+            failure(id, TOO_MANY_SESSIONS, "too many sessions", json!({"of": of, "most": most}))
         }
         Reply::OnlyBack(hold_off) => {
-            let text = "the front is full: only viewers that come back for a session are let in";
-            error(id, &RpcError::later(FULL, text, *hold_off))
+            error(id, &RpcError::later(FULL, "full but for viewers that come back", *hold_off))
         }
         Reply::Unknown => {
             let text = "no such session or open call on this connection";
