--- a/crates/front/src/session_api/server.rs
+++ b/crates/front/src/session_api/server.rs
@@ -4,12 +4,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
-use crossbeam_channel::{Sender, TrySendError};
+use crossbeam_channel::{Receiver, Sender, TrySendError};
 use rustix::buffer::spare_capacity;
 use rustix::event::epoll::{self, EventData, EventFlags};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
@@ -41,6 +41,9 @@
 const STACK: usize = 128 * 1024;
 /// A connection that is told why it ends is read on for this long, so that the reason is not lost by a reset.
 const LINGER: Duration = Duration::from_millis(100);
+/// Threads that wait for a next player at most, and for how long.
+const IDLE_MOST: usize = 256;
+const IDLE: Duration = Duration::from_secs(1);
 /// Connections that are taken in one after another.
 const AT_ONCE: usize = 64;
 /// Bytes of a request that are waited for; the WebSocket's reader says what is wrong with a longer one.
@@ -79,7 +82,8 @@
         let listener = TcpListener::bind(settings.listen)?;
         let address = listener.local_addr()?;
         let stopping = Arc::new(AtomicBool::new(false));
-        let acceptor = Acceptor { settings, clock, clients, entrance, ways, stop: Arc::clone(&stopping) };
+        let (readers, stop) = (Readers::new(), Arc::clone(&stopping));
+        let acceptor = Acceptor { settings, clock, clients, entrance, ways, readers, stop };
         let accept = move || acceptor.run(&listener);
         let thread = thread::Builder::new().name("players".into()).stack_size(STACK).spawn(accept)?;
         Ok(Server { address, stopping, thread: Some(thread) })
@@ -109,6 +113,7 @@
     clients: Arc<AtomicU64>,
     entrance: Arc<Entrance>,
     ways: Ways,
+    readers: Arc<Readers>,
     stop: Arc<AtomicBool>,
 }
 
@@ -142,6 +147,52 @@
     }
 }
 
+/// Threads that read players, and wait a while for the next one when theirs has left. Danger: players that come and go
+/// by the thousand a second would have as many threads made and ended, each with memory that is mapped and unmapped
+/// under one lock of the whole process.
+struct Readers {
+    give: Sender<Job>,
+    take: Receiver<Job>,
+    idle: AtomicUsize,
+}
+
+type Job = (Player, Shaking);
+
+impl Readers {
+    fn new() -> Arc<Readers> {
+        // Without room of its own: a job is taken by a thread that waits, or by none.
+        let (give, take) = crossbeam_channel::bounded(0);
+        Arc::new(Readers { give, take, idle: AtomicUsize::new(0) })
+    }
+
+    /// Has a thread serve this player, one that waits or a new one.
+    fn serve(self: &Arc<Self>, job: Job) -> io::Result<()> {
+        let job = match self.give.try_send(job) {
+            Ok(()) => return Ok(()),
+            Err(TrySendError::Full(job) | TrySendError::Disconnected(job)) => job,
+        };
+        let readers = Arc::clone(self);
+        let run = move || readers.work(job);
+        thread::Builder::new().name("player".into()).stack_size(STACK).spawn(run).map(|_| ())
+    }
+
+    fn work(&self, mut job: Job) {
+        loop {
+            let (player, shaking) = job;
+            player.serve(shaking);
+            player.entrance.left(player.id);
+            drop(player);
+            let next = match self.idle.fetch_add(1, Ordering::Relaxed) {
+                few if few < IDLE_MOST => self.take.recv_timeout(IDLE).ok(),
+                _ => None,
+            };
+            self.idle.fetch_sub(1, Ordering::Relaxed);
+            let Some(next) = next else { return };
+            job = next;
+        }
+    }
+}
+
 /// Stands for the listener among the clients' numbers.
 const LISTENER: u64 = u64::MAX;
 
@@ -278,11 +329,7 @@
             outbox: Arc::clone(&one.outbox),
         };
         let outbox = Arc::clone(&one.outbox);
-        let run = move || {
-            player.serve(one);
-            player.entrance.left(id);
-        };
-        if thread::Builder::new().name("player".into()).stack_size(STACK).spawn(run).is_err() {
+        if self.readers.serve((player, one)).is_err() {
             outbox.send(&busy(self.settings.module.max_hold_off));
             self.entrance.left(id);
             return Err(Shortage::Threads);
