--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -2,9 +2,10 @@
 //! says, and waits until the next of either. It never waits for a peer.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use crossbeam_channel::{Receiver, RecvTimeoutError, Select, Sender, TryRecvError};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TryRecvError};
 use salttally::brain::Brain;
 use serde_json::Value;
 
@@ -14,6 +15,7 @@
 use crate::core::{Answer, ClientId, Counts, Input, Ledger, Level, News, Output, Reply, Ticket};
 use crate::session_api::core::calls::Calls;
 use crate::session_api::core::door::DoorCounts;
+use crate::session_api::core::overflow::Overflow;
 use crate::session_api::core::share::{Aftermath, Charge, Share};
 use crate::session_api::entrance::Entrance;
 use crate::session_api::outbox::Outbox;
@@ -26,6 +28,8 @@
     Attach(ClientId, Port),
     /// A message of a player that has its turn.
     Calls(Taken),
+    /// A message of a player over its share of the front's thread.
+    Over(Taken),
     /// Anything else for the ledger.
     Core(Input),
     /// How the front stands.
@@ -129,7 +133,9 @@
     /// What is told.
     pub inbox: Receiver<Msg>,
     /// Calls over their sender's share: heard when there is nothing else.
-    pub over: Receiver<Taken>,
+    pub over: Overflow<Taken>,
+    /// How many these are, for those who would add to them.
+    pub waiting: Arc<AtomicUsize>,
     /// What opens cost beside their calls.
     pub aftermath: Aftermath,
     /// Who is let in.
@@ -164,7 +170,15 @@
                     self.clients.insert(client, port);
                     false
                 }
-                Ok(Msg::Calls(taken)) => self.calls(taken),
+                Ok(Msg::Over(taken)) => {
+                    self.over.push(taken.client, taken);
+                    false
+                }
+                Ok(Msg::Calls(taken)) => {
+                    let mut all = self.earlier(taken.client);
+                    all.push(taken);
+                    all.into_iter().fold(false, |finished, taken| self.calls(taken) | finished)
+                }
                 Ok(Msg::Core(input)) => {
                     let gone = match &input {
                         Input::ClientGone(client) | Input::ClientLost(client) => Some(*client),
@@ -173,7 +187,11 @@
                     let begun = self.clock.moment_now();
                     let finished = self.input(input);
                     self.aftermath.spent(self.clock.nanos_since(begun));
-                    gone.and_then(|client| self.clients.remove(&client));
+                    if let Some(client) = gone {
+                        self.clients.remove(&client);
+                        // What it asked for and nobody has seen yet was never accepted.
+                        self.earlier(client);
+                    }
                     finished
                 }
             };
@@ -187,32 +205,29 @@
     }
 
     /// The next message: those that have their turn first, and none later than what is due.
-    fn hear(&self) -> Result<Msg, RecvTimeoutError> {
+    fn hear(&mut self) -> Result<Msg, RecvTimeoutError> {
         match self.inbox.try_recv() {
             Ok(msg) => return Ok(msg),
             Err(TryRecvError::Disconnected) => return Err(RecvTimeoutError::Disconnected),
             Err(TryRecvError::Empty) => {}
         }
-        if let Ok(taken) = self.over.try_recv() {
+        if let Some(taken) = self.over.pop() {
+            self.waiting.fetch_sub(1, Ordering::Relaxed);
             return Ok(Msg::Calls(taken));
         }
-        let mut either = Select::new();
-        either.recv(&self.inbox);
-        // Without a sender it would always be ready.
-        either.recv(&self.over);
-        let ready = match self.ledger.next_due() {
-            Some(at) => {
-                either.select_deadline(self.clock.moment(at)).map_err(|_| RecvTimeoutError::Timeout)?
-            }
-            None => either.select(),
-        };
-        if ready.index() == 0 {
-            ready.recv(&self.inbox).map_err(|_| RecvTimeoutError::Disconnected)
-        } else {
-            ready.recv(&self.over).map(Msg::Calls).map_err(|_| RecvTimeoutError::Disconnected)
+        match self.ledger.next_due() {
+            Some(at) => self.inbox.recv_deadline(self.clock.moment(at)),
+            None => self.inbox.recv().map_err(|_| RecvTimeoutError::Disconnected),
         }
     }
 
+    /// What of this player waits for time: it goes ahead of what the player says now.
+    fn earlier(&mut self, client: ClientId) -> Vec<Taken> {
+        let earlier = self.over.all_of(client);
+        self.waiting.fetch_sub(earlier.len(), Ordering::Relaxed);
+        earlier
+    }
+
     /// Takes in a player's message and charges what it cost. Returns whether the front is done.
     fn calls(&mut self, taken: Taken) -> bool {
         let begun = self.clock.moment_now();
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -20,6 +20,7 @@
 use crate::engine::{Engine, Look, Msg, Port, ToCaller};
 use crate::record::lines::Born;
 use crate::record::Recorder;
+use crate::session_api::core::overflow::Overflow;
 use crate::session_api::core::share::Aftermath;
 use crate::session_api::entrance::Entrance;
 use crate::session_api::outbox;
@@ -120,14 +121,15 @@
         let remembered = Input::List(ListKind::Remembered, list.remembered());
         let boxes = Boxes::new(Arc::clone(&settings), engine.clone(), clock);
         let entrance = Arc::new(Entrance::new(clock, settings.edges.door));
-        let (over, beyond) = crossbeam_channel::bounded(settings.edges.calls_over);
+        let over = Arc::new(AtomicUsize::new(0));
         let running = Engine {
             clock,
             ledger,
             boxes,
             list,
             inbox,
-            over: beyond,
+            over: Overflow::default(),
+            waiting: Arc::clone(&over),
             aftermath: Aftermath::default(),
             entrance: Arc::clone(&entrance),
             clients: BTreeMap::new(),
--- a/crates/front/src/session_api/core/tests/doors.rs
+++ b/crates/front/src/session_api/core/tests/doors.rs
@@ -6,6 +6,7 @@
 
 use super::super::accepting::{Accepting, Shortage};
 use super::super::door::{Door, DoorLimits, Place, Turned};
+use super::super::overflow::Overflow;
 use super::super::share::{Aftermath, Share, Turn};
 use super::super::steps::{Frames, Pace};
 use super::super::watch::{Sight, Watch, WatchLimits};
@@ -389,6 +390,50 @@
     }
 }
 
+#[test]
+fn a_cancellation_must_not_overtake_its_open() {
+    let mut over = Overflow::default();
+    for (client, what) in [(1, "open"), (2, "other"), (1, "status")] {
+        over.push(id(client), what);
+    }
+    // The cancellation has its turn; what its sender said before goes ahead of it.
+    assert_eq!(over.all_of(id(1)), ["open", "status"]);
+    assert_eq!((over.all_of(id(1)), over.pop(), over.pop()), (vec![], Some("other"), None));
+}
+
+proptest! {
+    #[test]
+    fn what_a_player_says_is_heard_in_its_order_and_once(
+        steps in prop::collection::vec((0u64..3, 0u8..3), 1..100),
+    ) {
+        let mut over = Overflow::default();
+        let (mut said, mut heard) = (vec![Vec::new(); 3], vec![Vec::new(); 3]);
+        for (number, (client, what)) in steps.into_iter().enumerate() {
+            let of = client as usize;
+            match what {
+                0 | 1 => {
+                    over.push(id(client), (of, number));
+                    said[of].push(number);
+                }
+                _ => {
+                    // One with its turn.
+                    over.all_of(id(client)).into_iter().for_each(|(of, number)| heard[of].push(number));
+                    said[of].push(number);
+                    heard[of].push(number);
+                }
+            }
+            if number % 5 == 0 {
+                over.pop().into_iter().for_each(|(of, number): (usize, usize)| heard[of].push(number));
+            }
+        }
+        while let Some((of, number)) = over.pop() {
+            heard[of].push(number);
+        }
+        prop_assert!(over.is_empty());
+        prop_assert_eq!(said, heard);
+    }
+}
+
 // ---- Shortages ----
 
 #[test]
--- a/crates/front/src/session_api/server.rs
+++ b/crates/front/src/session_api/server.rs
@@ -56,8 +56,8 @@
 pub struct Ways {
     /// All that must be heard.
     pub engine: Sender<Msg>,
-    /// Calls over their sender's share of the front's thread; bounded.
-    pub over: Sender<Taken>,
+    /// How many messages over their senders' shares wait for the front's thread.
+    pub over: Arc<AtomicUsize>,
     /// Outboxes that the socket did not empty.
     pub flusher: Sender<Arc<Outbox>>,
 }
@@ -550,14 +550,13 @@
         }
         let pause = hold(share).pause(inside).max(1_000);
         if frees == 0 {
-            return match self.ways.over.try_send(self.taken(message, charge)) {
-                Ok(()) => Some(0),
-                Err(TrySendError::Full(taken)) => {
-                    hold(share).give_back(charge);
-                    self.hand_on(taken.message.held_back(pause), 0, share).map(|_| pause)
-                }
-                Err(TrySendError::Disconnected(_)) => None,
-            };
+            // Counted before it is sent, so that no more than so many are ever under way.
+            if self.ways.over.fetch_add(1, Ordering::Relaxed) < self.settings.edges.calls_over {
+                return self.ways.engine.send(Msg::Over(self.taken(message, charge))).ok().map(|()| 0);
+            }
+            self.ways.over.fetch_sub(1, Ordering::Relaxed);
+            hold(share).give_back(charge);
+            return self.hand_on(message.held_back(pause), 0, share).map(|_| pause);
         }
         // What frees is always taken; its sender is read on the later for it.
         let message = if asks > 0 { message.held_back(pause) } else { message };
