Control frames are counted before any is answered

Cause: 4,000 peers that ping without end took the cores with the pongs that each is owed: a read held up to 682 pings, all answered before the allowance was asked; proper viewers' p99 was 881 ms.

Change: the watch counts control frames as they are read (2 a second, 16 at once) and cuts off whoever sends far too many before the WebSocket's reader sees them.

--- a/crates/front/src/session_api/core/tests/doors.rs
+++ b/crates/front/src/session_api/core/tests/doors.rs
@@ -23,6 +23,8 @@
     ping_every: 20 * SECOND,
     pong_within: 5 * SECOND,
     pings: 3,
+    controls_per_s: 2,
+    controls_at_once: 16,
     return_within: 3 * SECOND,
 };
 
@@ -233,6 +235,19 @@
     assert_eq!(watch.look(last), Sight::Fine, "a pong just in time");
 }
 
+#[test]
+fn a_flood_of_pings_is_cut_off_before_any_is_answered_and_a_ping_now_and_then_is_not() {
+    let ping = [0x89, 0x80, 0, 0, 0, 0];
+    let mut watch = Watch::new(WATCH, 1, 0);
+    watch.entered(0, false);
+    for second in 1..200 {
+        watch.heard(second * SECOND, &ping);
+        assert_eq!(watch.look(second * SECOND), Sight::Fine);
+    }
+    watch.heard(200 * SECOND, &ping.repeat(17));
+    assert_eq!(watch.look(200 * SECOND), Sight::Noisy);
+}
+
 #[test]
 fn pings_of_connections_opened_together_must_not_come_together() {
     let due = |seed: u64| {
--- a/crates/front/src/session_api/core/watch.rs
+++ b/crates/front/src/session_api/core/watch.rs
@@ -6,6 +6,9 @@
 //! for as long as the title plays. So a player that says nothing is pinged (RFC 6455 section 5.5.2), and one that
 //! says nothing to several pings is silent. Any byte shows that it lives.
 //!
+//! Danger: pings of a player, which must be answered (section 5.5.2). A flood of them costs an answer each, so they are
+//! counted before any is answered, and whoever sends far too many is cut off.
+//!
 //! Danger: pings of thousands of connections that were opened together come together. So each pause is drawn.
 
 use rand_core::{RngCore, SeedableRng};
@@ -14,6 +17,8 @@
 
 use super::steps::{Frames, Pace};
 
+const SECOND: Micros = 1_000_000;
+
 /// How players are watched.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WatchLimits {
@@ -27,6 +32,10 @@
     pub pong_within: Micros,
     /// So many pings without an answer make a silent player.
     pub pings: u32,
+    /// Control frames that a player may send in a second: each ping costs an answer.
+    pub controls_per_s: u64,
+    /// Control frames that it may send at once.
+    pub controls_at_once: u64,
     /// A connection let into the reserve must return to a session within this.
     pub return_within: Micros,
 }
@@ -42,6 +51,8 @@
     Slow,
     /// Cut it off: it is gone without a word. Its sessions may be found again.
     Silent,
+    /// Cut it off: it sends far too many control frames. Said before they are answered.
+    Noisy,
     /// Cut it off: it was let into the reserve and returned to nothing.
     Newcomer,
 }
@@ -62,6 +73,9 @@
     /// When the next ping is due, or the answer to the last one.
     next: Micros,
     unanswered: u32,
+    /// Control frames that it may send yet, in millionths, and as of when.
+    controls: (u64, Micros),
+    noisy: bool,
     /// In the reserve, until then.
     reserve: Option<Micros>,
 }
@@ -76,6 +90,8 @@
             draws: Pcg32::seed_from_u64(seed),
             next: Micros::MAX,
             unanswered: 0,
+            controls: (limits.controls_at_once * SECOND, now),
+            noisy: false,
             reserve: None,
         }
     }
@@ -87,6 +103,12 @@
             Phase::Inside => {
                 self.frames.push(now, bytes);
                 self.quiet_from(now);
+                let (left, at) = self.controls;
+                let earned = now.saturating_sub(at).saturating_mul(self.limits.controls_per_s);
+                let left = left.saturating_add(earned).min(self.limits.controls_at_once * SECOND);
+                let sent = self.frames.controls().saturating_mul(SECOND);
+                self.noisy |= sent > left;
+                self.controls = (left.saturating_sub(sent), now.max(at));
             }
         }
     }
@@ -139,13 +161,11 @@
         }
     }
 
-    /// Control frames since this was asked last: pings cost an answer each.
-    pub fn controls(&mut self) -> u64 {
-        self.frames.controls()
-    }
-
     /// Looks at the connection; a ping that is told is taken for sent.
     pub fn look(&mut self, now: Micros) -> Sight {
+        if self.noisy {
+            return Sight::Noisy;
+        }
         if self.step_due() <= now {
             return Sight::Slow;
         }
--- a/crates/front/src/session_api/server.rs
+++ b/crates/front/src/session_api/server.rs
@@ -401,6 +401,10 @@
                     if let Some(so_far) = self.watch.shaking() {
                         self.entrance.progress(self.client, so_far);
                     }
+                    if self.watch.look(self.clock.now()) == Sight::Noisy {
+                        // Before the WebSocket's reader sees them, and answers each.
+                        continue;
+                    }
                     return Ok(count);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
@@ -484,8 +488,6 @@
         let mut allowance = Allowance::new(self.settings.edges.gate, self.clock.now());
         loop {
             let read = socket.read();
-            // Control frames cost an answer each, and count as calls that ask.
-            let controls = socket.get_mut().watch.controls();
             let message = match read {
                 Ok(Message::Text(text)) => Some(rpc::read(text.as_str(), &self.settings)),
                 Ok(Message::Binary(_)) => {
@@ -500,7 +502,7 @@
                 }
             };
             let (frees, asks) = message.as_ref().map_or((0, 0), rpc::Message::weigh);
-            let allowed = match asks + controls {
+            let allowed = match asks {
                 0 => Allowed::Yes,
                 some => allowance.take(some, self.clock.now(), self.entrance.inside()),
             };
@@ -509,8 +511,7 @@
                     farewell(&self.outbox, CloseCode::Policy, "far too many calls");
                     break;
                 }
-                (Allowed::Yes, None) => Some(0),
-                (Allowed::Later(after), None) => Some(after),
+                (_, None) => Some(0),
                 (Allowed::Yes, Some(message)) => self.hand_on(message, frees, share),
                 (Allowed::Later(after), Some(message)) => {
                     let more = self.hand_on(message.held_back(after), frees, share);
@@ -573,6 +574,7 @@
         let (code, reason) = match (error, ended) {
             (_, Some(Seen(Sight::Slow))) => (CloseCode::Policy, "a message was begun and not ended".into()),
             (_, Some(Seen(Sight::Silent))) => (CloseCode::Policy, "pings were not answered".into()),
+            (_, Some(Seen(Sight::Noisy))) => (CloseCode::Policy, "far too many control frames".into()),
             (_, Some(Seen(Sight::Newcomer))) => {
                 (CloseCode::Again, "the front is full: only viewers that come back are let in".into())
             }
--- a/crates/front/src/settings/check.rs
+++ b/crates/front/src/settings/check.rs
@@ -155,6 +155,9 @@
     if watch.ping_every < 4 || watch.pong_within == 0 || watch.pings == 0 {
         return bad("`ping-every-ms`, `pong-within-ms` and `pings-missed` must be over 0");
     }
+    if watch.controls_per_s == 0 || watch.controls_at_once < 4 {
+        return bad("`controls-per-s` must be over 0 and `controls-at-once` 4 at least");
+    }
     if watch.return_within == 0 || edges.keep_alive.as_secs() < 1 {
         return bad("`return-within-ms` must be over 0 and `keep-alive-ms` 1000 at least");
     }
--- a/crates/front/src/settings/read.rs
+++ b/crates/front/src/settings/read.rs
@@ -291,6 +291,8 @@
             ping_every: ms("ping-every-ms", 20_000.0)?,
             pong_within: ms("pong-within-ms", 5_000.0)?,
             pings: block.or("pings-missed", 3)?,
+            controls_per_s: block.or("controls-per-s", 2)?,
+            controls_at_once: block.or("controls-at-once", 16)?,
             return_within: ms("return-within-ms", 3_000.0)?,
         },
         keep_alive: time("keep-alive-ms", 30_000)?,
