--- a/crates/front/src/session_api/core/watch.rs
+++ b/crates/front/src/session_api/core/watch.rs
@@ -105,7 +105,8 @@
                 self.quiet_from(now);
                 let (left, at) = self.controls;
                 let earned = now.saturating_sub(at).saturating_mul(self.limits.controls_per_s);
-                let left = left.saturating_add(earned).min(self.limits.controls_at_once * SECOND);
+                let most = (self.limits.controls_at_once * SECOND).max(left);
+                let left = left.saturating_add(earned).min(most);
                 let sent = self.frames.controls().saturating_mul(SECOND);
                 self.noisy |= sent > left;
                 self.controls = (left.saturating_sub(sent), now.max(at));
@@ -179,6 +180,8 @@
             return Sight::Silent;
         }
         self.unanswered += 1;
+        // Its pong is asked for.
+        self.controls.0 = self.controls.0.saturating_add(SECOND);
         self.next = now.saturating_add(self.limits.pong_within);
         Sight::Ping
     }
--- a/crates/mutate/src/main.rs
+++ b/crates/mutate/src/main.rs
@@ -132,6 +132,7 @@
 
 /// Copies what a build needs, and nothing that it makes.
 fn copy_sources(root: &Path, copy: &Path) -> std::io::Result<()> {
+    fs::create_dir_all(copy)?;
     for name in ["Cargo.toml", "Cargo.lock", "clippy.toml", "src", "tests", "crates", "docs", "deploy"] {
         copy_all(&root.join(name), &copy.join(name))?;
     }
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -75,7 +75,7 @@
     /// The list.
     pub list: List,
     builds: BTreeMap<u32, Build>,
-    block: Block,
+    block: Arc<Block>,
     settings: Vec<String>,
     sieges: Mutex<BTreeMap<usize, Vec<Besiegers>>>,
 }
@@ -94,11 +94,22 @@
 }
 
 impl Day {
-    /// Starts boxes and list.
+    /// Starts boxes and list. Where an address of its block is taken after all, by a process that has just ended and
+    /// whose sockets have not, another block is tried.
     pub fn start(script: Script) -> io::Result<Day> {
+        let mut held = Vec::new();
+        loop {
+            let block = Arc::new(Block::take()?);
+            match Day::start_on(script.clone(), Arc::clone(&block)) {
+                Err(error) if error.kind() == io::ErrorKind::AddrInUse && held.len() < 5 => held.push(block),
+                done => return done,
+            }
+        }
+    }
+
+    fn start_on(script: Script, block: Arc<Block>) -> io::Result<Day> {
         let log = Log::default();
         log.write(What::Terms(script.terms.clone()));
-        let block = Block::take()?;
         let (builds, uplinks) = deal::fleet(&script);
         let zones = (0..script.fronts).map(|at| (front(at), at % script.zones)).collect();
         let boxes = Boxes::new(log.clone(), script.nature, uplinks.clone(), zones, script.notes, script.seed);
