--- a/crates/daemon/tests/bad_input.rs
+++ b/crates/daemon/tests/bad_input.rs
@@ -390,20 +390,18 @@
 
 #[test]
 fn a_list_that_flips_a_box_without_end_costs_others_nothing() {
-    let crooked = Crooked::at(move |address, request| {
-        if !request.starts_with("GET /boxes") {
-            return good(request);
-        }
-        // Box 1 comes and goes 20,000 times, as fast as the list can write.
-        let mut bytes = list(address, None);
-        let now = std::time::UNIX_EPOCH.elapsed().expect("a clock").as_millis() as u64 + 100;
-        for flip in 0..20_000u64 {
-            let state = if flip % 2 == 0 { "ready" } else { "gone" };
-            let line = json!({"box": 1, "address": "127.0.0.1:1", "cell": 0, "state": state});
-            let change = json!({"revision": 2 + flip, "as_of_ms": now, "boxes": [line]});
-            bytes.extend(salttally_standin::http::event("changes", &change).into_bytes());
-        }
-        Some(bytes)
+    // Box 1 comes and goes 20,000 times, as fast as the list can write; made before, since that takes a while.
+    let now = std::time::UNIX_EPOCH.elapsed().expect("a clock").as_millis() as u64 + 10_000;
+    let change = |flip: u64| {
+        let state = if flip.is_multiple_of(2) { "ready" } else { "gone" };
+        let line = json!({"box": 1, "address": "127.0.0.1:1", "cell": 0, "state": state});
+        let change = json!({"revision": 2 + flip, "as_of_ms": now, "boxes": [line]});
+        salttally_standin::http::event("changes", &change).into_bytes()
+    };
+    let flips: Vec<u8> = (0..20_000).flat_map(change).collect();
+    let crooked = Crooked::at(move |address, request| match request.starts_with("GET /boxes") {
+        true => Some([list(address, None), flips.clone()].concat()),
+        false => good(request),
     });
     let begun = Instant::now();
     let (front, answer) = crooked.paid();
--- a/crates/front/src/session_api/core/tests/doors.rs
+++ b/crates/front/src/session_api/core/tests/doors.rs
@@ -233,6 +233,7 @@
     let last = watch.due();
     watch.heard(last - 1, &[0x8a, 0x80, 0, 0, 0, 0]);
     assert_eq!(watch.look(last), Sight::Fine, "a pong just in time");
+    assert_eq!(watch.look(watch.due()), Sight::Ping, "and the count begins anew");
 }
 
 #[test]
