--- a/crates/front/src/session_api/core/tests/doors.rs
+++ b/crates/front/src/session_api/core/tests/doors.rs
@@ -175,6 +175,11 @@
     frames.push(7, &[0x81, 0x80 | 126, 0x10, 0x00, 1, 2, 3, 4, b'{', b'"', b'a']);
     assert_eq!(frames.step(), Some((7, 11)));
     assert_eq!(WATCH.message.due(7, 11), 7 + 3 * SECOND + 11 * SECOND / 512);
+    assert_eq!(
+        PACE.due(7, 1 << 40),
+        7 + PACE.within,
+        "and however fast it comes, the whole has one deadline"
+    );
     frames.push(9, &[b' '; 4_093]);
     assert_eq!(frames.step(), None, "it is whole");
 }
