A read asks the watch only whether it is noisy; one account of when to come again; dead counts gone

Cause, found on reading again: after each read the watch was looked at as if for the next step, and any answer but "noisy" was dropped; a ping told there would have counted as sent without being sent. Beside that, a wrapper around one type, the time to come again worked out twice, and counts that nobody asked for.

Change: `Watch::noisy` has no effect of its own; `retry_after` serves both refusals; wrapper and counts are gone.

--- a/crates/front/src/box_list/core/damping.rs
+++ b/crates/front/src/box_list/core/damping.rs
@@ -65,7 +65,6 @@
     boxes: BTreeMap<ServerId, Account>,
     /// Those of whom something is kept back.
     keeping: BTreeSet<ServerId>,
-    held_back: u64,
 }
 
 fn rank(state: ServerState) -> u8 {
@@ -141,7 +140,6 @@
             self.keeping.remove(&id);
             return Some(line);
         }
-        self.held_back += 1;
         self.keeping.insert(id);
         account.kept = Some(line);
         if was > 0 {
@@ -179,11 +177,6 @@
     pub fn due(&self, now: Micros) -> Option<Micros> {
         (!self.keeping.is_empty()).then(|| now.saturating_add(LOOK_EVERY))
     }
-
-    /// Boxes of which something is kept back now, and lines kept back so far.
-    pub fn counts(&self) -> (usize, u64) {
-        (self.keeping.len(), self.held_back)
-    }
 }
 
 #[cfg(test)]
--- a/crates/front/src/session_api/core/overflow.rs
+++ b/crates/front/src/session_api/core/overflow.rs
@@ -52,11 +52,6 @@
         own.into_iter().map(|(_, message)| message).collect()
     }
 
-    /// Number of those that wait.
-    pub fn len(&self) -> usize {
-        self.waiting.len()
-    }
-
     /// Whether none does.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
--- a/crates/front/src/session_api/core/watch.rs
+++ b/crates/front/src/session_api/core/watch.rs
@@ -162,6 +162,11 @@
         }
     }
 
+    /// Whether it has sent far too many control frames.
+    pub fn noisy(&self) -> bool {
+        self.noisy
+    }
+
     /// Looks at the connection; a ping that is told is taken for sent.
     pub fn look(&mut self, now: Micros) -> Sight {
         if self.noisy {
--- a/crates/front/src/session_api/server.rs
+++ b/crates/front/src/session_api/server.rs
@@ -279,7 +279,7 @@
         let outbox = Outbox::new(Arc::clone(&stream), self.clock, backlog, self.ways.flusher.clone());
         if let Err(turned) = self.entrance.knock(id, from.ip(), &outbox) {
             tracing::debug!(?turned, %from, "a player is turned away");
-            outbox.send(&busy(self.settings.module.max_hold_off));
+            outbox.send(&busy(&self.settings));
             return Ok(());
         }
         if let Err(error) = epoll::add(&hall.poll, &*stream, EventData::new_u64(id.0), EventFlags::IN) {
@@ -330,7 +330,7 @@
         };
         let outbox = Arc::clone(&one.outbox);
         if self.readers.serve((player, one)).is_err() {
-            outbox.send(&busy(self.settings.module.max_hold_off));
+            outbox.send(&busy(&self.settings));
             self.entrance.left(id);
             return Err(Shortage::Threads);
         }
@@ -343,9 +343,14 @@
     Timespec { tv_sec: nanos / 1_000_000_000, tv_nsec: nanos % 1_000_000_000 }
 }
 
+/// When whoever finds the door full may come again, s.
+fn retry_after(settings: &Settings) -> u64 {
+    settings.module.max_hold_off.div_ceil(1_000_000)
+}
+
 /// An answer to whoever finds the door full, with the time to come again in (RFC 9110 section 10.2.3).
-fn busy(hold_off: u64) -> Vec<u8> {
-    let after = hold_off.div_ceil(1_000_000);
+fn busy(settings: &Settings) -> Vec<u8> {
+    let after = retry_after(settings);
     let head = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n";
     format!("{head}Retry-After: {after}\r\n\r\n").into_bytes()
 }
@@ -359,10 +364,6 @@
     outbox: Arc<Outbox>,
 }
 
-/// Why the watch ended a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Seen(Sight);
-
 /// The two ways of a player's socket: reads are watched, writes go through the outbox and never wait.
 struct Duplex {
     read: Arc<TcpStream>,
@@ -373,7 +374,8 @@
     clock: Clock,
     client: ClientId,
     entrance: Arc<Entrance>,
-    ended: Option<Seen>,
+    /// Why the watch ended the connection.
+    ended: Option<Sight>,
 }
 
 impl Read for Duplex {
@@ -389,7 +391,7 @@
                 Sight::Ping => self.write.send(&ping()),
                 Sight::Newcomer if !self.entrance.in_reserve(self.client) => self.watch.returned(),
                 sight => {
-                    self.ended = Some(Seen(sight));
+                    self.ended = Some(sight);
                     return Err(io::ErrorKind::TimedOut.into());
                 }
             }
@@ -401,7 +403,7 @@
                     if let Some(so_far) = self.watch.shaking() {
                         self.entrance.progress(self.client, so_far);
                     }
-                    if self.watch.look(self.clock.now()) == Sight::Noisy {
+                    if self.watch.noisy() {
                         // Before the WebSocket's reader sees them, and answers each.
                         continue;
                     }
@@ -413,7 +415,7 @@
                 Err(error) => {
                     use io::ErrorKind::{HostUnreachable, NetworkUnreachable, TimedOut};
                     if matches!(error.kind(), TimedOut | HostUnreachable | NetworkUnreachable) {
-                        self.ended = Some(Seen(Sight::Silent));
+                        self.ended = Some(Sight::Silent);
                     }
                     return Err(error);
                 }
@@ -464,7 +466,7 @@
         let port = Port::socket(Arc::clone(&self.outbox), calls, Arc::clone(&share));
         if self.ways.engine.send(Msg::Attach(self.id, port)).is_ok() {
             let duplex = self.read(socket, &share);
-            let lost = matches!(duplex.ended, Some(Seen(Sight::Silent | Sight::Slow)));
+            let lost = matches!(duplex.ended, Some(Sight::Silent | Sight::Slow));
             let gone = if lost { Input::ClientLost(self.id) } else { Input::ClientGone(self.id) };
             let _ = self.ways.engine.send(Msg::Core(gone));
             // Bytes left unread would have the close answered by a reset, and the reason for it lost.
@@ -569,13 +571,13 @@
     }
 
     /// Tells the player why its connection ends, as RFC 6455 section 7.4.1 has the codes.
-    fn failed(&self, error: &Error, ended: Option<Seen>) {
+    fn failed(&self, error: &Error, ended: Option<Sight>) {
         tracing::debug!(client = self.id.0, %error, ?ended, "connection ends");
         let (code, reason) = match (error, ended) {
-            (_, Some(Seen(Sight::Slow))) => (CloseCode::Policy, "a message was begun and not ended".into()),
-            (_, Some(Seen(Sight::Silent))) => (CloseCode::Policy, "pings were not answered".into()),
-            (_, Some(Seen(Sight::Noisy))) => (CloseCode::Policy, "far too many control frames".into()),
-            (_, Some(Seen(Sight::Newcomer))) => {
+            (_, Some(Sight::Slow)) => (CloseCode::Policy, "a message was begun and not ended".into()),
+            (_, Some(Sight::Silent)) => (CloseCode::Policy, "pings were not answered".into()),
+            (_, Some(Sight::Noisy)) => (CloseCode::Policy, "far too many control frames".into()),
+            (_, Some(Sight::Newcomer)) => {
                 (CloseCode::Again, "the front is full: only viewers that come back are let in".into())
             }
             (Error::Utf8(_), _) => (CloseCode::Invalid, error.to_string()),
@@ -605,10 +607,9 @@
         }
         *place = self.entrance.enter(self.id).map_err(|turned: Turned| {
             tracing::debug!(client = self.id.0, ?turned, "no place for a player");
-            let after = self.settings.module.max_hold_off.div_ceil(1_000_000);
             let mut refusal = ErrorResponse::new(Some("the front is full\n".into()));
             *refusal.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            refusal.headers_mut().insert("Retry-After", HeaderValue::from(after));
+            refusal.headers_mut().insert("Retry-After", HeaderValue::from(retry_after(&self.settings)));
             refusal
         })?;
         response.headers_mut().insert("Sec-WebSocket-Protocol", HeaderValue::from_static(SUB_PROTOCOL));
