--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,6 +2,7 @@
 //! SIGTERM or SIGINT; everything else is the library's.
 
 use std::io::IsTerminal;
+use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -10,7 +11,9 @@
 use miette::Report;
 use salttally_front::settings::{room, Settings};
 use salttally_front::Front;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use salttally_platform::config::ConfigError;
+use salttally_platform::node;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tracing_subscriber::EnvFilter;
 
@@ -22,8 +25,11 @@
 #[command(name = "salttallyd", version)]
 struct Arguments {
     /// Settings, as KDL; see docs/operate/front.md
-    #[arg(long, value_name = "FILE")]
-    config: PathBuf,
+    #[arg(long, value_name = "FILE", required_unless_present = "platform")]
+    config: Option<PathBuf>,
+    /// Run as a front node of the platform, by the file that GW_CONFIG names; see docs/operate/front-node.md
+    #[arg(long, conflicts_with_all = ["config", "check", "record"])]
+    platform: bool,
     /// Check the settings and end: 0 if they hold, 2 with file, line and reason if not
     #[arg(long)]
     check: bool,
@@ -49,7 +55,8 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    let mut settings = match Settings::load_within(&arguments.config, &room::of_process()) {
+    let Some(config) = &arguments.config else { return front_node(&arguments) };
+    let mut settings = match Settings::load_within(config, &room::of_process()) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("salttallyd: {error}");
@@ -58,20 +65,13 @@
         }
     };
     if arguments.check {
-        println!("{}: holds", arguments.config.display());
+        println!("{}: holds", config.display());
         return ExitCode::SUCCESS;
     }
     if arguments.record.is_some() {
-        settings.record = arguments.record;
-    }
-    let filter = EnvFilter::new(&arguments.log_level);
-    let colours = std::io::stderr().is_terminal();
-    let log =
-        tracing_subscriber::fmt().with_env_filter(filter).with_ansi(colours).with_writer(std::io::stderr);
-    match arguments.log {
-        LogForm::Text => log.init(),
-        LogForm::Json => log.json().init(),
+        settings.record.clone_from(&arguments.record);
     }
+    start_log(&arguments);
     // Before the front starts: a signal that comes meanwhile must not be lost.
     let mut signals = match Signals::new([SIGTERM, SIGINT]) {
         Ok(signals) => signals,
@@ -95,6 +95,47 @@
     }
 }
 
+/// Nothing is written to files here: viewers, boxes and the list over the platform's protocol, the log bounded by what
+/// is worth a line.
+fn front_node(arguments: &Arguments) -> ExitCode {
+    start_log(arguments);
+    let Some(path) = std::env::var_os("GW_CONFIG").map(PathBuf::from) else {
+        eprintln!("salttallyd: {}", ConfigError::Variable("GW_CONFIG"));
+        return ExitCode::from(2);
+    };
+    let pipe = |signal| {
+        let (ours, theirs) = UnixStream::pair()?;
+        signal_hook::low_level::pipe::register(signal, theirs)?;
+        Ok::<_, std::io::Error>(ours)
+    };
+    let signals = pipe(SIGTERM).and_then(|term| Ok(node::Signals { term, hang_up: pipe(SIGHUP)? }));
+    let signals = match signals {
+        Ok(signals) => signals,
+        Err(error) => return fail(&format!("no signals: {error}")),
+    };
+    match node::run(&path, signals) {
+        Ok(counts) => {
+            tracing::info!(?counts, "front node has ended");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("salttallyd: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn start_log(arguments: &Arguments) {
+    let filter = EnvFilter::new(&arguments.log_level);
+    let colours = std::io::stderr().is_terminal();
+    let log =
+        tracing_subscriber::fmt().with_env_filter(filter).with_ansi(colours).with_writer(std::io::stderr);
+    match arguments.log {
+        LogForm::Text => log.init(),
+        LogForm::Json => log.json().init(),
+    }
+}
+
 fn fail(reason: &str) -> ExitCode {
     eprintln!("salttallyd: {reason}");
     ExitCode::from(1)
--- a/crates/front/src/core/ledger.rs
+++ b/crates/front/src/core/ledger.rs
@@ -9,7 +9,7 @@
 use salttally::interface::*;
 
 use super::pool::{End, Pool, Proof};
-use super::session::{Attempt, Playing, Session, Stage};
+use super::session::{Attempt, Playing, Session, Stage, Stop};
 use super::streams::{Streams, Verdict};
 use super::timers::{Due, Timers};
 use super::*;
@@ -528,33 +528,34 @@
             self.counts.stopped_attempts += 1;
             return self.stopped("a set-up of no session here", id, out);
         };
-        let number = session.attempts;
-        if number >= self.settings.max_attempts {
-            self.counts.stopped_attempts += 1;
-            return self.stopped("an attempt too many", id, out);
-        }
-        session.attempts += 1;
-        let held = session.stage == Stage::Held && self.now < session.deadline;
-        let again = session.effect == Effect::Once && session.may_have_run;
-        let class = self.settings.classes.get(session.opening.class);
-        let top = session.opening.top_rung.min(class.map_or(usize::MAX, |c| c.top));
-        let in_terms = (class.map_or(0, |c| c.floor)..=top).contains(&session.wanted);
-        let (Some(address), true, false, true) = (address, held, again, in_terms) else {
-            match (held, again) {
-                (false, _) => self.counts.stopped_attempts += 1,
-                (true, true) => self.counts.stopped_effects += 1,
-                (true, false) => self.counts.stopped_others += 1,
+        let next = session.next_attempt(self.now, &self.settings);
+        let (number, address) = match (next, address) {
+            (Err(Stop::TooMany), _) => {
+                self.counts.stopped_attempts += 1;
+                return self.stopped("an attempt too many", id, out);
+            }
+            (Ok(number), Some(address)) => (number, Ok(address)),
+            (Ok(number), None) | (Err(Stop::Terms(number)), _) => {
+                (number, Err(&mut self.counts.stopped_others))
+            }
+            (Err(Stop::NotHeld(number)), _) => (number, Err(&mut self.counts.stopped_attempts)),
+            (Err(Stop::MayHaveRun(number)), _) => (number, Err(&mut self.counts.stopped_effects)),
+        };
+        let address = match address {
+            Ok(address) => address,
+            Err(stopped) => {
+                *stopped += 1;
+                let ended = Event::Ended {
+                    session: id.clone(),
+                    attempt: number,
+                    server,
+                    outcome: Outcome::NotSent,
+                    last: !session.owed(),
+                    report: Vec::new(),
+                };
+                self.events.push_back(ended);
+                return self.stopped("a set-up that must not be", id, out);
             }
-            let ended = Event::Ended {
-                session: id.clone(),
-                attempt: number,
-                server,
-                outcome: Outcome::NotSent,
-                last: !session.owed(),
-                report: Vec::new(),
-            };
-            self.events.push_back(ended);
-            return self.stopped("a set-up that must not be", id, out);
         };
         // No time-out of the module's means until the viewer gives up; none reaches past that.
         let whole = session.deadline - self.now;
@@ -573,9 +574,7 @@
 
     fn set_rung(&mut self, id: &SessionId, rung: usize, out: &mut Vec<Output>) {
         let Some(session) = self.sessions.get_mut(id) else { return };
-        let class = self.settings.classes.get(session.opening.class);
-        let top = session.opening.top_rung.min(class.map_or(usize::MAX, |c| c.top));
-        if rung < class.map_or(0, |c| c.floor) || rung > top {
+        if !session.in_terms(rung, self.settings.classes.get(session.opening.class)) {
             self.counts.stopped_others += 1;
             return self.stopped("a rung outside the terms", id, out);
         }
@@ -613,8 +612,7 @@
     }
 
     fn refuse(&mut self, id: &SessionId, hold_off: Micros, out: &mut Vec<Output>) {
-        let paid = |s: &Session| s.effect == Effect::Once && (s.may_have_run || s.out().is_some());
-        let answer = if self.sessions.get(id).is_some_and(paid) {
+        let answer = if self.sessions.get(id).is_some_and(Session::not_to_refuse) {
             self.counts.stopped_effects += 1;
             self.stopped("a refusal of what may have run", id, out);
             Answer::Failed(id.clone(), FailReason::GivenUp)
--- a/crates/front/src/core/session.rs
+++ b/crates/front/src/core/session.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use salttally::interface::{Effect, Micros, Outcome, ServerId};
+use salttally::interface::{Class, Effect, Micros, Outcome, ServerId, Settings};
 
 use super::{ClientId, Opening, Ticket};
 
@@ -49,6 +49,19 @@
     pub missed: u32,
 }
 
+/// What stops a set-up that the decider asks for. The number is the attempt's, which is used up by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stop {
+    /// There have been as many as there may be.
+    TooMany,
+    /// Another attempt is out, or no answer is owed, or the viewer has given up.
+    NotHeld(u32),
+    /// An earlier attempt may have run, and its class is set up once.
+    MayHaveRun(u32),
+    /// The rung is outside the terms of the class, or above what the viewer can use.
+    Terms(u32),
+}
+
 /// A session in the ledger.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Session {
@@ -98,6 +111,40 @@
         }
     }
 
+    /// Takes the number of the next attempt, unless something stops it. The lock on single attempts, single effects
+    /// and terms, for whatever carries the set-up.
+    ///
+    /// # Errors
+    /// What stops it.
+    pub fn next_attempt(&mut self, now: Micros, settings: &Settings) -> Result<u32, Stop> {
+        let number = self.attempts;
+        if number >= settings.max_attempts {
+            return Err(Stop::TooMany);
+        }
+        self.attempts += 1;
+        if self.stage != Stage::Held || now >= self.deadline {
+            return Err(Stop::NotHeld(number));
+        }
+        if self.effect == Effect::Once && self.may_have_run {
+            return Err(Stop::MayHaveRun(number));
+        }
+        if !self.in_terms(self.wanted, settings.classes.get(self.opening.class)) {
+            return Err(Stop::Terms(number));
+        }
+        Ok(number)
+    }
+
+    /// Whether this rung is within the class's terms and what the viewer can use.
+    pub fn in_terms(&self, rung: usize, class: Option<&Class>) -> bool {
+        let top = self.opening.top_rung.min(class.map_or(usize::MAX, |class| class.top));
+        (class.map_or(0, |class| class.floor)..=top).contains(&rung)
+    }
+
+    /// Whether a refusal would promise too much: it may have been set up, and its class is set up once.
+    pub fn not_to_refuse(&self) -> bool {
+        self.effect == Effect::Once && (self.may_have_run || self.out().is_some())
+    }
+
     /// Whether the one answer is still owed.
     pub fn owed(&self) -> bool {
         matches!(self.stage, Stage::Held | Stage::Trying(_))
--- a/crates/front/src/core/timers.rs
+++ b/crates/front/src/core/timers.rs
@@ -31,20 +31,26 @@
     Idle(ConnId),
 }
 
-/// The queue; equal entries fall together.
-#[derive(Clone, Debug, Default)]
-pub struct Timers {
-    queue: BTreeSet<(Micros, Due)>,
+/// The queue; equal entries fall together. `D` is what may be due where the ledger is another one.
+#[derive(Clone, Debug)]
+pub struct Timers<D = Due> {
+    queue: BTreeSet<(Micros, D)>,
 }
 
-impl Timers {
+impl<D> Default for Timers<D> {
+    fn default() -> Self {
+        Timers { queue: BTreeSet::new() }
+    }
+}
+
+impl<D: Ord> Timers<D> {
     /// Adds an entry.
-    pub fn set(&mut self, at: Micros, due: Due) {
+    pub fn set(&mut self, at: Micros, due: D) {
         self.queue.insert((at, due));
     }
 
     /// Takes an entry out that will not be needed, so that the queue is as long as what is under way.
-    pub fn unset(&mut self, at: Micros, due: Due) {
+    pub fn unset(&mut self, at: Micros, due: D) {
         self.queue.remove(&(at, due));
     }
 
@@ -54,7 +60,7 @@
     }
 
     /// Takes out one entry that is due.
-    pub fn pop(&mut self, now: Micros) -> Option<Due> {
+    pub fn pop(&mut self, now: Micros) -> Option<D> {
         if self.next()? > now {
             return None;
         }
@@ -62,7 +68,7 @@
     }
 
     /// All entries, the earliest first.
-    pub fn entries(&self) -> impl Iterator<Item = &(Micros, Due)> {
+    pub fn entries(&self) -> impl Iterator<Item = &(Micros, D)> {
         self.queue.iter()
     }
 
--- /dev/null
+++ b/crates/platform/src/core/boxes.rs
@@ -0,0 +1,248 @@
+//! What boxes say: answers to set-ups, notes on and ends of what stands, load.
+
+use salttally_front::core::session::Playing;
+
+use super::links::Ended;
+use super::*;
+use crate::wire::words;
+
+impl<D: Decider> Core<D> {
+    pub(super) fn dialed(&mut self, link: ConnId, result: Result<(), DialError>, out: &mut Vec<Output>) {
+        let Some(server) = self.links.server(link) else { return };
+        let ended = self.links.dialed(self.now, link, result, &mut self.timers, out);
+        self.link_ended(ended, Outcome::NoConnection, out);
+        match result {
+            Ok(()) => self.watch.heard(self.now, server),
+            Err(error) => {
+                let verdict = self.watch.failed(self.now, server, error);
+                self.judge(server, verdict, out);
+            }
+        }
+    }
+
+    pub(super) fn link_closed(&mut self, link: ConnId, out: &mut Vec<Output>) {
+        let Some(server) = self.links.server(link) else { return };
+        let ended = self.links.closed(link, &mut self.timers, out);
+        self.link_ended(ended, Outcome::Broken, out);
+        // What stands there goes on, unless its process has died: a look tells.
+        self.look_at(server, out);
+    }
+
+    fn link_ended(&mut self, ended: Ended, outcome: Outcome, out: &mut Vec<Output>) {
+        for id in ended.set_ups {
+            self.attempt_ended(id, outcome, Vec::new(), out);
+        }
+        for id in ended.unsent {
+            self.attempt_ended(id, Outcome::NoConnection, Vec::new(), out);
+        }
+        let probes = self.probes.iter().filter(|(_, (_, on))| *on == ended.link).map(|(id, _)| *id);
+        for id in probes.collect::<Vec<_>>() {
+            if let Some((server, _)) = self.probes.remove(&id) {
+                self.events.push_back(Event::Probed { server, outcome, report: Vec::new() });
+            }
+        }
+    }
+
+    /// The connections of a box are of no more use: it is gone, or listens elsewhere.
+    pub(super) fn forget_links(&mut self, server: ServerId, out: &mut Vec<Output>) {
+        for link in self.links.of(server) {
+            out.push(Output::Hang(link));
+            let ended = self.links.closed(link, &mut self.timers, out);
+            self.link_ended(ended, Outcome::Broken, out);
+        }
+    }
+
+    pub(super) fn heard(&mut self, link: ConnId, message: Message, out: &mut Vec<Output>) {
+        let Some(server) = self.links.heard(self.now, link) else { return };
+        self.watch.heard(self.now, server);
+        let id = message.session;
+        match message.kind {
+            kind::ANSWER => self.answered(server, link, message, out),
+            kind::RELEASE => {
+                out.push(Output::Send(link, Message::new(kind::HEARD, id)));
+                self.box_released(server, &message, out);
+            }
+            kind::NOTE => {
+                let plays = self.sessions.get(&id).and_then(|entry| entry.session.playing());
+                let note = note(&message).filter(|_| plays.is_some_and(|p| p.attempt.server == server));
+                if let Some(note) = note {
+                    self.events.push_back(Event::Note { session: name(id), server, note });
+                }
+            }
+            kind::TESTED => {
+                if self.probes.get(&id).is_some_and(|(of, _)| *of == server) {
+                    self.probes.remove(&id);
+                    let outcome = if message.cause() == Some(1) { Outcome::Ok } else { Outcome::Failed };
+                    let report = self.report(&message);
+                    self.events.push_back(Event::Probed { server, outcome, report });
+                }
+            }
+            kind::PROGRESS | kind::HEARD => {}
+            _ => {
+                // No box says this: nothing more of the connection can be trusted.
+                out.push(Output::Hang(link));
+                self.counts.spoilt += 1;
+                self.link_closed(link, out);
+            }
+        }
+    }
+
+    fn report(&self, message: &Message) -> Vec<f64> {
+        words::report(message, &self.report_names, &self.facts.settings.reports)
+    }
+
+    /// The session stands, if this answers the attempt that is out; anything else is a copy, late, or nobody's.
+    fn answered(&mut self, server: ServerId, link: ConnId, message: Message, out: &mut Vec<Output>) {
+        let id = message.session;
+        let waits = |entry: &&mut Entry| match &entry.session.stage {
+            Stage::Trying(attempt) => attempt.server == server,
+            _ => false,
+        };
+        let Some(entry) = self.sessions.get_mut(&id).filter(waits) else { return };
+        let Some(description) = message.get(code::DESCRIPTION).map(<[u8]>::to_vec) else {
+            out.push(Output::Hang(link));
+            self.counts.spoilt += 1;
+            return self.link_closed(link, out);
+        };
+        let Some(attempt) = entry.session.out().cloned() else { return };
+        let client = entry.session.client.map(|(client, _)| client);
+        let deadline = self.facts.answer_slack / 2 + entry.session.deadline;
+        if let Some(link) = entry.link {
+            self.links.stands(link, id, &mut self.timers);
+        }
+        self.timers.unset(attempt.expires, Due::Expire(id, attempt.number));
+        self.timers.unset(deadline, Due::Overdue(id));
+        let took = self.now - attempt.sent;
+        let answer = Message::new(kind::ANSWER, id).with(code::DESCRIPTION, description);
+        if let Some(client) = client {
+            out.push(Output::Say(client, answer));
+            self.doors.stands(client, id);
+        }
+        entry.link = Some(link);
+        entry.passed = Vec::new();
+        entry.since = self.now;
+        entry.session.may_have_run = true;
+        entry.session.stage = Stage::Playing(Playing { attempt, changing: None, missed: 0 });
+        self.counts.played += 1;
+        self.holds(server);
+        self.events.push_back(Event::Started { session: name(id), server, took });
+    }
+
+    fn box_released(&mut self, server: ServerId, message: &Message, out: &mut Vec<Output>) {
+        let id = message.session;
+        let Some(entry) = self.sessions.get(&id) else { return };
+        let Some(at) = entry.session.at().filter(|at| at.server == server).cloned() else { return };
+        let (report, cause) = (self.report(message), message.cause());
+        if entry.session.playing().is_some() {
+            let moving = entry.moving;
+            let (outcome, told) = match cause {
+                Some(cause::NORMAL) => (Outcome::Ok, Some(cause::NORMAL)),
+                Some(cause::ON_PURPOSE) => (Outcome::Withdrawn, None),
+                _ => (Outcome::Broken, Some(cause::BROKEN)),
+            };
+            return self.over(id, outcome, report, told.filter(|_| !moving), out);
+        }
+        if let Some(link) = entry.link {
+            self.links.ended(self.now, link, id, &mut self.timers);
+        }
+        let _ = at;
+        let outcome = match cause {
+            Some(cause::FULL) => Outcome::Full,
+            Some(cause::ERROR) => Outcome::Failed,
+            Some(cause::MOOT) => Outcome::NotSent,
+            _ => Outcome::Broken,
+        };
+        self.attempt_ended(id, outcome, report, out);
+    }
+
+    // ---- What stands ----
+
+    /// A box holds one more session: it is watched.
+    pub(super) fn holds(&mut self, server: ServerId) {
+        if let Some(at) = self.watch.holds(self.now, server) {
+            self.timers.set(at, Due::Look(server));
+        }
+    }
+
+    pub(super) fn look_at(&mut self, server: ServerId, out: &mut Vec<Output>) {
+        let up = self.links.is_up(server);
+        let look = self.watch.look(self.now, server, up);
+        if let Some(at) = look.again {
+            self.timers.set(at, Due::Look(server));
+        }
+        if !look.dial {
+            return;
+        }
+        match self.boxes.get(&server).copied() {
+            Some(address) => {
+                if !self.links.check(self.now, (server, address), &mut self.timers, out) {
+                    out.push(Output::Log(Level::Warn, format!("box {}: no room to look at it", server.0)));
+                }
+            }
+            None => {
+                let verdict = self.watch.failed(self.now, server, DialError::TimedOut);
+                self.judge(server, verdict, out);
+            }
+        }
+    }
+
+    fn judge(&mut self, server: ServerId, verdict: Verdict, out: &mut Vec<Output>) {
+        match verdict {
+            Verdict::Fine => {}
+            Verdict::Again(at) => self.timers.set(at, Due::Look(server)),
+            Verdict::Lost => self.lost_where(server, |_| true, out),
+        }
+    }
+
+    /// Sessions at a box that its end has cut.
+    pub(super) fn lost_where(
+        &mut self,
+        server: ServerId,
+        cut: impl Fn(&Entry) -> bool,
+        out: &mut Vec<Output>,
+    ) {
+        let there = |entry: &Entry| {
+            entry.session.playing().is_some_and(|playing| playing.attempt.server == server) && cut(entry)
+        };
+        let lost: Vec<u64> = self.sessions.iter().filter(|(_, e)| there(e)).map(|(id, _)| *id).collect();
+        if !lost.is_empty() {
+            let text = format!("box {}: {} sessions lost with it", server.0, lost.len());
+            out.push(Output::Log(Level::Info, text));
+        }
+        for id in lost {
+            self.counts.lost += 1;
+            let moving = self.sessions.get(&id).is_some_and(|entry| entry.moving);
+            self.over(id, Outcome::Broken, Vec::new(), Some(cause::BROKEN).filter(|_| !moving), out);
+        }
+    }
+
+    /// Ends a session at its box.
+    pub(super) fn release_at_box(&mut self, id: u64, cause: u8, out: &mut Vec<Output>) {
+        let Some(entry) = self.sessions.get(&id) else { return };
+        let Some(at) = entry.session.at() else { return };
+        // A box that has gone took it along, and another one may listen at its address.
+        let Some(address) = self.boxes.get(&at.server).copied() else { return };
+        let to = (at.server, address);
+        self.links.tell(self.now, to, entry.link, Message::release(id, cause), &mut self.timers, out);
+    }
+
+    /// A moved session that its box has not ended is ended there.
+    pub(super) fn linger(&mut self, id: u64, out: &mut Vec<Output>) {
+        if self.sessions.get(&id).is_some_and(|entry| entry.moving) {
+            out.push(Output::Log(Level::Debug, format!("session {id:016x} was moved and still stands")));
+            self.release_at_box(id, cause::ON_PURPOSE, out);
+            self.over(id, Outcome::Withdrawn, Vec::new(), None, out);
+        }
+    }
+}
+
+fn note(message: &Message) -> Option<Note> {
+    let figure = message.text(code::FIGURE).and_then(words::number)?;
+    match message.text(code::NOTE)? {
+        "got" => Some(Note::Delivered(figure)),
+        "level" => Some(Note::Rung(figure.max(0.0) as usize)),
+        "port" => Some(Note::Link(figure)),
+        "spine" => Some(Note::Uplink(figure)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/platform/src/core/mod.rs
@@ -0,0 +1,563 @@
+//! A front node as state, with no I/O, clock or thread: told what comes, it answers with what is to be done.
+//!
+//! [`Core::handle`] takes the time and one [`Input`]; [`Core::next_due`] tells when it must be called again. All
+//! decisions are asked of a [`Decider`], which is [`salttally::brain::Brain`] in service. The lock on one answer, one
+//! attempt and single effects is the session's own, [`salttally_front::core::session`], as for every other entry.
+//!
+//! - [`mod@self`]: the state, and what the decider's actions become.
+//! - `viewers`: requests, give-ups and ends by viewers; the one answer.
+//! - `boxes`: what boxes say of set-ups and of what stands.
+//! - [`links`]: connections to boxes, each with many set-ups; what the end of one proves.
+//! - [`watch`]: whether a box that holds sessions is there.
+//! - [`follower`]: the numbered events of the list.
+//! - [`doors`]: which viewer connections are kept, and which make room.
+
+mod boxes;
+pub mod doors;
+pub mod follower;
+pub mod links;
+#[cfg(test)]
+mod tests;
+mod viewers;
+pub mod watch;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use salttally::facts::Facts;
+use salttally::interface::*;
+use salttally_front::core::session::{Attempt, Session, Stage, Stop};
+use salttally_front::core::timers::Timers;
+pub use salttally_front::core::{ClientId, ConnId, Decider, DialError, Level, Listed};
+
+use crate::wire::frames::Frame;
+use crate::wire::{cause, code, kind, Message};
+use doors::Doors;
+use follower::{Follower, News};
+use links::{Links, Withdrawn};
+use watch::{Verdict, Watch};
+
+/// What a front node hears.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// A viewer's connection was accepted.
+    Joined(ClientId),
+    /// A message on it.
+    Said(ClientId, Message),
+    /// It cannot be read any further.
+    Garbled(ClientId),
+    /// It has closed.
+    Left(ClientId),
+    /// A dial ended.
+    Dialed(ConnId, Result<(), DialError>),
+    /// A box's message.
+    Heard(ConnId, Message),
+    /// A box's connection has closed, or cannot be read any further.
+    Closed(ConnId),
+    /// A connection to the coordinator stands.
+    ListUp(u64),
+    /// A frame on it.
+    Told(u64, Frame),
+    /// It broke, or could not be made or read.
+    ListDown(u64),
+    /// The list is told at another address from now on.
+    Coordinator(SocketAddr),
+    /// The process is to end.
+    End,
+    /// Something may be due.
+    Tick,
+}
+
+/// What the edge is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Write to a viewer.
+    Say(ClientId, Message),
+    /// Close a viewer's connection when all is written.
+    Close(ClientId),
+    /// Connect to a box.
+    Dial(ConnId, SocketAddr),
+    /// Write to a box.
+    Send(ConnId, Message),
+    /// Close a connection to a box when all is written.
+    Hang(ConnId),
+    /// Connect to the coordinator, and write this number.
+    Follow(u64, SocketAddr, u64),
+    /// Close that connection.
+    Unfollow(u64),
+    /// A line for the operators' log.
+    Log(Level, String),
+    /// All that was owed is answered, and the process may end.
+    Finished,
+}
+
+/// What may be due.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    /// An attempt runs out of time.
+    Expire(u64, u32),
+    /// The module wants to be woken with this tag.
+    Wake(u64),
+    /// A session's answer is overdue.
+    Overdue(u64),
+    /// A moved viewer is no longer waited for.
+    Moved(ViewerId),
+    /// A moved session has not ended at its box.
+    Linger(u64),
+    /// A connection is not made in time.
+    Dial(ConnId),
+    /// A connection to a box may have been idle long enough.
+    Idle(ConnId),
+    /// A probe takes too long.
+    Probe(u64),
+    /// A box that holds sessions is to be looked at.
+    Look(ServerId),
+    /// A viewer's connection may have been silent long enough.
+    Silent(ClientId),
+    /// The coordinator may be silent, or is to be called again.
+    List(u64),
+    /// The process ends, whatever stands.
+    Ending,
+}
+
+/// A session and what the protocol needs of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub session: Session,
+    /// What goes on to boxes unchanged, until it plays.
+    pub passed: Vec<(u8, Vec<u8>)>,
+    /// The connection of the attempt that is out, or by which it plays.
+    pub link: Option<ConnId>,
+    /// Since when it plays.
+    pub since: Micros,
+    /// It was taken off its box by a move.
+    pub moving: bool,
+}
+
+/// What a front node has done since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests taken.
+    pub taken: u64,
+    /// Answers: plays.
+    pub played: u64,
+    /// Answers: refused.
+    pub refused: u64,
+    /// Answers: failed.
+    pub failed: u64,
+    /// Of them: nothing was decided in time.
+    pub overdue: u64,
+    /// Requests that could not be used.
+    pub unusable: u64,
+    /// Set-ups sent.
+    pub attempts: u64,
+    /// Sessions moved.
+    pub moved: u64,
+    /// Sessions lost with their boxes.
+    pub lost: u64,
+    /// Sessions handed over at a start.
+    pub resumed: u64,
+    /// Actions of the decider that the lock stopped.
+    pub stopped: u64,
+    /// Connections to boxes that could not be read any further.
+    pub spoilt: u64,
+}
+
+/// A moved viewer is waited for so long.
+const MOVED_KEPT: Micros = 30_000_000;
+/// A moved session that its box has not ended by then is ended there.
+const MOVE_LINGERS: Micros = 400_000;
+/// Requests go on coming for so long after the word to end.
+const STILL_COME: Micros = 800_000;
+
+/// A front node's state.
+pub struct Core<D> {
+    decider: D,
+    facts: Facts,
+    report_names: Vec<String>,
+    now: Micros,
+    sessions: BTreeMap<u64, Entry>,
+    doors: Doors,
+    links: Links,
+    watch: Watch,
+    follower: Follower,
+    boxes: BTreeMap<ServerId, SocketAddr>,
+    /// Viewers that this front moved and that have not come back.
+    moved: BTreeMap<ViewerId, Micros>,
+    probes: BTreeMap<u64, (ServerId, ConnId)>,
+    next_probe: u64,
+    timers: Timers<Due>,
+    events: VecDeque<Event>,
+    ending: Option<Micros>,
+    finished: bool,
+    counts: Counts,
+}
+
+impl<D: Decider> Core<D> {
+    /// A front node that has just started: it knows this list, which may be old.
+    pub fn new(decider: D, facts: Facts, report_names: Vec<String>, sockets: usize, now: Micros) -> Self {
+        let links = Links::new(&facts, sockets);
+        let watch = Watch::new(facts.connect_within);
+        Core {
+            decider,
+            facts,
+            report_names,
+            now,
+            sessions: BTreeMap::new(),
+            doors: Doors::new(sockets),
+            links,
+            watch,
+            follower: Follower::default(),
+            boxes: BTreeMap::new(),
+            moved: BTreeMap::new(),
+            probes: BTreeMap::new(),
+            next_probe: 0,
+            timers: Timers::default(),
+            events: VecDeque::new(),
+            ending: None,
+            finished: false,
+            counts: Counts::default(),
+        }
+    }
+
+    /// Begins: takes the list as known, and follows it from there.
+    pub fn begin(
+        &mut self,
+        now: Micros,
+        known: Vec<Listed>,
+        index: u64,
+        at: SocketAddr,
+        out: &mut Vec<Output>,
+    ) {
+        self.now = self.now.max(now);
+        self.list(ListKind::Remembered, known, out);
+        self.follower.begin(self.now, index, at, &mut self.timers, out);
+        self.settle(out);
+    }
+
+    /// When something is due next.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.timers.next()
+    }
+
+    /// What was done so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Sessions in hand, those that play, viewer connections, connections to boxes, timers.
+    pub fn held(&self) -> [usize; 5] {
+        let playing = self.sessions.values().filter(|entry| entry.session.playing().is_some()).count();
+        [self.sessions.len(), playing, self.doors.len(), self.links.len(), self.timers.len()]
+    }
+
+    /// Whether it can serve: the list was heard.
+    pub fn ready(&self) -> bool {
+        self.follower.fresh() && self.ending.is_none()
+    }
+
+    /// Takes in one input; what is to be done is added to `out`, in order.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Joined(client) => self.joined(client, out),
+            Input::Said(client, message) => self.said(client, message, out),
+            Input::Garbled(client) => self.cut(client, out),
+            Input::Left(client) => self.client_left(client),
+            Input::Dialed(link, result) => self.dialed(link, result, out),
+            Input::Heard(link, message) => self.heard(link, message, out),
+            Input::Closed(link) => self.link_closed(link, out),
+            Input::ListUp(number) => self.follower.up(self.now, number, &mut self.timers),
+            Input::Told(number, frame) => {
+                match self.follower.told(self.now, number, frame, &mut self.timers, out) {
+                    Some(News::Whole(lines)) => self.list(ListKind::Whole, lines, out),
+                    Some(News::Changes(lines)) => self.list(ListKind::Changes, lines, out),
+                    None => {}
+                }
+            }
+            Input::ListDown(number) => self.follower.down(self.now, number, &mut self.timers, out),
+            Input::Coordinator(at) => self.follower.turn_to(self.now, at, &mut self.timers, out),
+            Input::End => {
+                if self.ending.is_none() {
+                    self.ending = Some(self.now);
+                    self.timers.set(self.now + STILL_COME, Due::Ending);
+                    let patience = self.facts.longest_patience.max(3_000_000);
+                    self.timers.set(self.now + patience + STILL_COME / 2, Due::Ending);
+                }
+            }
+            Input::Tick => {}
+        }
+        self.settle(out);
+        while let Some(due) = self.timers.pop(self.now) {
+            self.due(due, out);
+            self.settle(out);
+        }
+        self.look_at_end(out);
+    }
+
+    /// The process ends when no more requests come and none is owed its answer. Danger: ended sooner, a request on
+    /// its way is lost; later, the kill finds it.
+    fn look_at_end(&mut self, out: &mut Vec<Output>) {
+        let Some(since) = self.ending.filter(|_| !self.finished) else { return };
+        let patience = self.facts.longest_patience.max(3_000_000);
+        let owed = self.sessions.values().any(|entry| entry.session.owed());
+        let quiet = self.now >= since + STILL_COME && !owed;
+        if quiet || self.now >= since + patience + STILL_COME / 2 {
+            self.finished = true;
+            for id in self.sessions.keys().copied().collect::<Vec<_>>() {
+                self.end_at_end(id, out);
+            }
+            self.settle(out);
+            out.push(Output::Finished);
+        }
+    }
+
+    // ---- The decider's actions ----
+
+    fn settle(&mut self, out: &mut Vec<Output>) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            self.decider.handle(self.now, &event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action, out);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action, out: &mut Vec<Output>) {
+        match action {
+            Action::SetUp(id, server, time_out) => self.set_up(number(&id), server, time_out, out),
+            Action::SetRung(id, rung) => self.set_rung(number(&id), rung, out),
+            Action::Move(id) => self.move_away(number(&id), out),
+            Action::Refuse(id, hold_off) => self.refuse(number(&id), hold_off, out),
+            Action::Fail(id) => self.fail(number(&id), out),
+            Action::Probe(server) => self.probe(server, out),
+            // The list is followed from the start, whatever the module asks for.
+            Action::FollowList => {}
+            Action::WakeAt(tag, at) => self.timers.set(at, Due::Wake(tag)),
+            Action::Log(text) => out.push(Output::Log(Level::Info, text)),
+        }
+    }
+
+    fn stopped(&mut self, what: &str, id: u64, out: &mut Vec<Output>) {
+        self.counts.stopped += 1;
+        out.push(Output::Log(Level::Warn, format!("stopped {what} for session {id:016x}")));
+    }
+
+    fn set_up(&mut self, id: u64, server: ServerId, time_out: Micros, out: &mut Vec<Output>) {
+        let address = self.boxes.get(&server).copied();
+        let Some(entry) = self.sessions.get_mut(&id) else {
+            return self.stopped("a set-up of no session here", id, out);
+        };
+        let session = &mut entry.session;
+        let number = match (session.next_attempt(self.now, &self.facts.settings), address) {
+            (Err(Stop::TooMany), _) => return self.stopped("an attempt too many", id, out),
+            (Ok(number), Some(_)) => Ok(number),
+            (Ok(number), None)
+            | (Err(Stop::NotHeld(number) | Stop::MayHaveRun(number) | Stop::Terms(number)), _) => Err(number),
+        };
+        let (Ok(number), Some(address)) = (number, address) else {
+            let attempt = number.unwrap_or_else(|number| number);
+            let last = !session.owed();
+            let (outcome, report) = (Outcome::NotSent, Vec::new());
+            let session = name(id);
+            self.events.push_back(Event::Ended { session, attempt, server, outcome, last, report });
+            return self.stopped("a set-up that must not be", id, out);
+        };
+        // No time-out of the module's means until the viewer gives up; none reaches past that.
+        let whole = session.deadline - self.now;
+        let time_out = if time_out == 0 { whole } else { time_out.min(whole) };
+        let (expires, rung) = (self.now + time_out, session.wanted);
+        let attempt = Attempt { number, wire: number, server, address, sent: self.now, expires, rung };
+        session.stage = Stage::Trying(attempt);
+        let mut message = Message::new(kind::SET_UP, id);
+        message.parameters.clone_from(&entry.passed);
+        let message =
+            message.with(code::WAIT, (time_out / 1000).max(1).to_string()).with(code::RUNG, rung.to_string());
+        self.counts.attempts += 1;
+        self.timers.set(expires, Due::Expire(id, number));
+        entry.link = self.links.set_up(self.now, (server, address), id, message, &mut self.timers, out);
+        if entry.link.is_none() {
+            self.attempt_ended(id, Outcome::NoConnection, Vec::new(), out);
+        }
+    }
+
+    fn set_rung(&mut self, id: u64, rung: usize, out: &mut Vec<Output>) {
+        let Some(entry) = self.sessions.get_mut(&id) else { return };
+        let session = &mut entry.session;
+        if !session.in_terms(rung, self.facts.settings.classes.get(session.opening.class)) {
+            return self.stopped("a rung outside the terms", id, out);
+        }
+        session.wanted = rung;
+        let Stage::Playing(playing) = &mut session.stage else { return };
+        if playing.attempt.rung == rung {
+            return;
+        }
+        playing.attempt.rung = rung;
+        let to = (playing.attempt.server, playing.attempt.address);
+        let message = Message::new(kind::RUNG, id).with(code::RUNG, rung.to_string());
+        self.links.tell(self.now, to, entry.link, message, &mut self.timers, out);
+    }
+
+    /// The viewer is told to come again, which ends the session at its box too.
+    fn move_away(&mut self, id: u64, out: &mut Vec<Output>) {
+        let playing = self.sessions.get_mut(&id).filter(|entry| entry.session.playing().is_some());
+        let Some(entry) = playing.filter(|entry| !entry.moving) else {
+            return self.stopped("a move of what does not play", id, out);
+        };
+        entry.moving = true;
+        self.counts.moved += 1;
+        let (client, viewer) = (entry.session.client.map(|(client, _)| client), entry.session.opening.viewer);
+        let until = self.now + MOVED_KEPT;
+        if let Some(before) = self.moved.insert(viewer, until) {
+            self.timers.unset(before, Due::Moved(viewer));
+        }
+        self.timers.set(until, Due::Moved(viewer));
+        self.timers.set(self.now + MOVE_LINGERS, Due::Linger(id));
+        self.say(client, Message::new(kind::MOVE, id), out);
+    }
+
+    fn probe(&mut self, server: ServerId, out: &mut Vec<Output>) {
+        let Some(address) = self.boxes.get(&server).copied() else {
+            let (outcome, report) = (Outcome::NotSent, Vec::new());
+            return self.events.push_back(Event::Probed { server, outcome, report });
+        };
+        self.next_probe += 1;
+        let id = self.next_probe;
+        let message = Message::new(kind::TEST, id).with(code::CAUSE, [1]);
+        let sent = self.links.tell(self.now, (server, address), None, message, &mut self.timers, out);
+        match sent {
+            Some(link) => {
+                self.probes.insert(id, (server, link));
+                self.timers.set(self.now + self.facts.connect_within, Due::Probe(id));
+            }
+            None => {
+                let (outcome, report) = (Outcome::NoConnection, Vec::new());
+                self.events.push_back(Event::Probed { server, outcome, report });
+            }
+        }
+    }
+
+    // ---- List ----
+
+    fn list(&mut self, kind: ListKind, lines: Vec<Listed>, out: &mut Vec<Output>) {
+        let named: BTreeSet<ServerId> = lines.iter().map(|line| line.entry.server).collect();
+        let missing = |id: &&ServerId| kind != ListKind::Changes && !named.contains(*id);
+        let mut gone: Vec<ServerId> = self.boxes.keys().filter(missing).copied().collect();
+        for line in &lines {
+            let id = line.entry.server;
+            if line.entry.state == ServerState::Gone {
+                gone.push(id);
+                continue;
+            }
+            let before = self.boxes.insert(id, line.address);
+            if before.is_some_and(|before| before != line.address) {
+                self.forget_links(id, out);
+            }
+            if let (Some(started), true) = (line.entry.started, kind != ListKind::Remembered) {
+                // Another process: what the one before played is cut.
+                self.lost_where(id, |entry| entry.since < started, out);
+            }
+        }
+        for id in gone {
+            self.boxes.remove(&id);
+            self.lost_where(id, |_| true, out);
+            self.forget_links(id, out);
+        }
+        let entries = lines.into_iter().map(|line| line.entry).collect();
+        self.events.push_back(Event::Servers(kind, entries));
+    }
+
+    // ---- Time ----
+
+    fn due(&mut self, due: Due, out: &mut Vec<Output>) {
+        match due {
+            Due::Expire(id, number) => self.expire(id, number, out),
+            Due::Wake(tag) => self.events.push_back(Event::Wake(tag)),
+            Due::Overdue(id) => self.overdue(id, out),
+            Due::Moved(viewer) => {
+                self.moved.remove(&viewer);
+            }
+            Due::Linger(id) => self.linger(id, out),
+            Due::Dial(link) => {
+                if self.links.dialing(link) {
+                    out.push(Output::Hang(link));
+                    self.dialed(link, Err(DialError::TimedOut), out);
+                }
+            }
+            Due::Idle(link) => self.links.idle(self.now, link, &mut self.timers, out),
+            Due::Probe(id) => {
+                if let Some((server, link)) = self.probes.remove(&id) {
+                    self.links.doubt(link);
+                    let (outcome, report) = (Outcome::TimedOut, Vec::new());
+                    self.events.push_back(Event::Probed { server, outcome, report });
+                }
+            }
+            Due::Look(server) => self.look_at(server, out),
+            Due::Silent(client) => self.silent(client, out),
+            Due::List(number) => self.follower.due(self.now, number, &mut self.timers, out),
+            Due::Ending => {}
+        }
+    }
+
+    fn expire(&mut self, id: u64, number: u32, out: &mut Vec<Output>) {
+        let Some(entry) = self.sessions.get(&id) else { return };
+        if entry.session.out().is_none_or(|attempt| attempt.number != number) {
+            return;
+        }
+        let outcome = self.withdraw(id, true, out);
+        self.attempt_ended(id, outcome, Vec::new(), out);
+    }
+
+    /// Takes the attempt that is out back from its connection; what is then known of it. Its give-up goes out ahead
+    /// of whatever follows.
+    fn withdraw(&mut self, id: u64, timed_out: bool, out: &mut Vec<Output>) -> Outcome {
+        let link = self.sessions.get_mut(&id).and_then(|entry| entry.link.take());
+        let Some(link) = link else { return Outcome::NoConnection };
+        match self.links.withdraw(self.now, link, id, timed_out, out) {
+            Withdrawn::Unsent => Outcome::NoConnection,
+            Withdrawn::MayHaveRun if timed_out => Outcome::TimedOut,
+            Withdrawn::MayHaveRun => Outcome::Withdrawn,
+        }
+    }
+
+    /// The attempt that is out has ended without the session playing.
+    fn attempt_ended(&mut self, id: u64, outcome: Outcome, report: Vec<f64>, out: &mut Vec<Output>) {
+        let Some(entry) = self.sessions.get_mut(&id) else { return };
+        let Some(attempt) = entry.session.out().cloned() else { return };
+        entry.link = None;
+        self.timers.unset(attempt.expires, Due::Expire(id, attempt.number));
+        let last = entry.session.attempt_ended(outcome);
+        if last {
+            self.drop_session(id, out);
+        }
+        let (session, server, attempt) = (name(id), attempt.server, attempt.number);
+        self.events.push_back(Event::Ended { session, attempt, server, outcome, last, report });
+    }
+
+    fn drop_session(&mut self, id: u64, out: &mut Vec<Output>) {
+        let Some(entry) = self.sessions.remove(&id) else { return };
+        self.timers.unset(self.overdue_at(&entry.session), Due::Overdue(id));
+        if let Some((client, _)) = entry.session.client {
+            self.doors.ended(self.now, client, id, &mut self.timers);
+        }
+        let _ = out;
+    }
+
+    fn overdue_at(&self, session: &Session) -> Micros {
+        session.deadline + self.facts.answer_slack / 2
+    }
+}
+
+/// The module's name of a session: its id as the platform writes it.
+pub(crate) fn name(id: u64) -> SessionId {
+    SessionId(Arc::from(format!("{id:016x}")))
+}
+
+fn number(name: &SessionId) -> u64 {
+    u64::from_str_radix(&name.0, 16).unwrap_or(0)
+}
+
+/// Cause of a failed answer.
+const FAILED: u8 = cause::BROKEN;
--- /dev/null
+++ b/crates/platform/src/core/tests.rs
@@ -0,0 +1,1 @@
+//! Dangers of the protocol, in virtual time.
--- /dev/null
+++ b/crates/platform/src/core/viewers.rs
@@ -0,0 +1,326 @@
+//! What viewers say, and the one answer that each request gets.
+
+use salttally_front::core::session::Playing;
+use salttally_front::core::{Opening, Ticket};
+
+use super::*;
+use crate::wire::words::{self, Figures, Unusable};
+
+/// Requests of the platform have no number but their id.
+const TICKET: Ticket = Ticket(0);
+
+impl<D: Decider> Core<D> {
+    pub(super) fn joined(&mut self, client: ClientId, out: &mut Vec<Output>) {
+        for other in self.doors.joined(self.now, client, &mut self.timers) {
+            self.cut(other, out);
+        }
+    }
+
+    pub(super) fn said(&mut self, client: ClientId, message: Message, out: &mut Vec<Output>) {
+        self.doors.spoke(self.now, client, &mut self.timers);
+        match message.kind {
+            kind::SET_UP => self.asked(client, &message, out),
+            kind::RELEASE => self.released(client, &message, out),
+            kind::TEST => {
+                let passed = u8::from(self.ready());
+                let answer = Message::new(kind::TESTED, message.session).with(code::CAUSE, [passed]);
+                out.push(Output::Say(client, answer));
+            }
+            kind::PROGRESS | kind::HEARD => {}
+            _ => self.cut(client, out),
+        }
+    }
+
+    /// Closes a viewer's connection; what was owed on it is given up.
+    pub(super) fn cut(&mut self, client: ClientId, out: &mut Vec<Output>) {
+        for id in self.doors.owed(client) {
+            // It was taken: it has its answer before the connection goes.
+            self.fail(id, out);
+        }
+        out.push(Output::Close(client));
+        self.client_left(client);
+    }
+
+    /// A viewer's connection is gone: what was owed on it reaches nobody; what stands belongs to no connection.
+    pub(super) fn client_left(&mut self, client: ClientId) {
+        for id in self.doors.left(client, &mut self.timers) {
+            let Some(entry) = self.sessions.get_mut(&id) else { continue };
+            if entry.session.owed() {
+                self.give_up(id);
+            } else {
+                entry.session.client = None;
+            }
+        }
+    }
+
+    fn asked(&mut self, client: ClientId, message: &Message, out: &mut Vec<Output>) {
+        let id = message.session;
+        match self.opening(message) {
+            Err(why) => {
+                self.counts.unusable += 1;
+                out.push(Output::Log(Level::Debug, format!("request {id:016x}: {why}")));
+                match self.sessions.contains_key(&id) {
+                    true => self.cut(client, out),
+                    false => out.push(Output::Say(client, Message::release(id, cause::UNUSABLE))),
+                }
+            }
+            Ok((opening, Some(at))) => self.handed(client, id, opening, ServerId(at), out),
+            // Danger: an answer under this id would be taken for that of the request which has it already.
+            Ok(_) if self.sessions.contains_key(&id) => {
+                self.counts.unusable += 1;
+                self.cut(client, out);
+            }
+            Ok((mut opening, None)) => {
+                let moved = self.moved.remove(&opening.viewer);
+                if let Some(until) = moved {
+                    self.timers.unset(until, Due::Moved(opening.viewer));
+                }
+                opening.returned |= moved.is_some();
+                self.counts.taken += 1;
+                let class = self.facts.settings.classes.get(opening.class);
+                let (effect, floor) = class.map_or((Effect::Safe, 0), |class| (class.effect, class.floor));
+                let request = request(id, &opening, moved.is_some());
+                let session = Session::new(Some((client, TICKET)), opening, effect, floor, self.now);
+                self.timers.set(self.overdue_at(&session), Due::Overdue(id));
+                let keep = [code::CLASS, code::TITLE, code::DESCRIPTION];
+                let passed =
+                    message.parameters.iter().filter(|(code, _)| keep.contains(code)).cloned().collect();
+                let entry = Entry { session, passed, link: None, since: 0, moving: false };
+                self.sessions.insert(id, entry);
+                self.doors.asked(client, id, &mut self.timers);
+                self.events.push_back(Event::Request(request));
+            }
+        }
+    }
+
+    fn opening(&self, message: &Message) -> Result<(Opening, Option<u32>), Unusable> {
+        let text = |code| message.text(code).ok_or(Unusable::Missing(code));
+        if message.session == 0 {
+            return Err(Unusable::Figure("id"));
+        }
+        let names = &self.facts.class_names;
+        let class = text(code::CLASS)?;
+        let class = names.iter().position(|n| n == class).ok_or(Unusable::Value(code::CLASS))?;
+        let figures = Figures::read(text(code::FIGURES)?)?;
+        let set = &self.facts.settings;
+        let in_ring = figures.home < set.cells.max(1) && (1..=set.cells.max(1)).contains(&figures.copies);
+        if !in_ring || figures.top >= set.ladder.len() {
+            return Err(Unusable::Value(code::FIGURES));
+        }
+        let patience = words::time(message, code::WAIT)?;
+        let patience = match (patience, figures.at) {
+            (Some(0), None) => return Err(Unusable::Value(code::WAIT)),
+            (Some(patience), _) => patience,
+            (None, Some(_)) => 0,
+            (None, None) => return Err(Unusable::Missing(code::WAIT)),
+        };
+        if figures.at.is_none() && message.get(code::DESCRIPTION).is_none_or(<[u8]>::is_empty) {
+            return Err(Unusable::Missing(code::DESCRIPTION));
+        }
+        let opening = Opening {
+            viewer: ViewerId(figures.viewer),
+            title: TitleId(words::hex16(text(code::TITLE)?).ok_or(Unusable::Value(code::TITLE))?),
+            class,
+            first_cell: figures.home,
+            cell_count: figures.copies,
+            top_rung: figures.top,
+            patience,
+            length: words::time(message, code::HINT)?,
+            returned: figures.again,
+            moved_from: None,
+        };
+        Ok((opening, figures.at))
+    }
+
+    /// A session that plays already, told at a start; it wants no answer and may be known.
+    fn handed(&mut self, client: ClientId, id: u64, opening: Opening, at: ServerId, out: &mut Vec<Output>) {
+        if self.sessions.contains_key(&id) {
+            return;
+        }
+        self.counts.resumed += 1;
+        let request = request(id, &opening, false);
+        let class = self.facts.settings.classes.get(opening.class);
+        let (effect, floor) = class.map_or((Effect::Safe, 0), |class| (class.effect, class.floor));
+        let mut session = Session::new(Some((client, TICKET)), opening, effect, floor, self.now);
+        let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
+        let address = self.boxes.get(&at).copied().unwrap_or(unknown);
+        let (sent, expires) = (self.now, self.now);
+        let attempt = Attempt { number: 0, wire: 0, server: at, address, sent, expires, rung: floor };
+        (session.attempts, session.may_have_run) = (1, true);
+        session.stage = Stage::Playing(Playing { attempt, changing: None, missed: 0 });
+        let entry = Entry { session, passed: Vec::new(), link: None, since: self.now, moving: false };
+        self.sessions.insert(id, entry);
+        self.doors.asked(client, id, &mut self.timers);
+        self.doors.stands(client, id);
+        self.events.push_back(Event::Resumed(request, at));
+        self.holds(at);
+        self.look_at(at, out);
+    }
+
+    /// A viewer takes a request back, or ends what stands.
+    fn released(&mut self, client: ClientId, message: &Message, out: &mut Vec<Output>) {
+        let id = message.session;
+        out.push(Output::Say(client, Message::new(kind::HEARD, id)));
+        let Some(entry) = self.sessions.get_mut(&id) else { return };
+        if entry.session.owed() {
+            self.give_up_now(id, out);
+        } else if entry.session.playing().is_some() {
+            let cause = message.cause().unwrap_or(cause::ON_PURPOSE);
+            self.release_at_box(id, cause, out);
+            self.over(id, Outcome::Withdrawn, Vec::new(), None, out);
+        }
+    }
+
+    /// No answer is owed any more; an attempt that is out goes on to its end.
+    fn give_up(&mut self, id: u64) {
+        let Some(entry) = self.sessions.get_mut(&id) else { return };
+        entry.session.client = None;
+        self.events.push_back(Event::Left(name(id)));
+        if entry.session.settled() {
+            self.drop_session(id, &mut Vec::new());
+        } else {
+            // Nobody waits: it is taken back as soon as this is told.
+            self.timers.set(self.now, Due::Overdue(id));
+        }
+    }
+
+    fn give_up_now(&mut self, id: u64, out: &mut Vec<Output>) {
+        self.give_up(id);
+        self.abandon(id, out);
+    }
+
+    /// Takes back the attempt of a session that nobody waits for.
+    fn abandon(&mut self, id: u64, out: &mut Vec<Output>) {
+        let abandoned = |entry: &Entry| matches!(entry.session.stage, Stage::Abandoned(_));
+        if self.sessions.get(&id).is_some_and(abandoned) {
+            let outcome = self.withdraw(id, false, out);
+            self.attempt_ended(id, outcome, Vec::new(), out);
+        }
+    }
+
+    pub(super) fn overdue(&mut self, id: u64, out: &mut Vec<Output>) {
+        self.abandon(id, out);
+        let owed = self.sessions.get(&id).is_some_and(|entry| entry.session.owed());
+        if owed && self.answer(id, Message::release(id, FAILED), out) {
+            self.counts.overdue += 1;
+            self.counts.failed += 1;
+            self.events.push_back(Event::Left(name(id)));
+            self.abandon(id, out);
+        }
+    }
+
+    // ---- Answers ----
+
+    /// Gives the one answer, if it is still owed; returns whether it was.
+    pub(super) fn answer(&mut self, id: u64, answer: Message, out: &mut Vec<Output>) -> bool {
+        let Some(entry) = self.sessions.get_mut(&id).filter(|entry| entry.session.owed()) else {
+            return false;
+        };
+        let client = entry.session.client.map(|(client, _)| client);
+        if let Some(client) = client {
+            out.push(Output::Say(client, answer));
+        }
+        self.timers.unset(self.overdue_at(&self.sessions[&id].session), Due::Overdue(id));
+        let Some(entry) = self.sessions.get_mut(&id) else { return true };
+        if entry.session.settled() {
+            self.drop_session(id, out);
+        } else if let Some(client) = client {
+            // The attempt that is out goes on alone; the connection owes nothing more.
+            entry.session.client = None;
+            self.doors.ended(self.now, client, id, &mut self.timers);
+        }
+        true
+    }
+
+    pub(super) fn refuse(&mut self, id: u64, hold_off: Micros, out: &mut Vec<Output>) {
+        if self.sessions.get(&id).is_some_and(|entry| entry.session.not_to_refuse()) {
+            self.stopped("a refusal of what may have run", id, out);
+            return self.fail(id, out);
+        }
+        let mut answer = Message::release(id, cause::FULL);
+        if hold_off > 0 {
+            answer = answer.with(code::HOLD_OFF, hold_off.div_ceil(1000).to_string());
+        }
+        match self.answer(id, answer, out) {
+            true => {
+                self.counts.refused += 1;
+                self.abandon(id, out);
+            }
+            false => self.stopped("a second answer", id, out),
+        }
+    }
+
+    pub(super) fn fail(&mut self, id: u64, out: &mut Vec<Output>) {
+        match self.answer(id, Message::release(id, FAILED), out) {
+            true => {
+                self.counts.failed += 1;
+                self.abandon(id, out);
+            }
+            false => self.stopped("a second answer", id, out),
+        }
+    }
+
+    // ---- Ends of what stands ----
+
+    /// Says something to a viewer of a session that stands: on its connection, else on whichever is open.
+    pub(super) fn say(&mut self, client: Option<ClientId>, message: Message, out: &mut Vec<Output>) {
+        if let Some(client) = client.or_else(|| self.doors.any()) {
+            out.push(Output::Say(client, message));
+        }
+    }
+
+    /// What stood is over; its viewer is released with this cause, if that is owed.
+    pub(super) fn over(
+        &mut self,
+        id: u64,
+        outcome: Outcome,
+        report: Vec<f64>,
+        cause: Option<u8>,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(entry) = self.sessions.get(&id) else { return };
+        let Some(playing) = entry.session.playing() else { return };
+        let (server, attempt) = (playing.attempt.server, playing.attempt.number);
+        let client = entry.session.client.map(|(client, _)| client);
+        if let Some(cause) = cause {
+            self.say(client, Message::release(id, cause), out);
+        }
+        self.drop_session(id, out);
+        self.watch.released(server);
+        let (session, last) = (name(id), true);
+        self.events.push_back(Event::Ended { session, attempt, server, outcome, last, report });
+    }
+
+    /// The process ends: what is owed fails, and viewers of what stands are released.
+    pub(super) fn end_at_end(&mut self, id: u64, out: &mut Vec<Output>) {
+        let Some(entry) = self.sessions.get(&id) else { return };
+        if entry.session.owed() {
+            self.fail(id, out);
+        } else if entry.session.playing().is_some() {
+            self.release_at_box(id, cause::BROKEN, out);
+            self.over(id, Outcome::Withdrawn, Vec::new(), Some(cause::BROKEN), out);
+        }
+    }
+
+    pub(super) fn silent(&mut self, client: ClientId, out: &mut Vec<Output>) {
+        if self.doors.silent(self.now, client, &mut self.timers) {
+            self.cut(client, out);
+        }
+    }
+}
+
+fn request(id: u64, opening: &Opening, moved: bool) -> Request {
+    Request {
+        session: name(id),
+        class: opening.class,
+        viewer: opening.viewer,
+        title: opening.title,
+        patience: opening.patience,
+        length: opening.length,
+        first_cell: opening.first_cell,
+        cell_count: opening.cell_count,
+        top_rung: opening.top_rung,
+        moved,
+        again: opening.returned,
+    }
+}
--- /dev/null
+++ b/crates/platform/src/wire/tests.rs
@@ -0,0 +1,1 @@
+//! Dangers of the wire.
--- a/src/bin/salttally-drill/wire.rs
+++ b/src/bin/salttally-drill/wire.rs
@@ -4,8 +4,8 @@
 use std::fmt::Write;
 use std::str::FromStr;
 
+use salttally::facts::{micros, Facts};
 use salttally::interface::*;
-use serde::Deserialize;
 use thiserror::Error;
 
 /// What is wrong with the input, and where.
@@ -149,13 +149,6 @@
     }
 }
 
-/// Longer times than this mean "for ever"; sums of a few stay within a [`Micros`].
-const LONGEST_MS: f64 = 1e12;
-
-fn micros(ms: f64) -> Micros {
-    (ms.clamp(0.0, LONGEST_MS) * 1000.0).round() as Micros
-}
-
 fn ms(time: Micros) -> f64 {
     time as f64 / 1000.0
 }
@@ -266,185 +259,8 @@
     debug_assert!(written.is_ok(), "writing to a string does not fail");
 }
 
-#[derive(Deserialize)]
-#[serde(default)]
-struct Facts {
-    balancers: u32,
-    zone: u32,
-    classes: Vec<ClassFacts>,
-    domain: Domain,
-    discovery: String,
-    load_report: LoadReport,
-    policy_limits: Limits,
-    prices: Prices,
-    safety: Safety,
-}
-
-#[derive(Deserialize)]
-struct ClassFacts {
-    aim_ms: f64,
-    effect: String,
-    #[serde(default)]
-    group: String,
-    #[serde(default)]
-    window_ms: f64,
-    gain: f64,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(default)]
-struct Domain {
-    change_costs_s: f64,
-    is_live: Vec<bool>,
-    kb_per_weight: f64,
-    kind_streams: Vec<f64>,
-    links_kb: f64,
-    lowest_rung: Vec<usize>,
-    positions: u32,
-    racks: u32,
-    rate_factor: Vec<f64>,
-    refuses_from: f64,
-    reports_every_ms: f64,
-    rung_kb: Vec<f64>,
-    seats: Vec<f64>,
-    seen_after_ms: f64,
-    shared_adds: Option<f64>,
-    top_by_class: Vec<usize>,
-    uplink_kb: f64,
-    worth_by_rung: Vec<f64>,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(default)]
-struct LoadReport {
-    names: Vec<String>,
-    source: String,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(default)]
-struct Limits {
-    max_attempts: Option<u32>,
-    max_retry_after_ms: f64,
-    probes: bool,
-    retry_after: bool,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(default)]
-struct Prices {
-    cross_zone: f64,
-    moves: f64,
-    probe: f64,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(default)]
-struct Safety {
-    ask_within_ms: f64,
-    budget_free: f64,
-    cold_from: Option<f64>,
-    drain_grace_ms: f64,
-    fall_ms: f64,
-    fall_multiple: f64,
-    look_back_ms: Option<f64>,
-    resend_ratio: f64,
-    warm_up_ms: f64,
-}
-
-impl Default for Facts {
-    fn default() -> Self {
-        Facts {
-            balancers: 1,
-            zone: 0,
-            classes: Vec::new(),
-            domain: Domain::default(),
-            discovery: String::new(),
-            load_report: LoadReport::default(),
-            policy_limits: Limits::default(),
-            prices: Prices::default(),
-            safety: Safety::default(),
-        }
-    }
-}
-
 /// Reads the settings that come with the start of an instance.
 pub fn settings(line: &Line<'_>) -> Result<Settings, WireError> {
-    let facts: Facts =
-        serde_json::from_str(line.text("facts")?).map_err(|e| line.bad("facts", &e.to_string()))?;
-    let domain = facts.domain;
-    let top_of_ladder = domain.rung_kb.len().saturating_sub(1);
-    let classes = facts.classes.iter().enumerate().map(|(at, class)| {
-        Ok(Class {
-            aim: micros(class.aim_ms),
-            effect: match class.effect.as_str() {
-                "idempotent" => Effect::Safe,
-                "deduplicated" => Effect::Deduplicated,
-                "at_most_once" => Effect::Once,
-                _ => return Err(line.bad("facts", &format!("unknown effect {}", class.effect))),
-            },
-            group: match class.group.as_str() {
-                "zone" => Group::Zone,
-                "cell" => Group::Cell,
-                _ => Group::All,
-            },
-            window: micros(class.window_ms),
-            gain: class.gain,
-            floor: domain.lowest_rung.get(at).copied().unwrap_or(0),
-            top: domain.top_by_class.get(at).copied().unwrap_or(top_of_ladder),
-            rate_factor: domain.rate_factor.get(at).copied().unwrap_or(1.0),
-            seats: domain.seats.get(at).map_or(0, |seats| *seats as usize),
-            live: domain.is_live.get(at).copied().unwrap_or(false),
-        })
-    });
-    let rung = |(at, kb): (usize, &f64)| Rung {
-        kb: *kb,
-        worth: domain.worth_by_rung.get(at).copied().unwrap_or(1.0),
-    };
-    let safety = facts.safety;
-    let field = |name: &String| match name.as_str() {
-        "active" => ReportField::Streams,
-        "cpu" => ReportField::LinkCapped,
-        "x0" => ReportField::Link,
-        "x1" => ReportField::Uplink,
-        _ => ReportField::Other,
-    };
-    let reported = facts.load_report.source != "none";
-    let limits = facts.policy_limits;
-    Ok(Settings {
-        fronts: facts.balancers,
-        zone: facts.zone,
-        classes: classes.collect::<Result<_, _>>()?,
-        ladder: domain.rung_kb.iter().enumerate().map(rung).collect(),
-        cells: domain.positions,
-        racks: domain.racks,
-        link_kb_per_unit: domain.kb_per_weight,
-        links_kb: domain.links_kb,
-        uplink_kb: domain.uplink_kb,
-        kind_streams: domain.kind_streams.iter().map(|streams| *streams as u32).collect(),
-        refuses_from: domain.refuses_from,
-        note_every: micros(domain.reports_every_ms),
-        note_age: micros(domain.seen_after_ms),
-        shared_adds: domain.shared_adds.unwrap_or(1.0),
-        change_cost_s: domain.change_costs_s,
-        reports: if reported { facts.load_report.names.iter().map(field).collect() } else { Vec::new() },
-        max_attempts: limits.max_attempts.unwrap_or(u32::MAX),
-        probes: limits.probes,
-        max_hold_off: if limits.retry_after { micros(limits.max_retry_after_ms) } else { 0 },
-        drain_grace: micros(safety.drain_grace_ms),
-        warm_up: micros(safety.warm_up_ms),
-        cold_from: safety.cold_from.unwrap_or(1.0),
-        fall_multiple: safety.fall_multiple,
-        fall_window: micros(safety.fall_ms),
-        list_on_demand: facts.discovery == "ask",
-        ask_within: micros(safety.ask_within_ms),
-        budget: safety.look_back_ms.map(|window| Budget {
-            window: micros(window),
-            free: safety.budget_free,
-            share: safety.resend_ratio,
-        }),
-        probe_price: facts.prices.probe,
-        move_price: facts.prices.moves,
-        cross_price: facts.prices.cross_zone,
-    })
+    let facts = Facts::parse(line.text("facts")?).map_err(|e| line.bad("facts", &e.to_string()))?;
+    Ok(facts.settings)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,5 +47,6 @@
 #![warn(missing_docs)]
 
 pub mod brain;
+pub mod facts;
 pub mod interface;
 mod state;
