--- a/crates/platform/src/core/boxes.rs
+++ b/crates/platform/src/core/boxes.rs
@@ -10,7 +10,7 @@
     pub(super) fn dialed(&mut self, link: ConnId, result: Result<(), DialError>, out: &mut Vec<Output>) {
         let Some(server) = self.links.server(link) else { return };
         let ended = self.links.dialed(self.now, link, result, &mut self.timers, out);
-        self.link_ended(ended, Outcome::NoConnection, out);
+        self.link_ended(ended, Outcome::NoConnection);
         match result {
             Ok(()) => self.watch.heard(self.now, server),
             Err(error) => {
@@ -22,18 +22,18 @@
 
     pub(super) fn link_closed(&mut self, link: ConnId, out: &mut Vec<Output>) {
         let Some(server) = self.links.server(link) else { return };
-        let ended = self.links.closed(link, &mut self.timers, out);
-        self.link_ended(ended, Outcome::Broken, out);
+        let ended = self.links.closed(link);
+        self.link_ended(ended, Outcome::Broken);
         // What stands there goes on, unless its process has died: a look tells.
         self.look_at(server, out);
     }
 
-    fn link_ended(&mut self, ended: Ended, outcome: Outcome, out: &mut Vec<Output>) {
+    fn link_ended(&mut self, ended: Ended, outcome: Outcome) {
         for id in ended.set_ups {
-            self.attempt_ended(id, outcome, Vec::new(), out);
+            self.attempt_ended(id, outcome, Vec::new());
         }
         for id in ended.unsent {
-            self.attempt_ended(id, Outcome::NoConnection, Vec::new(), out);
+            self.attempt_ended(id, Outcome::NoConnection, Vec::new());
         }
         let probes = self.probes.iter().filter(|(_, (_, on))| *on == ended.link).map(|(id, _)| *id);
         for id in probes.collect::<Vec<_>>() {
@@ -47,8 +47,8 @@
     pub(super) fn forget_links(&mut self, server: ServerId, out: &mut Vec<Output>) {
         for link in self.links.of(server) {
             out.push(Output::Hang(link));
-            let ended = self.links.closed(link, &mut self.timers, out);
-            self.link_ended(ended, Outcome::Broken, out);
+            let ended = self.links.closed(link);
+            self.link_ended(ended, Outcome::Broken);
         }
     }
 
@@ -95,7 +95,7 @@
     fn answered(&mut self, server: ServerId, link: ConnId, message: Message, out: &mut Vec<Output>) {
         let id = message.session;
         let waits = |entry: &&mut Entry| match &entry.session.stage {
-            Stage::Trying(attempt) => attempt.server == server,
+            Stage::Trying(attempt) => attempt.server == server && entry.link == Some(link),
             _ => false,
         };
         let Some(entry) = self.sessions.get_mut(&id).filter(waits) else { return };
@@ -107,9 +107,7 @@
         let Some(attempt) = entry.session.out().cloned() else { return };
         let client = entry.session.client.map(|(client, _)| client);
         let deadline = self.facts.answer_slack / 2 + entry.session.deadline;
-        if let Some(link) = entry.link {
-            self.links.stands(link, id, &mut self.timers);
-        }
+        self.links.ended(link, id);
         self.timers.unset(attempt.expires, Due::Expire(id, attempt.number));
         self.timers.unset(deadline, Due::Overdue(id));
         let took = self.now - attempt.sent;
@@ -118,7 +116,6 @@
             out.push(Output::Say(client, answer));
             self.doors.stands(client, id);
         }
-        entry.link = Some(link);
         entry.passed = Vec::new();
         entry.since = self.now;
         entry.session.may_have_run = true;
@@ -131,7 +128,9 @@
     fn box_released(&mut self, server: ServerId, message: &Message, out: &mut Vec<Output>) {
         let id = message.session;
         let Some(entry) = self.sessions.get(&id) else { return };
-        let Some(at) = entry.session.at().filter(|at| at.server == server).cloned() else { return };
+        if entry.session.at().is_none_or(|at| at.server != server) {
+            return;
+        }
         let (report, cause) = (self.report(message), message.cause());
         if entry.session.playing().is_some() {
             let moving = entry.moving;
@@ -143,16 +142,15 @@
             return self.over(id, outcome, report, told.filter(|_| !moving), out);
         }
         if let Some(link) = entry.link {
-            self.links.ended(self.now, link, id, &mut self.timers);
+            self.links.ended(link, id);
         }
-        let _ = at;
         let outcome = match cause {
             Some(cause::FULL) => Outcome::Full,
             Some(cause::ERROR) => Outcome::Failed,
             Some(cause::MOOT) => Outcome::NotSent,
             _ => Outcome::Broken,
         };
-        self.attempt_ended(id, outcome, report, out);
+        self.attempt_ended(id, outcome, report);
     }
 
     // ---- What stands ----
--- a/crates/platform/src/core/follower.rs
+++ b/crates/platform/src/core/follower.rs
@@ -85,19 +85,17 @@
     }
 
     /// The call stands.
-    pub fn up(&mut self, now: Micros, call: u64, timers: &mut Timers<Due>) {
-        let _ = timers;
+    pub fn up(&mut self, now: Micros, call: u64) {
         if call == self.call {
             self.heard = now;
         }
     }
 
     /// It broke, came to nothing, or cannot be read.
-    pub fn down(&mut self, now: Micros, call: u64, timers: &mut Timers<Due>, out: &mut Vec<Output>) {
+    pub fn down(&mut self, now: Micros, call: u64, timers: &mut Timers<Due>) {
         if call != self.call || !self.open {
             return;
         }
-        let _ = out;
         self.open = false;
         let pause = (PAUSE << self.misses.min(5)).min(PAUSE_MOST);
         self.misses += 1;
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -111,9 +111,9 @@
     }
 
     /// The connection to put something on: one that stands before one that is being made, the one used last.
-    fn best(&self, to: (ServerId, SocketAddr), streams: usize) -> Option<ConnId> {
+    fn best(&self, to: (ServerId, SocketAddr), streams: usize, avoid: Option<ConnId>) -> Option<ConnId> {
         let fits = |one: &&Link| (one.server, one.address) == to && !one.doubted && one.out.len() < streams;
-        let known = self.links.iter().filter(|(_, one)| fits(one));
+        let known = self.links.iter().filter(|(id, one)| fits(one) && Some(**id) != avoid);
         known.max_by_key(|(_, one)| (one.waiting.is_none(), one.used)).map(|(id, _)| *id)
     }
 
@@ -148,17 +148,19 @@
         }
     }
 
-    /// Sends a set-up; tells on which connection, or nothing where there is no room for one.
+    /// Sends a set-up; tells on which connection, or nothing where there is no room for one. Not on the one to avoid:
+    /// a late answer to the attempt before would be taken for one to this.
     pub fn set_up(
         &mut self,
         now: Micros,
         to: (ServerId, SocketAddr),
-        session: u64,
         message: Message,
+        avoid: Option<ConnId>,
         timers: &mut Timers<Due>,
         out: &mut Vec<Output>,
     ) -> Option<ConnId> {
-        let id = self.best(to, self.streams).or_else(|| self.dial(now, to, timers, out))?;
+        let id = self.best(to, self.streams, avoid).or_else(|| self.dial(now, to, timers, out))?;
+        let session = message.session;
         self.put(now, id, message, out);
         self.links.entry(id).and_modify(|link| {
             link.out.insert(session, now);
@@ -179,7 +181,7 @@
         let fits = |id: &ConnId| {
             self.links.get(id).is_some_and(|one| (one.server, one.address) == to && !one.doubted)
         };
-        let on = on.filter(fits).or_else(|| self.best(to, usize::MAX));
+        let on = on.filter(fits).or_else(|| self.best(to, usize::MAX, None));
         let id = on.or_else(|| self.dial(now, to, timers, out))?;
         self.put(now, id, message, out);
         Some(id)
@@ -220,8 +222,7 @@
     }
 
     /// A connection has closed.
-    pub fn closed(&mut self, id: ConnId, timers: &mut Timers<Due>, out: &mut Vec<Output>) -> Ended {
-        let _ = (timers, out);
+    pub fn closed(&mut self, id: ConnId) -> Ended {
         let mut ended = Ended { link: id, set_ups: Vec::new(), unsent: Vec::new() };
         if let Some(link) = self.links.remove(&id) {
             let open = link.out.into_keys().collect();
@@ -240,19 +241,13 @@
         Some(link.server)
     }
 
-    /// A set-up has ended without playing.
-    pub fn ended(&mut self, now: Micros, id: ConnId, session: u64, timers: &mut Timers<Due>) {
-        let _ = (now, &timers);
+    /// A set-up has its answer: it has ended, or stands and belongs to no connection from here on.
+    pub fn ended(&mut self, id: ConnId, session: u64) {
         self.links.entry(id).and_modify(|link| {
             link.out.remove(&session);
         });
     }
 
-    /// A set-up stands, and belongs to no connection from here on.
-    pub fn stands(&mut self, id: ConnId, session: u64, timers: &mut Timers<Due>) {
-        self.ended(0, id, session, timers);
-    }
-
     /// Takes a set-up back. Where it was written, its give-up follows. Danger: a connection that stays open and is of
     /// no more use; where nothing was heard on it since the set-up was written, nothing new is put on it.
     pub fn withdraw(
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -129,6 +129,8 @@
     pub passed: Vec<(u8, Vec<u8>)>,
     /// The connection of the attempt that is out, or by which it plays.
     pub link: Option<ConnId>,
+    /// The connection of the attempt before, on which a late answer to it may still come.
+    pub before: Option<ConnId>,
     /// Since when it plays.
     pub since: Micros,
     /// It was taken off its box by a move.
@@ -236,6 +238,28 @@
         self.settle(out);
     }
 
+    /// Who decides.
+    pub fn decider(&self) -> &D {
+        &self.decider
+    }
+
+    /// For each box of the list: its connections, sessions that play there, set-ups that are out, and when it was last
+    /// heard of if it is watched. To be held against what crosses the sockets and what the module believes.
+    pub fn ledger(&self) -> BTreeMap<ServerId, (Vec<ConnId>, i32, i32, Option<Micros>)> {
+        let mut boxes: BTreeMap<_, _> =
+            self.boxes.keys().map(|id| (*id, (self.links.of(*id), 0, 0, None))).collect();
+        for entry in self.sessions.values() {
+            let Some(at) = entry.session.at() else { continue };
+            let Some(row) = boxes.get_mut(&at.server) else { continue };
+            let plays = i32::from(entry.session.playing().is_some());
+            (row.1, row.2) = (row.1 + plays, row.2 + 1 - plays);
+        }
+        for (id, _, heard) in self.watch.believed() {
+            boxes.entry(id).and_modify(|row| row.3 = Some(heard));
+        }
+        boxes
+    }
+
     /// When something is due next.
     pub fn next_due(&self) -> Option<Micros> {
         self.timers.next()
@@ -268,7 +292,7 @@
             Input::Dialed(link, result) => self.dialed(link, result, out),
             Input::Heard(link, message) => self.heard(link, message, out),
             Input::Closed(link) => self.link_closed(link, out),
-            Input::ListUp(number) => self.follower.up(self.now, number, &mut self.timers),
+            Input::ListUp(number) => self.follower.up(self.now, number),
             Input::Told(number, frame) => {
                 match self.follower.told(self.now, number, frame, &mut self.timers, out) {
                     Some(News::Whole(lines)) => self.list(ListKind::Whole, lines, out),
@@ -276,7 +300,7 @@
                     None => {}
                 }
             }
-            Input::ListDown(number) => self.follower.down(self.now, number, &mut self.timers, out),
+            Input::ListDown(number) => self.follower.down(self.now, number, &mut self.timers),
             Input::Coordinator(at) => self.follower.turn_to(self.now, at, &mut self.timers, out),
             Input::End => {
                 if self.ending.is_none() {
@@ -377,9 +401,10 @@
             message.with(code::WAIT, (time_out / 1000).max(1).to_string()).with(code::RUNG, rung.to_string());
         self.counts.attempts += 1;
         self.timers.set(expires, Due::Expire(id, number));
-        entry.link = self.links.set_up(self.now, (server, address), id, message, &mut self.timers, out);
+        let to = (server, address);
+        entry.link = self.links.set_up(self.now, to, message, entry.before, &mut self.timers, out);
         if entry.link.is_none() {
-            self.attempt_ended(id, Outcome::NoConnection, Vec::new(), out);
+            self.attempt_ended(id, Outcome::NoConnection, Vec::new());
         }
     }
 
@@ -507,7 +532,7 @@
             return;
         }
         let outcome = self.withdraw(id, true, out);
-        self.attempt_ended(id, outcome, Vec::new(), out);
+        self.attempt_ended(id, outcome, Vec::new());
     }
 
     /// Takes the attempt that is out back from its connection; what is then known of it. Its give-up goes out ahead
@@ -515,6 +540,7 @@
     fn withdraw(&mut self, id: u64, timed_out: bool, out: &mut Vec<Output>) -> Outcome {
         let link = self.sessions.get_mut(&id).and_then(|entry| entry.link.take());
         let Some(link) = link else { return Outcome::NoConnection };
+        self.sessions.entry(id).and_modify(|entry| entry.before = Some(link));
         match self.links.withdraw(self.now, link, id, timed_out, out) {
             Withdrawn::Unsent => Outcome::NoConnection,
             Withdrawn::MayHaveRun if timed_out => Outcome::TimedOut,
@@ -523,26 +549,25 @@
     }
 
     /// The attempt that is out has ended without the session playing.
-    fn attempt_ended(&mut self, id: u64, outcome: Outcome, report: Vec<f64>, out: &mut Vec<Output>) {
+    fn attempt_ended(&mut self, id: u64, outcome: Outcome, report: Vec<f64>) {
         let Some(entry) = self.sessions.get_mut(&id) else { return };
         let Some(attempt) = entry.session.out().cloned() else { return };
-        entry.link = None;
+        entry.before = entry.link.take().or(entry.before);
         self.timers.unset(attempt.expires, Due::Expire(id, attempt.number));
         let last = entry.session.attempt_ended(outcome);
         if last {
-            self.drop_session(id, out);
+            self.drop_session(id);
         }
         let (session, server, attempt) = (name(id), attempt.server, attempt.number);
         self.events.push_back(Event::Ended { session, attempt, server, outcome, last, report });
     }
 
-    fn drop_session(&mut self, id: u64, out: &mut Vec<Output>) {
+    fn drop_session(&mut self, id: u64) {
         let Some(entry) = self.sessions.remove(&id) else { return };
         self.timers.unset(self.overdue_at(&entry.session), Due::Overdue(id));
         if let Some((client, _)) = entry.session.client {
             self.doors.ended(self.now, client, id, &mut self.timers);
         }
-        let _ = out;
     }
 
     fn overdue_at(&self, session: &Session) -> Micros {
--- a/crates/platform/src/core/viewers.rs
+++ b/crates/platform/src/core/viewers.rs
@@ -85,7 +85,7 @@
                 let keep = [code::CLASS, code::TITLE, code::DESCRIPTION];
                 let passed =
                     message.parameters.iter().filter(|(code, _)| keep.contains(code)).cloned().collect();
-                let entry = Entry { session, passed, link: None, since: 0, moving: false };
+                let entry = Entry { session, passed, link: None, before: None, since: 0, moving: false };
                 self.sessions.insert(id, entry);
                 self.doors.asked(client, id, &mut self.timers);
                 self.events.push_back(Event::Request(request));
@@ -148,7 +148,8 @@
         let attempt = Attempt { number: 0, wire: 0, server: at, address, sent, expires, rung: floor };
         (session.attempts, session.may_have_run) = (1, true);
         session.stage = Stage::Playing(Playing { attempt, changing: None, missed: 0 });
-        let entry = Entry { session, passed: Vec::new(), link: None, since: self.now, moving: false };
+        let entry =
+            Entry { session, passed: Vec::new(), link: None, before: None, since: self.now, moving: false };
         self.sessions.insert(id, entry);
         self.doors.asked(client, id, &mut self.timers);
         self.doors.stands(client, id);
@@ -177,7 +178,7 @@
         entry.session.client = None;
         self.events.push_back(Event::Left(name(id)));
         if entry.session.settled() {
-            self.drop_session(id, &mut Vec::new());
+            self.drop_session(id);
         } else {
             // Nobody waits: it is taken back as soon as this is told.
             self.timers.set(self.now, Due::Overdue(id));
@@ -194,7 +195,7 @@
         let abandoned = |entry: &Entry| matches!(entry.session.stage, Stage::Abandoned(_));
         if self.sessions.get(&id).is_some_and(abandoned) {
             let outcome = self.withdraw(id, false, out);
-            self.attempt_ended(id, outcome, Vec::new(), out);
+            self.attempt_ended(id, outcome, Vec::new());
         }
     }
 
@@ -223,7 +224,7 @@
         self.timers.unset(self.overdue_at(&self.sessions[&id].session), Due::Overdue(id));
         let Some(entry) = self.sessions.get_mut(&id) else { return true };
         if entry.session.settled() {
-            self.drop_session(id, out);
+            self.drop_session(id);
         } else if let Some(client) = client {
             // The attempt that is out goes on alone; the connection owes nothing more.
             entry.session.client = None;
@@ -285,7 +286,7 @@
         if let Some(cause) = cause {
             self.say(client, Message::release(id, cause), out);
         }
-        self.drop_session(id, out);
+        self.drop_session(id);
         self.watch.released(server);
         let (session, last) = (name(id), true);
         self.events.push_back(Event::Ended { session, attempt, server, outcome, last, report });
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -80,6 +80,8 @@
     closing: bool,
     /// Bytes read after it was closed.
     discarded: usize,
+    /// Messages and bytes read, and bytes written, since they were last told.
+    crossed: [usize; 3],
 }
 
 impl Port {
@@ -87,7 +89,17 @@
         let backlog = Backlog::new(BACKLOG, STALLED);
         let (decoder, fresh) = (Decoder::default(), Vec::new());
         let watched = if connecting { EventFlags::OUT } else { EventFlags::IN };
-        Port { stream, decoder, fresh, backlog, connecting, watched, closing: false, discarded: 0 }
+        Port {
+            stream,
+            decoder,
+            fresh,
+            backlog,
+            connecting,
+            watched,
+            closing: false,
+            discarded: 0,
+            crossed: [0; 3],
+        }
     }
 
     /// Writes as much as the socket takes now. Tells whether something waits, or that it is of no more use.
@@ -104,6 +116,7 @@
                 }
             }
         }
+        self.crossed[2] += sent;
         let rest = self.fresh.split_off(sent);
         self.fresh = Vec::new();
         self.backlog.add(&rest, now);
@@ -156,6 +169,8 @@
     dirty: VecDeque<u64>,
     lingering: VecDeque<(Micros, u64)>,
     finished: bool,
+    /// When what is believed is told next.
+    telling: Micros,
 }
 
 /// Runs a front node until it has ended in order.
@@ -194,6 +209,7 @@
         dirty: VecDeque::new(),
         lingering: VecDeque::new(),
         finished: false,
+        telling: 0,
     };
     node.carry_out(&mut out);
     node.work(&mut out);
@@ -249,10 +265,37 @@
             self.inputs.push_back(Input::Tick);
             self.work(&mut out);
             self.close_lingering();
+            if tracing::enabled!(tracing::Level::DEBUG) {
+                self.tell_beliefs();
+            }
         }
         Ok(self.core.counts())
     }
 
+    /// Once a second and box: what the module believes and the ledger counts, beside what crossed the sockets.
+    fn tell_beliefs(&mut self) {
+        let now = self.clock.now();
+        if now < self.telling {
+            return;
+        }
+        self.telling = now + 1_000_000;
+        for (server, (links, plays, out, heard)) in self.core.ledger() {
+            let Some((load, tier, own)) = self.core.decider().believed(server) else { continue };
+            let mut crossed = [0; 3];
+            for link in &links {
+                let Some(port) = self.ports.get_mut(&(BOX | link.0)) else { continue };
+                let part = std::mem::take(&mut port.crossed);
+                (0..3).for_each(|at| crossed[at] += part[at]);
+            }
+            let silent_ms = heard.map(|at| now.saturating_sub(at) / 1000);
+            let (links, [heard, read, written]) = (links.len(), crossed);
+            let id = format!("s-{:08x}", server.0);
+            tracing::debug!(id, load, tier, own, plays, out, ?silent_ms, links, heard, read, written, "box");
+        }
+        let [sessions, playing, viewers, links, timers] = self.core.held();
+        tracing::debug!(sessions, playing, viewers, links, timers, counts = ?self.core.counts(), "front node");
+    }
+
     /// Hands in what has come, carries out what is answered, and writes.
     fn work(&mut self, out: &mut Vec<Output>) {
         loop {
@@ -466,7 +509,7 @@
             Err(_) => return self.list_down(number),
         }
         loop {
-            match call.frames.next() {
+            match call.frames.take() {
                 Ok(Some(frame)) => self.inputs.push_back(Input::Told(number, frame)),
                 Ok(None) => return,
                 Err(error) => {
@@ -525,13 +568,19 @@
         match (&port.stream).read(&mut bytes) {
             Ok(0) => return self.broken(token),
             Ok(_) if port.closing => return,
-            Ok(count) => port.decoder.feed(&bytes[..count]),
+            Ok(count) => {
+                port.crossed[1] += count;
+                port.decoder.feed(&bytes[..count]);
+            }
             Err(error) if again(&error) => return,
             Err(_) => return self.broken(token),
         }
         loop {
-            match port.decoder.next() {
-                Ok(Some(message)) => self.inputs.push_back(said(token, message)),
+            match port.decoder.take() {
+                Ok(Some(message)) => {
+                    port.crossed[0] += 1;
+                    self.inputs.push_back(said(token, message));
+                }
                 Ok(None) => return,
                 Err(error) => {
                     tracing::debug!(%error, "a peer cannot be read");
--- a/crates/platform/src/wire/frames.rs
+++ b/crates/platform/src/wire/frames.rs
@@ -61,7 +61,7 @@
     ///
     /// # Errors
     /// The bytes cannot be read, and nothing after them.
-    pub fn next(&mut self) -> Result<Option<Frame>, BadFrame> {
+    pub fn take(&mut self) -> Result<Option<Frame>, BadFrame> {
         let Some(head) = self.bytes.get(..HEAD) else { return Ok(None) };
         let size = number(&head[..4]) as usize;
         let payload = size.checked_sub(HEAD - 4).ok_or(BadFrame::Length(size))?;
--- a/crates/platform/src/wire/mod.rs
+++ b/crates/platform/src/wire/mod.rs
@@ -209,7 +209,7 @@
     ///
     /// # Errors
     /// The bytes cannot be read, and nothing after them.
-    pub fn next(&mut self) -> Result<Option<Message>, Unreadable> {
+    pub fn take(&mut self) -> Result<Option<Message>, Unreadable> {
         let rest = &self.bytes[self.from..];
         let Some(head) = rest.get(..2) else { return Ok(self.nothing()) };
         let size = usize::from(head[0]) << 8 | usize::from(head[1]);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`fleet`]: what boxes hold and deliver, with no socket.
 //! - [`boxes`], [`list`], [`players`]: the sockets.
 //! - [`siege`]: peers that mean harm, beside viewers that do not.
+//! - [`platform`]: boxes, coordinator and viewers of the platform, over its binary messages.
 //! - [`day`]: plays a day against fronts that somebody else starts.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -17,6 +18,7 @@
 pub mod http;
 pub mod list;
 pub mod log;
+pub mod platform;
 pub mod players;
 pub mod script;
 pub mod siege;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -136,6 +136,11 @@
         self.rng = Pcg32::seed_from_u64(seed);
     }
 
+    /// What is believed of a server: its load, its tier of health (0 is trusted), own sessions there.
+    pub fn believed(&self, id: ServerId) -> Option<(f64, u32, i32)> {
+        self.servers.get(&id).map(|server| (self.load(id), self.tier(id), server.own))
+    }
+
     // ---- REM: random early migration ----
 
     /// REM's probability of moving a session away, by the load of the chosen holder.
