A probe on a new connection is no longer failed by the connection being made

Checked and excluded: probe ids not matched (trace of each test result: all matched), time-outs (the answers came in ms), start times in the list, pace of cold boxes. A trace of what the module hears gave Probed{NoConnection} for each first probe of a box. Cause: core/boxes.rs, dialed(): link_ended(.., NoConnection) ran after a dial that succeeded too, and ended the probes waiting on it. Change: only a dial that failed ends what waited. Test: a_probe_on_a_new_connection_is_not_failed_by_the_connection_being_made, which fails with the repair taken out.

--- a/crates/platform/src/core/boxes.rs
+++ b/crates/platform/src/core/boxes.rs
@@ -10,10 +10,10 @@
     pub(super) fn dialed(&mut self, link: ConnId, result: Result<(), DialError>, out: &mut Vec<Output>) {
         let Some(server) = self.links.server(link) else { return };
         let ended = self.links.dialed(self.now, link, result, &mut self.timers, out);
-        self.link_ended(ended, Outcome::NoConnection);
         match result {
             Ok(()) => self.watch.heard(self.now, server),
             Err(error) => {
+                self.link_ended(ended, Outcome::NoConnection);
                 let verdict = self.watch.failed(self.now, server, error);
                 self.judge(server, verdict, out);
             }
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -43,11 +43,12 @@
 
 /// A decider that does as it is told by the test.
 #[derive(Default)]
-struct Puppet(VecDeque<Action>);
+struct Puppet(VecDeque<Action>, Vec<Event>);
 
 impl Decider for Puppet {
-    fn handle(&mut self, _: Micros, _: &Event, out: &mut Vec<Action>) {
+    fn handle(&mut self, _: Micros, event: &Event, out: &mut Vec<Action>) {
         out.extend(self.0.drain(..));
+        self.1.push(event.clone());
     }
 }
 
@@ -255,6 +256,37 @@
     assert_eq!(most, 3, "nine set-ups, four on a connection");
 }
 
+#[test]
+fn a_probe_on_a_new_connection_is_not_failed_by_the_connection_being_made() {
+    let probed = |event: &Event| match event {
+        Event::Probed { outcome, report, .. } => Some((*outcome, report.clone())),
+        _ => None,
+    };
+    let asked = || {
+        let mut bench = Bench::with(Puppet::default());
+        bench.core.decider.0.push_back(Action::Probe(ServerId(1)));
+        let out = bench.ask(1, "clip");
+        (bench, out)
+    };
+    let (mut bench, out) = asked();
+    let out = bench.made(&out);
+    let (link, message) = sent(&out, kind::TEST)[0];
+    let passed = Message::new(kind::TESTED, message.session).with(code::CAUSE, [1]);
+    bench.tell(Input::Heard(link, passed.with(code::REPORT, "active:3;x0:0.5")));
+    bench.after(SECOND);
+    let heard: Vec<_> = bench.core.decider.1.iter().filter_map(probed).collect();
+    assert_eq!(heard, [(Outcome::Ok, vec![3.0, 0.5])]);
+    // Not made, it is failed at once; not answered, in time.
+    let (mut bench, out) = asked();
+    let Some(Output::Dial(link, _)) = out.last() else { panic!("{out:?}") };
+    bench.tell(Input::Dialed(*link, Err(DialError::Refused)));
+    assert_eq!(bench.core.decider.1.iter().find_map(probed), Some((Outcome::NoConnection, vec![])));
+    let (mut bench, out) = asked();
+    bench.made(&out);
+    bench.after(SECOND);
+    assert_eq!(bench.core.decider.1.iter().find_map(probed), Some((Outcome::TimedOut, vec![])));
+}
+
 #[test]
 fn a_dead_process_is_told_from_a_broken_connection_and_its_viewers_come_again_at_once() {
     let mut bench = Bench::new();
