A note of an older session shows that its box lives on after one connection broke

Checked and excluded: late answers (none came), releases nobody waits for (none), the account (own = plays + out in every line). Cause: brain.rs, failed(): a broken connection voids the server's age, and only a new set-up there would heal it, which tier 1 prevents. links.rs, withdraw(): a connection stayed in use after a time-out where a note had come on it. Change: a note of a session that plays since before the failure proves that the process lives: doubt and cold go. After any time-out nothing new is put on that connection. Trouble of attempts and probes is told at debug. Tests for all three fail without the repair.

--- a/crates/platform/src/core/boxes.rs
+++ b/crates/platform/src/core/boxes.rs
@@ -98,7 +98,11 @@
             Stage::Trying(attempt) => attempt.server == server && entry.link == Some(link),
             _ => false,
         };
-        let Some(entry) = self.sessions.get_mut(&id).filter(waits) else { return };
+        let Some(entry) = self.sessions.get_mut(&id).filter(waits) else {
+            let text = format!("box s-{:08x}: an answer for {id:016x} that nobody waits for", server.0);
+            out.push(Output::Log(Level::Debug, text));
+            return;
+        };
         let Some(description) = message.get(code::DESCRIPTION).map(<[u8]>::to_vec) else {
             out.push(Output::Hang(link));
             self.counts.spoilt += 1;
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -110,7 +110,8 @@
         self.links.entry(link).and_modify(|one| one.doubted = true);
     }
 
-    /// The connection to put something on: one that stands before one that is being made, the one used last.
+    /// The connection to put something on, of those with fewer set-ups out than this: one that stands before one that
+    /// is being made, the one used last.
     fn best(&self, to: (ServerId, SocketAddr), streams: usize, avoid: Option<ConnId>) -> Option<ConnId> {
         let fits = |one: &&Link| (one.server, one.address) == to && !one.doubted && one.out.len() < streams;
         let known = self.links.iter().filter(|(id, one)| fits(one) && Some(**id) != avoid);
@@ -249,23 +250,22 @@
     }
 
     /// Takes a set-up back. Where it was written, its give-up follows. Danger: a connection that stays open and is of
-    /// no more use; where nothing was heard on it since the set-up was written, nothing new is put on it.
+    /// no more use, though notes may still come on it; after a time-out nothing new is put on it.
     pub fn withdraw(
         &mut self,
-        now: Micros,
         id: ConnId,
         session: u64,
         timed_out: bool,
         out: &mut Vec<Output>,
     ) -> Withdrawn {
         let Some(link) = self.links.get_mut(&id) else { return Withdrawn::MayHaveRun };
-        let sent = link.out.remove(&session).unwrap_or(now);
+        link.out.remove(&session);
         if let Some(waiting) = &mut link.waiting {
             waiting.retain(|message| !(message.kind == kind::SET_UP && message.session == session));
             return Withdrawn::Unsent;
         }
         out.push(Output::Send(id, Message::release(session, cause::NORMAL)));
-        link.doubted |= timed_out && link.heard <= sent;
+        link.doubted |= timed_out;
         Withdrawn::MayHaveRun
     }
 
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -342,6 +342,9 @@
     fn settle(&mut self, out: &mut Vec<Output>) {
         let mut actions = Vec::new();
         while let Some(event) = self.events.pop_front() {
+            if let Some(text) = trouble(&event) {
+                out.push(Output::Log(Level::Debug, text));
+            }
             self.decider.handle(self.now, &event, &mut actions);
             for action in actions.drain(..) {
                 self.carry_out(action, out);
@@ -541,7 +544,7 @@
         let link = self.sessions.get_mut(&id).and_then(|entry| entry.link.take());
         let Some(link) = link else { return Outcome::NoConnection };
         self.sessions.entry(id).and_modify(|entry| entry.before = Some(link));
-        match self.links.withdraw(self.now, link, id, timed_out, out) {
+        match self.links.withdraw(link, id, timed_out, out) {
             Withdrawn::Unsent => Outcome::NoConnection,
             Withdrawn::MayHaveRun if timed_out => Outcome::TimedOut,
             Withdrawn::MayHaveRun => Outcome::Withdrawn,
@@ -575,6 +578,20 @@
     }
 }
 
+/// What of an event is worth a line at debug: attempts and probes that did not end well.
+fn trouble(event: &Event) -> Option<String> {
+    match event {
+        Event::Ended { session, attempt, server, outcome, last, .. } if *outcome != Outcome::Ok => {
+            let more = if *last { ", over" } else { "" };
+            Some(format!("box s-{:08x}: {outcome:?}, attempt {attempt} of {}{more}", server.0, session.0))
+        }
+        Event::Probed { server, outcome, .. } if *outcome != Outcome::Ok => {
+            Some(format!("box s-{:08x}: probe {outcome:?}", server.0))
+        }
+        _ => None,
+    }
+}
+
 /// The module's name of a session: its id as the platform writes it.
 pub(crate) fn name(id: u64) -> SessionId {
     SessionId(Arc::from(format!("{id:016x}")))
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -165,7 +165,7 @@
     let (link, message) = set_up(&out).unwrap();
     assert_eq!(message.text(code::DESCRIPTION), Some("offer"));
     assert_eq!(message.text(code::TITLE), Some("7f3a9c21e0b4d655"));
-    assert!(bench.tell(Input::Heard(link, answer(77))).is_empty(), "under an unknown id");
+    assert_eq!(said(&bench.tell(Input::Heard(link, answer(77)))).count(), 0, "under an unknown id");
     let out = bench.tell(Input::Heard(link, answer(9)));
     assert_eq!(said(&out).next(), Some(&answer(9)));
     assert_eq!(said(&bench.tell(Input::Heard(link, answer(9)))).count(), 0);
@@ -192,6 +192,25 @@
     assert_eq!(said(&bench.tell(Input::Heard(second, answer(9)))).count(), 1);
 }
 
+#[test]
+fn a_connection_on_which_an_answer_never_came_gets_nothing_new_though_notes_come_on_it() {
+    let mut bench = Bench::with(Puppet::default());
+    let asks = |bench: &mut Bench<Puppet>, id: u64| {
+        bench.core.decider.0.push_back(Action::SetUp(name(id), ServerId(0), SECOND / 2));
+        let out = bench.ask(id, "clip");
+        let mut all = out.clone();
+        all.extend(bench.made(&out));
+        set_up(&all).map(|(link, _)| link).expect("sent")
+    };
+    let first = asks(&mut bench, 1);
+    bench.tell(Input::Heard(first, answer(1)));
+    assert_eq!(asks(&mut bench, 2), first, "one that works is kept");
+    bench.after(SECOND / 4);
+    bench.tell(Input::Heard(first, Message::new(kind::NOTE, 1).with(24, "port").with(39, "0.5")));
+    bench.after(SECOND / 2);
+    assert_ne!(asks(&mut bench, 3), first);
+}
+
 #[test]
 fn what_is_paid_is_set_up_again_only_if_it_never_ran() {
     // Refused, and not made in time: not a byte was written.
@@ -247,13 +266,17 @@
 #[test]
 fn a_connection_carries_no_more_set_ups_than_the_settings_allow() {
     let mut bench = Bench::with(Puppet::default());
-    for id in 1..=9 {
+    for id in 1..=30 {
         bench.core.decider.0.push_back(Action::SetUp(name(id), ServerId(0), 0));
         let out = bench.ask(id, "clip");
         bench.made(&out);
     }
-    let most = bench.core.links.of(ServerId(0)).len();
-    assert_eq!(most, 3, "nine set-ups, four on a connection");
+    let mut on = BTreeMap::new();
+    for entry in bench.core.sessions.values() {
+        *on.entry(entry.link).or_insert(0) += 1;
+    }
+    assert_eq!(on.remove(&None), Some(6), "six connections to a box, four set-ups on each");
+    assert_eq!(on.into_values().collect::<Vec<_>>(), [4; 6]);
 }
 
 #[test]
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -730,6 +730,19 @@
         self.downs.remove(&server.entry.zone);
     }
 
+    /// A session tells of its server: the process has run since that session began, whatever was feared.
+    /// Danger: one broken connection empties a server and takes it for cold, while all else there plays on.
+    fn lives(&mut self, id: ServerId, since: Micros) {
+        let told = self.now.saturating_sub(self.set.note_age);
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        let Some(down) = server.cold_since.filter(|at| since < *at && *at < told) else { return };
+        server.cold_since = Some(since);
+        if server.failed_at == Some(down) {
+            (server.failures, server.out_until) = (0, 0);
+            self.downs.remove(&server.entry.zone);
+        }
+    }
+
     /// When the warm-up of a server began, if it may be cold.
     fn cold(&self, server: &Server) -> Option<Micros> {
         let told = server.entry.started.or(self.unsure.then_some(self.now));
@@ -800,7 +813,12 @@
                 self.sessions.entry(id.clone()).and_modify(|s| s.answered = true);
             }
             Event::Note { session, server, note } => {
-                let fresh = self.sessions.get(session).is_some_and(|s| s.playing == Some(self.now));
+                let since =
+                    self.sessions.get(session).and_then(|s| s.playing.filter(|_| s.at == Some(*server)));
+                if let Some(since) = since {
+                    self.lives(*server, since);
+                }
+                let fresh = since == Some(self.now);
                 let at = if fresh { self.now } else { self.now.saturating_sub(self.set.note_age) };
                 match note {
                     Note::Delivered(share) => self.hear_delivered(*server, *share),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -282,3 +282,31 @@
     bench.note("back", server, Note::Link(1.05));
     assert!(!moved(&bench.after(6 * SECOND).ask(request("n2", 0, server, 1))));
 }
+
+#[test]
+fn a_broken_connection_does_not_empty_a_server_whose_sessions_play_on() {
+    // All but 0 are busy; an attempt at 0 breaks while an older session plays there.
+    let broken = |told: bool, old: bool| {
+        let mut bench = Bench::new(Settings { racks: 0, ..settings() });
+        if old {
+            bench.playing("old", 0, 0);
+            bench.note("old", 0, Note::Link(0.1));
+        }
+        bench.playing_each(&[1, 2, 3, 4, 5], 0, Note::Link(0.7));
+        bench.after(20 * SECOND);
+        assert_eq!(sent(&bench.ask(request("new", 1, 0, 1))), Some(0));
+        bench.end("new", 0, 0, Outcome::Broken, true);
+        if !old {
+            bench.playing("young", 0, 0);
+        }
+        bench.after(3 * SECOND);
+        if told {
+            bench.note(if old { "old" } else { "young" }, 0, Note::Link(0.1));
+        }
+        bench.playing_each(&[1, 2, 3, 4, 5], 0, Note::Link(0.7));
+        sent(&bench.ask(request("next", 0, 0, 6)))
+    };
+    assert_eq!(broken(true, true), Some(0));
+    assert_ne!(broken(false, true), Some(0), "nothing was heard since");
+    assert_ne!(broken(true, false), Some(0), "what began since does not tell of the process before");
+}
