Errors that are the requests' own cost no box its trust; rungs of sessions handed over are known

Checked: a trace of what boxes answered with errors: requests that can be read and have titles which no box knows, 294 of them in 25 s. Excluded: turning them away at the door by the size of the title's number, which the protocol does not bound. Cause: brain.rs, ended(): each Failed counted against the box, whatever the request and whatever else the box answered. Change: erred(): a request with errors at two boxes takes the first back and no other counts; an error among four good answers of 5 s counts for nothing. Also: core/viewers.rs, handed(): a session handed over was taken to play at the lowest rung, so a step to that rung was not sent; now its rung is unknown until its box tells, and notes of rungs are taken in.

--- a/crates/platform/src/core/boxes.rs
+++ b/crates/platform/src/core/boxes.rs
@@ -63,11 +63,16 @@
                 self.box_released(server, &message, out);
             }
             kind::NOTE => {
-                let plays = self.sessions.get(&id).and_then(|entry| entry.session.playing());
-                let note = note(&message).filter(|_| plays.is_some_and(|p| p.attempt.server == server));
-                if let Some(note) = note {
-                    self.events.push_back(Event::Note { session: name(id), server, note });
+                let Some(note) = note(&message) else { return };
+                let Some(entry) = self.sessions.get_mut(&id) else { return };
+                let Stage::Playing(playing) = &mut entry.session.stage else { return };
+                if playing.attempt.server != server {
+                    return;
                 }
+                if let Note::Rung(rung) = note {
+                    playing.attempt.rung = rung;
+                }
+                self.events.push_back(Event::Note { session: name(id), server, note });
             }
             kind::TESTED => {
                 if self.probes.get(&id).is_some_and(|(of, _)| *of == server) {
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -529,6 +529,27 @@
     assert_eq!((bench.core.counts().resumed, bench.core.held()[1]), (1, 1));
 }
 
+#[test]
+fn a_session_handed_over_at_a_high_rung_is_stepped_down_to_the_lowest_at_its_box() {
+    let steps = |told: Option<usize>, to: usize| {
+        let mut bench = Bench::with(Puppet::default());
+        let out = bench.tell(Input::Said(ClientId(1), request(5, "clip", ";at:s-00000001")));
+        bench.made(&out);
+        let link = bench.core.links.of(ServerId(1))[0];
+        if let Some(rung) = told {
+            let note = Message::new(kind::NOTE, 5).with(24, "level").with(39, rung.to_string());
+            bench.tell(Input::Heard(link, note));
+        }
+        bench.core.decider.0.push_back(Action::SetRung(name(5), to));
+        let out =
+            bench.tell(Input::Heard(link, Message::new(kind::NOTE, 5).with(24, "port").with(39, "1.5")));
+        sent(&out, kind::RUNG).into_iter().filter_map(|(_, m)| m.text(code::RUNG)?.parse().ok()).next()
+    };
+    assert_eq!(steps(Some(2), 0), Some(0), "the front believed it there already");
+    assert_eq!(steps(None, 0), Some(0));
+    assert_eq!(steps(Some(1), 1), None, "a change that is none is not paid for");
+}
+
 #[test]
 fn a_moved_session_ends_at_its_box_and_its_viewer_is_known_when_it_comes_back() {
     let mut bench = Bench::with(Puppet::default());
--- a/crates/platform/src/core/viewers.rs
+++ b/crates/platform/src/core/viewers.rs
@@ -145,7 +145,9 @@
         let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
         let address = self.boxes.get(&at).copied().unwrap_or(unknown);
         let (sent, expires) = (self.now, self.now);
-        let attempt = Attempt { number: 0, wire: 0, server: at, address, sent, expires, rung: floor };
+        // Its rung is not known until its box tells: whichever the module wants is told the box.
+        let rung = usize::MAX;
+        let attempt = Attempt { number: 0, wire: 0, server: at, address, sent, expires, rung };
         (session.attempts, session.may_have_run) = (1, true);
         session.stage = Stage::Playing(Playing { attempt, changing: None, missed: 0 });
         let entry =
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -63,6 +63,8 @@
 const FULL: Micros = SECOND; // a server that turned a set-up away is sent others last for this long
 const ATTEMPT_PART: f64 = 0.45; // of the aim for an attempt while another could follow within it
 const TICK: Micros = SECOND / 10; // regular look; a held session is answered this long before its end
+const ANSWERS_KEPT: Micros = 5 * SECOND; // over which errors are held against good answers
+const ERRORS_BORNE: f64 = 0.2; // share of errors that is the requests' fault: sick servers err more
 const NEVER: Micros = Micros::MAX; // a bar that does not pass
 
 // Cold servers.
@@ -724,7 +726,36 @@
         }
     }
 
+    /// A request with errors at two servers is at fault itself: the first is taken back, the next not counted.
+    /// Nor is an error among many good answers. Danger: a client's useless requests empty all holders of a title.
+    fn erred(&mut self, at: &[ServerId]) {
+        match at {
+            [first, second] if first != second => {
+                let Some(server) = self.servers.get_mut(first) else { return };
+                (server.failures, server.out_until) = (server.failures.saturating_sub(1), 0);
+            }
+            [.., last] if at.iter().all(|other| other == last) => {
+                self.answered(*last, true);
+                let answers = self.servers.get(last).map(|server| &server.answers).into_iter().flatten();
+                let (all, errors) =
+                    answers.fold((0.0, 0.0), |sum, answer| (sum.0 + 1.0, sum.1 + f64::from(answer.1)));
+                if errors > all * ERRORS_BORNE {
+                    self.failed(*last, false);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn answered(&mut self, id: ServerId, error: bool) {
+        let now = self.now;
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.answers.push_back((now, error));
+        server.answers.retain(|answer| answer.0 + ANSWERS_KEPT > now);
+    }
+
     fn worked(&mut self, id: ServerId) {
+        self.answered(id, false);
         let Some(server) = self.servers.get_mut(&id) else { return };
         (server.failures, server.out_until) = (server.failures.saturating_sub(1), 0);
         self.downs.remove(&server.entry.zone);
@@ -856,6 +887,10 @@
         let (Some(at), true) = (session.at, attempt + 1 == session.attempts) else { return };
         let (playing, answered) = (session.playing, session.answered);
         session.at = None;
+        if outcome == Outcome::Failed {
+            session.erred.push(at);
+        }
+        let erred = session.erred.clone();
         if !outcome.never_ran() {
             session.ran = Some((at, session.sent));
         }
@@ -869,7 +904,7 @@
                     *mean += 0.05 * (length - *mean);
                 }
             }
-            Outcome::Failed => self.failed(at, false),
+            Outcome::Failed => self.erred(&erred),
             Outcome::Full if draining => self.failed(at, false),
             Outcome::Full => {
                 self.servers.entry(at).and_modify(|server| server.full_until = self.now + FULL);
--- a/src/state.rs
+++ b/src/state.rs
@@ -35,6 +35,8 @@
     pub relieved: Micros,
     pub moved_at: Option<Micros>,
     pub failures: u32,
+    /// Set-ups answered lately: when, and whether with an error.
+    pub answers: VecDeque<(Micros, bool)>,
     pub full_until: Micros,
     pub failed_at: Option<Micros>,
     pub out_until: Micros,
@@ -69,6 +71,8 @@
     pub at: Option<ServerId>,
     pub playing: Option<Micros>,
     pub tried: Vec<ServerId>,
+    /// Servers that answered a set-up of it with an error, in order.
+    pub erred: Vec<ServerId>,
     /// A set-up that may have run, and when it was sent.
     pub ran: Option<(ServerId, Micros)>,
     pub sent: Micros,
@@ -106,6 +110,7 @@
             at: None,
             playing: None,
             tried: Vec::new(),
+            erred: Vec::new(),
             ran: None,
             sent: now,
             answered: false,
