--- a/src/brain.rs
+++ b/src/brain.rs
@@ -726,7 +726,7 @@
         }
     }
 
-    /// A request with errors at two servers is at fault: the first is taken back, the next not counted. Nor is
+    /// A request with errors at two servers is at fault: the first is taken back, the next uncounted. Nor is
     /// an error among many good answers. Danger: a client's useless requests empty all holders of a title.
     fn erred(&mut self, at: &[ServerId]) {
         match at {
