A late answer of the same box, tested; it failed to be before

Cause: taking the repairs out one by one, seven of eight were caught by a test, the answer on any connection was not. Change: a test, which fails with that repair taken out.

--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -211,6 +211,27 @@
     assert_ne!(asks(&mut bench, 3), first);
 }
 
+#[test]
+fn a_late_answer_of_the_same_box_is_not_taken_for_the_answer_to_the_next_attempt() {
+    let mut bench = Bench::with(Puppet::default());
+    let asks = |bench: &mut Bench<Puppet>, input: Input| {
+        let out = bench.tell(input);
+        let mut all = out.clone();
+        all.extend(bench.made(&out));
+        set_up(&all).map(|(link, _)| link).expect("sent")
+    };
+    let again = Action::SetUp(name(9), ServerId(0), SECOND / 2);
+    bench.core.decider.0.push_back(again.clone());
+    let first = asks(&mut bench, Input::Said(ClientId(1), request(9, "clip", "")));
+    // The time-out, and another attempt at the same box.
+    bench.now += SECOND / 2;
+    bench.core.decider.0.push_back(again);
+    let second = asks(&mut bench, Input::Tick);
+    assert_ne!(first, second);
+    assert_eq!(said(&bench.tell(Input::Heard(first, answer(9)))).count(), 0);
+    assert_eq!(said(&bench.tell(Input::Heard(second, answer(9)))).count(), 1);
+}
+
 #[test]
 fn what_is_paid_is_set_up_again_only_if_it_never_ran() {
     // Refused, and not made in time: not a byte was written.
