--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -684,3 +684,70 @@
     assert!(doors <= 1 && timers < 12, "{doors} {timers}");
     assert!(bench.core.probes.is_empty() && bench.core.links.out().is_empty());
 }
+
+#[test]
+fn what_is_given_up_on_is_answered_at_once_with_a_time_to_come_back() {
+    let mut bench = Bench::new();
+    let lines = (0..LISTED).map(|id| {
+        let mut line = line(id);
+        line.entry.state = ServerState::Draining;
+        line
+    });
+    bench.told(1, 6, Told::Changes(lines.collect()));
+    let out = bench.ask(9, "paid");
+    let answer = said(&out).next().expect("at once");
+    assert_eq!((answer.cause(), answer.text(code::HOLD_OFF)), (Some(cause::FULL), Some("1000")));
+    assert!(bench.core.sessions.is_empty());
+}
+
+#[test]
+fn a_drain_told_during_a_set_up_lets_it_stand_and_sends_nothing_more_there() {
+    let mut bench = Bench::new();
+    let out = bench.ask(1, "clip");
+    let out = bench.made(&out);
+    let (link, _) = set_up(&out).unwrap();
+    let drains = bench.core.sessions[&1].session.at().unwrap().server;
+    let mut told = line(drains.0);
+    told.entry.state = ServerState::Draining;
+    bench.told(1, 6, Told::Changes(vec![told]));
+    let out = bench.tell(Input::Heard(link, answer(1)));
+    assert!(said(&out).any(|m| m.kind == kind::ANSWER));
+    for id in 2..12 {
+        let (_, at) = bench.playing(id, "clip");
+        assert_ne!(at, address(drains.0));
+    }
+}
+
+#[test]
+fn a_release_that_comes_twice_and_on_another_connection_is_told_the_viewer_once() {
+    let mut bench = Bench::new();
+    let (link, at) = bench.playing(1, "clip");
+    let out = bench.tell(Input::Closed(link));
+    let look = out.iter().find_map(|o| match o {
+        Output::Dial(link, to) if *to == at => Some(*link),
+        _ => None,
+    });
+    let other = look.expect("a new connection");
+    bench.tell(Input::Dialed(other, Ok(())));
+    let released = Message::release(1, cause::NORMAL);
+    let out = bench.tell(Input::Heard(other, released.clone()));
+    assert_eq!(said(&out).collect::<Vec<_>>(), [&released]);
+    let out = bench.tell(Input::Heard(other, released));
+    assert_eq!(said(&out).count(), 0);
+    assert_eq!(sent(&out, kind::HEARD).len(), 1);
+}
+
+#[test]
+fn a_request_that_crossed_a_close_is_taken_on_a_new_connection() {
+    let mut bench = Bench::new();
+    bench.tell(Input::Joined(ClientId(2)));
+    bench.tell(Input::Said(ClientId(2), request(9, "paid", "")));
+    bench.tell(Input::Left(ClientId(2)));
+    assert!(bench.core.sessions.is_empty(), "whoever asked is gone");
+    let out = bench.ask(9, "paid");
+    let mut all = out.clone();
+    all.extend(bench.made(&out));
+    let (link, _) = set_up(&all).expect("asked again");
+    let out = bench.tell(Input::Heard(link, answer(9)));
+    assert_eq!(out[0], Output::Say(ClientId(1), answer(9)));
+}
