One piece for what both ledgers share; two leaks of the front node that reading again found

Cause: read again, the change had written twice what stood already: Opening::request, the boxes that a list takes away, when an answer is overdue, a session that plays already, the time span for epoll; and, within itself, fields of a report, dial and watch, hanging up a spoilt connection, messages to the box of what stands, report names beside the parser of settings. Two faults were found so. viewers.rs, give_up(): the session forgot its connection first, which kept the id as owed for ever and was never closed or made room. node.rs, Port::flush(): Step::Cut of a full backlog was dropped, so a peer that reads nothing was tried in a loop. Change: one piece each, called from both; links.made() for a dial that is made, closed() for one that is not; spoilt connections counted also where bytes cannot be read; a rung goes to the box's address of now, as a release does. Tests for both faults and for spoilt bytes, the first two seen to fail with the repair taken out. No assertion changed.

--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -3,6 +3,7 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use rustix::event::Timespec;
 use salttally::interface::Micros;
 
 /// The front's own clock: microseconds since the Unix epoch at its start, and from then on only forward,
@@ -41,3 +42,9 @@
         self.started + Duration::from_micros(at.saturating_sub(self.base))
     }
 }
+
+/// A span of time as the system takes it.
+pub fn timespec(span: Micros) -> Timespec {
+    let nanos = i64::try_from(span.saturating_mul(1_000)).unwrap_or(i64::MAX);
+    Timespec { tv_sec: nanos / 1_000_000_000, tv_nsec: nanos % 1_000_000_000 }
+}
--- a/crates/front/src/core/ledger.rs
+++ b/crates/front/src/core/ledger.rs
@@ -303,7 +303,7 @@
         let class = self.settings.classes.get(opening.class);
         let (effect, floor) = class.map_or((Effect::Safe, 0), |class| (class.effect, class.floor));
         let session = Session::new(Some((client, ticket)), opening, effect, floor, self.now);
-        self.timers.set(overdue_at(&session, &self.limits), Due::Overdue(id.clone()));
+        self.timers.set(session.overdue_at(self.limits.answer_slack), Due::Overdue(id.clone()));
         self.insert(id.clone(), session);
         self.by_client.entry(client).or_default().insert(id);
         self.events.push_back(Event::Request(request));
@@ -439,7 +439,7 @@
     /// No answer is owed any more; a session with no attempt out is over by that.
     fn settled(&mut self, id: &SessionId) {
         let Some(session) = self.sessions.get_mut(id) else { return };
-        let at = overdue_at(session, &self.limits);
+        let at = session.overdue_at(self.limits.answer_slack);
         self.timers.unset(at, Due::Overdue(id.clone()));
         if session.settled() {
             self.drop_session(id);
@@ -707,7 +707,7 @@
             out.push(Output::Answer(client, ticket, answer));
         }
         if let Some(session) = self.sessions.get_mut(id) {
-            let at = overdue_at(session, &self.limits);
+            let at = session.overdue_at(self.limits.answer_slack);
             self.timers.unset(at, Due::Overdue(id.clone()));
             session.stage = Stage::Playing(Playing { attempt, changing: None, missed: 0 });
         }
@@ -868,14 +868,10 @@
 
     fn list(&mut self, kind: ListKind, lines: Vec<Listed>, out: &mut Vec<Output>) {
         if kind != ListKind::Lost {
-            let named: BTreeSet<ServerId> = lines.iter().map(|line| line.entry.server).collect();
-            let missing = |id: &&ServerId| kind != ListKind::Changes && !named.contains(*id);
-            let mut gone: Vec<ServerId> = self.boxes.keys().filter(missing).copied().collect();
+            let gone = gone(kind, &lines, self.boxes.keys());
             for line in &lines {
                 let id = line.entry.server;
-                if line.entry.state == ServerState::Gone {
-                    gone.push(id);
-                } else {
+                if line.entry.state != ServerState::Gone {
                     self.boxes.insert(id, line.address);
                     self.streams.listed(self.now, id, line.address, &mut self.timers, out);
                 }
@@ -1026,8 +1022,7 @@
             expires: self.now,
             rung: held.rung,
         };
-        (session.attempts, session.may_have_run) = (1, true);
-        session.stage = Stage::Playing(Playing { attempt, changing: None, missed: 0 });
+        session.plays_already(attempt);
         let until = self.now + self.limits.claim_within;
         session.claim_by = Some(until);
         self.insert(id.clone(), session);
@@ -1104,11 +1099,6 @@
     }
 }
 
-/// When the ledger answers by itself, between the viewer's patience and the end of the slack.
-fn overdue_at(session: &Session, limits: &Limits) -> Micros {
-    session.deadline + limits.answer_slack / 2
-}
-
 /// What the end of a request proves; see [`Outcome`].
 fn outcome_of(end: End) -> (Outcome, Vec<f64>) {
     match end {
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -22,6 +22,7 @@
 mod tests;
 pub mod timers;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use salttally::brain::Brain;
@@ -80,7 +81,7 @@
 
 impl Opening {
     /// The module's request for it.
-    fn request(&self, session: &SessionId, moved: bool) -> Request {
+    pub fn request(&self, session: &SessionId, moved: bool) -> Request {
         Request {
             session: session.clone(),
             class: self.class,
@@ -106,6 +107,18 @@
     pub address: SocketAddr,
 }
 
+/// The boxes that a list takes away: those that it calls gone, and those that a whole one no longer names.
+pub fn gone<'a>(
+    kind: ListKind,
+    lines: &[Listed],
+    known: impl Iterator<Item = &'a ServerId>,
+) -> Vec<ServerId> {
+    let named: BTreeSet<ServerId> = lines.iter().map(|line| line.entry.server).collect();
+    let missing = known.filter(|id| kind != ListKind::Changes && !named.contains(id)).copied();
+    let told = lines.iter().filter(|line| line.entry.state == ServerState::Gone);
+    missing.chain(told.map(|line| line.entry.server)).collect()
+}
+
 /// A session that a box holds for this front.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Held {
--- a/crates/front/src/core/session.rs
+++ b/crates/front/src/core/session.rs
@@ -145,6 +145,17 @@
         self.effect == Effect::Once && (self.may_have_run || self.out().is_some())
     }
 
+    /// It plays by this attempt, made in an earlier life of the front.
+    pub fn plays_already(&mut self, attempt: Attempt) {
+        (self.attempts, self.may_have_run) = (1, true);
+        self.stage = Stage::Playing(Playing { attempt, changing: None, missed: 0 });
+    }
+
+    /// When a ledger answers by itself, between the viewer's patience and the end of the slack.
+    pub fn overdue_at(&self, slack: Micros) -> Micros {
+        self.deadline + slack / 2
+    }
+
     /// Whether the one answer is still owed.
     pub fn owed(&self) -> bool {
         matches!(self.stage, Stage::Held | Stage::Trying(_))
--- a/crates/front/src/session_api/server.rs
+++ b/crates/front/src/session_api/server.rs
@@ -12,7 +12,7 @@
 use crossbeam_channel::{Receiver, Sender, TrySendError};
 use rustix::buffer::spare_capacity;
 use rustix::event::epoll::{self, EventData, EventFlags};
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::event::{poll, PollFd, PollFlags};
 use rustix::fd::OwnedFd;
 use socket2::{SockRef, TcpKeepalive};
 use tungstenite::handshake::server::{ErrorResponse, Request, Response};
@@ -32,7 +32,7 @@
 use super::entrance::Entrance;
 use super::outbox::Outbox;
 use super::rpc;
-use crate::clock::Clock;
+use crate::clock::{timespec, Clock};
 use crate::core::{ClientId, Input};
 use crate::engine::{Msg, Port, Taken};
 use crate::settings::{Settings, SUB_PROTOCOL};
@@ -338,11 +338,6 @@
     }
 }
 
-fn timespec(micros: u64) -> Timespec {
-    let nanos = i64::try_from(micros.saturating_mul(1_000)).unwrap_or(i64::MAX);
-    Timespec { tv_sec: nanos / 1_000_000_000, tv_nsec: nanos % 1_000_000_000 }
-}
-
 /// When whoever finds the door full may come again, s.
 fn retry_after(settings: &Settings) -> u64 {
     settings.module.max_hold_off.div_ceil(1_000_000)
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -69,8 +69,6 @@
     pub known: Vec<Listed>,
     /// The settings of the module and of the sockets.
     pub facts: Facts,
-    /// Names of the fields of a load report, in order.
-    pub report_names: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -144,12 +142,6 @@
         let address = |field: &str, text: &str| {
             text.parse::<SocketAddr>().map_err(|_| bad(field, &format!("`{text}` is no address and port")))
         };
-        let report_names = match file.settings.pointer("/load_report/names") {
-            Some(names) => {
-                Vec::<String>::deserialize(names).map_err(|e| ConfigError::Json(path.into(), e))?
-            }
-            None => Vec::new(),
-        };
         let facts = Facts::from_value(file.settings).map_err(|e| ConfigError::Settings(path.into(), e))?;
         if facts.settings.classes.is_empty() || facts.settings.ladder.is_empty() {
             return Err(bad("settings", "no class or no rung"));
@@ -183,7 +175,6 @@
             index: file.known.index,
             known,
             facts,
-            report_names,
         })
     }
 }
--- a/crates/platform/src/core/boxes.rs
+++ b/crates/platform/src/core/boxes.rs
@@ -9,10 +9,13 @@
 impl<D: Decider> Core<D> {
     pub(super) fn dialed(&mut self, link: ConnId, result: Result<(), DialError>, out: &mut Vec<Output>) {
         let Some(server) = self.links.server(link) else { return };
-        let ended = self.links.dialed(self.now, link, result, &mut self.timers, out);
         match result {
-            Ok(()) => self.watch.heard(self.now, server),
+            Ok(()) => {
+                self.links.made(self.now, link, &mut self.timers, out);
+                self.watch.heard(self.now, server);
+            }
             Err(error) => {
+                let ended = self.links.closed(link);
                 self.link_ended(ended, Outcome::NoConnection);
                 let verdict = self.watch.failed(self.now, server, error);
                 self.judge(server, verdict, out);
@@ -28,6 +31,13 @@
         self.look_at(server, out);
     }
 
+    /// Nothing more of a connection can be trusted: it is hung up.
+    pub(super) fn spoilt(&mut self, link: ConnId, out: &mut Vec<Output>) {
+        self.counts.spoilt += 1;
+        out.push(Output::Hang(link));
+        self.link_closed(link, out);
+    }
+
     fn link_ended(&mut self, ended: Ended, outcome: Outcome) {
         for id in ended.set_ups {
             self.attempt_ended(id, outcome, Vec::new());
@@ -83,17 +93,13 @@
                 }
             }
             kind::PROGRESS | kind::HEARD => {}
-            _ => {
-                // No box says this: nothing more of the connection can be trusted.
-                out.push(Output::Hang(link));
-                self.counts.spoilt += 1;
-                self.link_closed(link, out);
-            }
+            // No box says this.
+            _ => self.spoilt(link, out),
         }
     }
 
     fn report(&self, message: &Message) -> Vec<f64> {
-        words::report(message, &self.report_names, &self.facts.settings.reports)
+        words::report(message, &self.facts.report_names, &self.facts.settings.reports)
     }
 
     /// The session stands, if this answers the attempt that is out; anything else is a copy, late, or nobody's.
@@ -109,16 +115,14 @@
             return;
         };
         let Some(description) = message.get(code::DESCRIPTION).map(<[u8]>::to_vec) else {
-            out.push(Output::Hang(link));
-            self.counts.spoilt += 1;
-            return self.link_closed(link, out);
+            return self.spoilt(link, out);
         };
         let Some(attempt) = entry.session.out().cloned() else { return };
         let client = entry.session.client.map(|(client, _)| client);
-        let deadline = self.facts.answer_slack / 2 + entry.session.deadline;
+        let overdue = entry.session.overdue_at(self.facts.answer_slack);
         self.links.ended(link, id);
         self.timers.unset(attempt.expires, Due::Expire(id, attempt.number));
-        self.timers.unset(deadline, Due::Overdue(id));
+        self.timers.unset(overdue, Due::Overdue(id));
         let took = self.now - attempt.sent;
         let answer = Message::new(kind::ANSWER, id).with(code::DESCRIPTION, description);
         if let Some(client) = client {
@@ -225,12 +229,17 @@
 
     /// Ends a session at its box.
     pub(super) fn release_at_box(&mut self, id: u64, cause: u8, out: &mut Vec<Output>) {
+        self.tell_box(id, Message::release(id, cause), out);
+    }
+
+    /// Tells a box something of a session that it holds.
+    pub(super) fn tell_box(&mut self, id: u64, message: Message, out: &mut Vec<Output>) {
         let Some(entry) = self.sessions.get(&id) else { return };
         let Some(at) = entry.session.at() else { return };
         // A box that has gone took it along, and another one may listen at its address.
         let Some(address) = self.boxes.get(&at.server).copied() else { return };
         let to = (at.server, address);
-        self.links.tell(self.now, to, entry.link, Message::release(id, cause), &mut self.timers, out);
+        self.links.tell(self.now, to, entry.link, message, &mut self.timers, out);
     }
 
     /// A moved session that its box has not ended is ended there.
--- a/crates/platform/src/core/doors.rs
+++ b/crates/platform/src/core/doors.rs
@@ -24,6 +24,13 @@
     due: Option<Micros>,
 }
 
+impl Guest {
+    /// Whether no session is its.
+    fn has_none(&self) -> bool {
+        self.owed.is_empty() && self.standing.is_empty()
+    }
+}
+
 /// Viewer connections.
 #[derive(Clone, Debug)]
 pub struct Doors {
@@ -56,9 +63,7 @@
     pub fn joined(&mut self, now: Micros, id: ClientId, timers: &mut Timers<Due>) -> Vec<ClientId> {
         let mut go = Vec::new();
         while self.guests.len() - go.len() >= self.most {
-            let free = |(other, guest): &(&ClientId, &Guest)| {
-                guest.owed.is_empty() && guest.standing.is_empty() && !go.contains(*other)
-            };
+            let free = |(other, guest): &(&ClientId, &Guest)| guest.has_none() && !go.contains(*other);
             let first = self.guests.iter().filter(free).min_by_key(|(_, g)| (g.spoke, g.joined));
             match first.map(|(other, _)| *other) {
                 Some(other) => go.push(other),
@@ -77,7 +82,7 @@
     pub fn spoke(&mut self, now: Micros, id: ClientId, timers: &mut Timers<Due>) {
         let Some(guest) = self.guests.get_mut(&id) else { return };
         guest.spoke = Some(now);
-        if guest.due.is_none() && guest.owed.is_empty() && guest.standing.is_empty() {
+        if guest.due.is_none() && guest.has_none() {
             self.arm(now + KEPT, id, timers);
         }
     }
@@ -102,7 +107,7 @@
     pub fn ended(&mut self, now: Micros, id: ClientId, session: u64, timers: &mut Timers<Due>) {
         let Some(guest) = self.guests.get_mut(&id) else { return };
         let was = guest.owed.remove(&session) | guest.standing.remove(&session);
-        if was && guest.owed.is_empty() && guest.standing.is_empty() && guest.due.is_none() {
+        if was && guest.has_none() && guest.due.is_none() {
             self.arm(now + KEPT, id, timers);
         }
     }
@@ -125,7 +130,7 @@
     pub fn silent(&mut self, now: Micros, id: ClientId, timers: &mut Timers<Due>) -> bool {
         let Some(guest) = self.guests.get_mut(&id) else { return false };
         guest.due = None;
-        if !guest.owed.is_empty() || !guest.standing.is_empty() {
+        if !guest.has_none() {
             return false;
         }
         let until = guest.spoke.map_or(guest.joined + FIRST_WORD, |at| at + KEPT);
--- a/crates/platform/src/core/follower.rs
+++ b/crates/platform/src/core/follower.rs
@@ -45,11 +45,6 @@
         self.fresh
     }
 
-    /// Number of the last event.
-    pub fn last(&self) -> u64 {
-        self.last
-    }
-
     /// Begins after this event.
     pub fn begin(
         &mut self,
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -8,7 +8,7 @@
 use salttally::interface::{Micros, ServerId};
 use salttally_front::core::timers::Timers;
 
-use super::{ConnId, DialError, Due, Output};
+use super::{ConnId, Due, Output};
 use crate::wire::{cause, kind, Message};
 
 /// Of the box's own time, after which an idle connection is closed here: before the box does, so that no set-up is
@@ -24,7 +24,7 @@
     /// What waits for the connection to be made; nothing once it stands.
     waiting: Option<Vec<Message>>,
     /// Set-ups that are out on it.
-    out: BTreeMap<u64, Micros>,
+    out: BTreeSet<u64>,
     heard: Micros,
     used: Micros,
     /// Something was awaited on it in vain: nothing new is put on it.
@@ -132,7 +132,7 @@
         self.last += 1;
         let id = ConnId(self.last);
         let (server, address) = to;
-        let (waiting, open) = (Some(Vec::new()), BTreeMap::new());
+        let (waiting, open) = (Some(Vec::new()), BTreeSet::new());
         let link = Link { server, address, waiting, out: open, heard: now, used: now, doubted: false };
         self.links.insert(id, link);
         timers.set(now + self.connect_within, Due::Dial(id));
@@ -164,7 +164,7 @@
         let session = message.session;
         self.put(now, id, message, out);
         self.links.entry(id).and_modify(|link| {
-            link.out.insert(session, now);
+            link.out.insert(session);
         });
         Some(id)
     }
@@ -200,33 +200,20 @@
         dialing || self.dial(now, to, timers, out).is_some()
     }
 
-    /// A dial ended: what waited is written, or was never sent.
-    pub fn dialed(
-        &mut self,
-        now: Micros,
-        id: ConnId,
-        result: Result<(), DialError>,
-        timers: &mut Timers<Due>,
-        out: &mut Vec<Output>,
-    ) -> Ended {
-        let mut ended = Ended { link: id, set_ups: Vec::new(), unsent: Vec::new() };
-        if result.is_err() {
-            ended.unsent = self.links.remove(&id).map_or(Vec::new(), |link| link.out.into_keys().collect());
-            return ended;
-        }
-        let Some(link) = self.links.get_mut(&id) else { return ended };
+    /// A connection is made: what waited is written.
+    pub fn made(&mut self, now: Micros, id: ConnId, timers: &mut Timers<Due>, out: &mut Vec<Output>) {
+        let Some(link) = self.links.get_mut(&id) else { return };
         (link.heard, link.used) = (now, now);
         let waiting = link.waiting.take().unwrap_or_default();
         out.extend(waiting.into_iter().map(|message| Output::Send(id, message)));
         timers.set(now + self.idle_kept, Due::Idle(id));
-        ended
     }
 
-    /// A connection has closed.
+    /// A connection has closed, or could not be made.
     pub fn closed(&mut self, id: ConnId) -> Ended {
         let mut ended = Ended { link: id, set_ups: Vec::new(), unsent: Vec::new() };
         if let Some(link) = self.links.remove(&id) {
-            let open = link.out.into_keys().collect();
+            let open = link.out.into_iter().collect();
             match link.waiting {
                 Some(_) => ended.unsent = open,
                 None => ended.set_ups = open,
@@ -282,8 +269,8 @@
         }
     }
 
-    /// Sessions out on any connection; for the look at what is believed.
+    /// Set-ups that are out on any connection.
     pub fn out(&self) -> BTreeSet<u64> {
-        self.links.values().flat_map(|link| link.out.keys().copied()).collect()
+        self.links.values().flat_map(|link| link.out.iter().copied()).collect()
     }
 }
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -21,12 +21,13 @@
 mod viewers;
 pub mod watch;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use salttally::facts::Facts;
 use salttally::interface::*;
+use salttally_front::core::gone;
 use salttally_front::core::session::{Attempt, Session, Stage, Stop};
 use salttally_front::core::timers::Timers;
 pub use salttally_front::core::{ClientId, ConnId, Decider, DialError, Level, Listed};
@@ -53,8 +54,10 @@
     Dialed(ConnId, Result<(), DialError>),
     /// A box's message.
     Heard(ConnId, Message),
-    /// A box's connection has closed, or cannot be read any further.
+    /// A box's connection has closed.
     Closed(ConnId),
+    /// It cannot be read any further.
+    Spoilt(ConnId),
     /// A connection to the coordinator stands.
     ListUp(u64),
     /// A frame on it.
@@ -172,12 +175,13 @@
 const MOVE_LINGERS: Micros = 400_000;
 /// Requests go on coming for so long after the word to end.
 const STILL_COME: Micros = 800_000;
+/// A shorter longest patience counts as this before the kill.
+const KILLED_AFTER: Micros = 3_000_000;
 
 /// A front node's state.
 pub struct Core<D> {
     decider: D,
     facts: Facts,
-    report_names: Vec<String>,
     now: Micros,
     sessions: BTreeMap<u64, Entry>,
     doors: Doors,
@@ -198,13 +202,12 @@
 
 impl<D: Decider> Core<D> {
     /// A front node that has just started: it knows this list, which may be old.
-    pub fn new(decider: D, facts: Facts, report_names: Vec<String>, sockets: usize, now: Micros) -> Self {
+    pub fn new(decider: D, facts: Facts, sockets: usize, now: Micros) -> Self {
         let links = Links::new(&facts, sockets);
         let watch = Watch::new(facts.connect_within);
         Core {
             decider,
             facts,
-            report_names,
             now,
             sessions: BTreeMap::new(),
             doors: Doors::new(sockets),
@@ -288,10 +291,11 @@
             Input::Joined(client) => self.joined(client, out),
             Input::Said(client, message) => self.said(client, message, out),
             Input::Garbled(client) => self.cut(client, out),
-            Input::Left(client) => self.client_left(client),
+            Input::Left(client) => self.client_left(client, out),
             Input::Dialed(link, result) => self.dialed(link, result, out),
             Input::Heard(link, message) => self.heard(link, message, out),
             Input::Closed(link) => self.link_closed(link, out),
+            Input::Spoilt(link) => self.spoilt(link, out),
             Input::ListUp(number) => self.follower.up(self.now, number),
             Input::Told(number, frame) => {
                 match self.follower.told(self.now, number, frame, &mut self.timers, out) {
@@ -306,8 +310,7 @@
                 if self.ending.is_none() {
                     self.ending = Some(self.now);
                     self.timers.set(self.now + STILL_COME, Due::Ending);
-                    let patience = self.facts.longest_patience.max(3_000_000);
-                    self.timers.set(self.now + patience + STILL_COME / 2, Due::Ending);
+                    self.timers.set(self.ends_by(self.now), Due::Ending);
                 }
             }
             Input::Tick => {}
@@ -324,10 +327,9 @@
     /// its way is lost; later, the kill finds it.
     fn look_at_end(&mut self, out: &mut Vec<Output>) {
         let Some(since) = self.ending.filter(|_| !self.finished) else { return };
-        let patience = self.facts.longest_patience.max(3_000_000);
         let owed = self.sessions.values().any(|entry| entry.session.owed());
         let quiet = self.now >= since + STILL_COME && !owed;
-        if quiet || self.now >= since + patience + STILL_COME / 2 {
+        if quiet || self.now >= self.ends_by(since) {
             self.finished = true;
             for id in self.sessions.keys().copied().collect::<Vec<_>>() {
                 self.end_at_end(id, out);
@@ -337,6 +339,11 @@
         }
     }
 
+    /// The latest end of a process that was told to end then: the kill comes soon after.
+    fn ends_by(&self, since: Micros) -> Micros {
+        since + self.facts.longest_patience.max(KILLED_AFTER) + STILL_COME / 2
+    }
+
     // ---- The decider's actions ----
 
     fn settle(&mut self, out: &mut Vec<Output>) {
@@ -423,9 +430,7 @@
             return;
         }
         playing.attempt.rung = rung;
-        let to = (playing.attempt.server, playing.attempt.address);
-        let message = Message::new(kind::RUNG, id).with(code::RUNG, rung.to_string());
-        self.links.tell(self.now, to, entry.link, message, &mut self.timers, out);
+        self.tell_box(id, Message::new(kind::RUNG, id).with(code::RUNG, rung.to_string()), out);
     }
 
     /// The viewer is told to come again, which ends the session at its box too.
@@ -470,13 +475,10 @@
     // ---- List ----
 
     fn list(&mut self, kind: ListKind, lines: Vec<Listed>, out: &mut Vec<Output>) {
-        let named: BTreeSet<ServerId> = lines.iter().map(|line| line.entry.server).collect();
-        let missing = |id: &&ServerId| kind != ListKind::Changes && !named.contains(*id);
-        let mut gone: Vec<ServerId> = self.boxes.keys().filter(missing).copied().collect();
+        let gone = gone(kind, &lines, self.boxes.keys());
         for line in &lines {
             let id = line.entry.server;
             if line.entry.state == ServerState::Gone {
-                gone.push(id);
                 continue;
             }
             let before = self.boxes.insert(id, line.address);
@@ -567,15 +569,11 @@
 
     fn drop_session(&mut self, id: u64) {
         let Some(entry) = self.sessions.remove(&id) else { return };
-        self.timers.unset(self.overdue_at(&entry.session), Due::Overdue(id));
+        self.timers.unset(entry.session.overdue_at(self.facts.answer_slack), Due::Overdue(id));
         if let Some((client, _)) = entry.session.client {
             self.doors.ended(self.now, client, id, &mut self.timers);
         }
     }
-
-    fn overdue_at(&self, session: &Session) -> Micros {
-        session.deadline + self.facts.answer_slack / 2
-    }
 }
 
 /// What of an event is worth a line at debug: attempts and probes that did not end well.
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -66,8 +66,7 @@
 
 impl<D: Decider> Bench<D> {
     fn with(decider: D) -> Self {
-        let names = vec!["active".to_owned(), "x0".to_owned()];
-        let core = Core::new(decider, facts(), names, 256, START);
+        let core = Core::new(decider, facts(), 256, START);
         let mut bench = Bench { core, now: START, out: Vec::new() };
         let known = (0..LISTED).map(line).collect();
         bench.core.begin(START, known, 5, address(200), &mut bench.out);
@@ -211,6 +210,17 @@
     assert_ne!(asks(&mut bench, 3), first);
 }
 
+#[test]
+fn a_connection_that_cannot_be_read_is_hung_up_counted_and_its_set_up_has_failed() {
+    let mut bench = Bench::new();
+    let out = bench.ask(9, "paid");
+    let out = bench.made(&out);
+    let (link, _) = set_up(&out).unwrap();
+    let out = bench.tell(Input::Spoilt(link));
+    assert!(out.contains(&Output::Hang(link)) && said(&out).any(|m| m.cause() == Some(FAILED)));
+    assert_eq!(bench.core.counts().spoilt, 1);
+}
+
 #[test]
 fn a_late_answer_of_the_same_box_is_not_taken_for_the_answer_to_the_next_attempt() {
     let mut bench = Bench::with(Puppet::default());
@@ -446,6 +456,16 @@
     assert!(bench.core.sessions.is_empty());
 }
 
+#[test]
+fn a_request_taken_back_leaves_nothing_on_its_connection_which_is_closed_in_time() {
+    let mut bench = Bench::new();
+    let out = bench.ask(9, "clip");
+    bench.made(&out);
+    bench.tell(Input::Said(ClientId(1), Message::release(9, 16)));
+    let out = bench.after(9 * SECOND);
+    assert!(out.contains(&Output::Close(ClientId(1))), "nobody is served on it");
+}
+
 #[test]
 fn nothing_decided_in_time_is_failed_in_time_and_once() {
     let mut bench = Bench::with(Puppet::default());
@@ -624,7 +644,7 @@
         let cause = said(&out).next().and_then(Message::cause);
         cause == Some(1)
     };
-    let core = Core::new(Brain::new(facts().settings, 7), facts(), Vec::new(), 256, START);
+    let core = Core::new(Brain::new(facts().settings, 7), facts(), 256, START);
     let mut bench = Bench { core, now: START, out: Vec::new() };
     bench.core.begin(START, (0..LISTED).map(line).collect(), 5, address(200), &mut bench.out);
     bench.tell(Input::Joined(ClientId(1)));
--- a/crates/platform/src/core/viewers.rs
+++ b/crates/platform/src/core/viewers.rs
@@ -1,6 +1,5 @@
 //! What viewers say, and the one answer that each request gets.
 
-use salttally_front::core::session::Playing;
 use salttally_front::core::{Opening, Ticket};
 
 use super::*;
@@ -38,15 +37,15 @@
             self.fail(id, out);
         }
         out.push(Output::Close(client));
-        self.client_left(client);
+        self.client_left(client, out);
     }
 
     /// A viewer's connection is gone: what was owed on it reaches nobody; what stands belongs to no connection.
-    pub(super) fn client_left(&mut self, client: ClientId) {
+    pub(super) fn client_left(&mut self, client: ClientId, out: &mut Vec<Output>) {
         for id in self.doors.left(client, &mut self.timers) {
             let Some(entry) = self.sessions.get_mut(&id) else { continue };
             if entry.session.owed() {
-                self.give_up(id);
+                self.give_up(id, out);
             } else {
                 entry.session.client = None;
             }
@@ -70,18 +69,15 @@
                 self.counts.unusable += 1;
                 self.cut(client, out);
             }
-            Ok((mut opening, None)) => {
+            Ok((opening, None)) => {
                 let moved = self.moved.remove(&opening.viewer);
                 if let Some(until) = moved {
                     self.timers.unset(until, Due::Moved(opening.viewer));
                 }
-                opening.returned |= moved.is_some();
                 self.counts.taken += 1;
-                let class = self.facts.settings.classes.get(opening.class);
-                let (effect, floor) = class.map_or((Effect::Safe, 0), |class| (class.effect, class.floor));
-                let request = request(id, &opening, moved.is_some());
-                let session = Session::new(Some((client, TICKET)), opening, effect, floor, self.now);
-                self.timers.set(self.overdue_at(&session), Due::Overdue(id));
+                let request = opening.request(&name(id), moved.is_some());
+                let session = self.session(client, opening);
+                self.timers.set(session.overdue_at(self.facts.answer_slack), Due::Overdue(id));
                 let keep = [code::CLASS, code::TITLE, code::DESCRIPTION];
                 let passed =
                     message.parameters.iter().filter(|(code, _)| keep.contains(code)).cloned().collect();
@@ -93,6 +89,12 @@
         }
     }
 
+    fn session(&self, client: ClientId, opening: Opening) -> Session {
+        let class = self.facts.settings.classes.get(opening.class);
+        let (effect, floor) = class.map_or((Effect::Safe, 0), |class| (class.effect, class.floor));
+        Session::new(Some((client, TICKET)), opening, effect, floor, self.now)
+    }
+
     fn opening(&self, message: &Message) -> Result<(Opening, Option<u32>), Unusable> {
         let text = |code| message.text(code).ok_or(Unusable::Missing(code));
         if message.session == 0 {
@@ -138,18 +140,15 @@
             return;
         }
         self.counts.resumed += 1;
-        let request = request(id, &opening, false);
-        let class = self.facts.settings.classes.get(opening.class);
-        let (effect, floor) = class.map_or((Effect::Safe, 0), |class| (class.effect, class.floor));
-        let mut session = Session::new(Some((client, TICKET)), opening, effect, floor, self.now);
+        let request = opening.request(&name(id), false);
+        let mut session = self.session(client, opening);
         let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
         let address = self.boxes.get(&at).copied().unwrap_or(unknown);
         let (sent, expires) = (self.now, self.now);
         // Its rung is not known until its box tells: whichever the module wants is told the box.
         let rung = usize::MAX;
         let attempt = Attempt { number: 0, wire: 0, server: at, address, sent, expires, rung };
-        (session.attempts, session.may_have_run) = (1, true);
-        session.stage = Stage::Playing(Playing { attempt, changing: None, missed: 0 });
+        session.plays_already(attempt);
         let entry =
             Entry { session, passed: Vec::new(), link: None, before: None, since: self.now, moving: false };
         self.sessions.insert(id, entry);
@@ -166,7 +165,7 @@
         out.push(Output::Say(client, Message::new(kind::HEARD, id)));
         let Some(entry) = self.sessions.get_mut(&id) else { return };
         if entry.session.owed() {
-            self.give_up_now(id, out);
+            self.give_up(id, out);
         } else if entry.session.playing().is_some() {
             let cause = message.cause().unwrap_or(cause::ON_PURPOSE);
             self.release_at_box(id, cause, out);
@@ -174,64 +173,43 @@
         }
     }
 
-    /// No answer is owed any more; an attempt that is out goes on to its end.
-    fn give_up(&mut self, id: u64) {
-        let Some(entry) = self.sessions.get_mut(&id) else { return };
-        entry.session.client = None;
+    /// No answer is owed any more, and what is out for it is taken back.
+    fn give_up(&mut self, id: u64, out: &mut Vec<Output>) {
         self.events.push_back(Event::Left(name(id)));
+        self.settled(id, out);
+    }
+
+    /// The answer is given, or no longer owed: the session is over, with the attempt that is out.
+    fn settled(&mut self, id: u64, out: &mut Vec<Output>) {
+        let Some(entry) = self.sessions.get_mut(&id) else { return };
         if entry.session.settled() {
             self.drop_session(id);
         } else {
-            // Nobody waits: it is taken back as soon as this is told.
-            self.timers.set(self.now, Due::Overdue(id));
-        }
-    }
-
-    fn give_up_now(&mut self, id: u64, out: &mut Vec<Output>) {
-        self.give_up(id);
-        self.abandon(id, out);
-    }
-
-    /// Takes back the attempt of a session that nobody waits for.
-    fn abandon(&mut self, id: u64, out: &mut Vec<Output>) {
-        let abandoned = |entry: &Entry| matches!(entry.session.stage, Stage::Abandoned(_));
-        if self.sessions.get(&id).is_some_and(abandoned) {
             let outcome = self.withdraw(id, false, out);
             self.attempt_ended(id, outcome, Vec::new());
         }
     }
 
     pub(super) fn overdue(&mut self, id: u64, out: &mut Vec<Output>) {
-        self.abandon(id, out);
-        let owed = self.sessions.get(&id).is_some_and(|entry| entry.session.owed());
-        if owed && self.answer(id, Message::release(id, FAILED), out) {
+        if self.sessions.get(&id).is_some_and(|entry| entry.session.owed()) {
             self.counts.overdue += 1;
-            self.counts.failed += 1;
             self.events.push_back(Event::Left(name(id)));
-            self.abandon(id, out);
+            self.fail(id, out);
         }
     }
 
     // ---- Answers ----
 
     /// Gives the one answer, if it is still owed; returns whether it was.
-    pub(super) fn answer(&mut self, id: u64, answer: Message, out: &mut Vec<Output>) -> bool {
-        let Some(entry) = self.sessions.get_mut(&id).filter(|entry| entry.session.owed()) else {
+    fn answer(&mut self, id: u64, answer: Message, out: &mut Vec<Output>) -> bool {
+        let Some(entry) = self.sessions.get(&id).filter(|entry| entry.session.owed()) else {
+            self.stopped("a second answer", id, out);
             return false;
         };
-        let client = entry.session.client.map(|(client, _)| client);
-        if let Some(client) = client {
+        if let Some((client, _)) = entry.session.client {
             out.push(Output::Say(client, answer));
         }
-        self.timers.unset(self.overdue_at(&self.sessions[&id].session), Due::Overdue(id));
-        let Some(entry) = self.sessions.get_mut(&id) else { return true };
-        if entry.session.settled() {
-            self.drop_session(id);
-        } else if let Some(client) = client {
-            // The attempt that is out goes on alone; the connection owes nothing more.
-            entry.session.client = None;
-            self.doors.ended(self.now, client, id, &mut self.timers);
-        }
+        self.settled(id, out);
         true
     }
 
@@ -244,23 +222,11 @@
         if hold_off > 0 {
             answer = answer.with(code::HOLD_OFF, hold_off.div_ceil(1000).to_string());
         }
-        match self.answer(id, answer, out) {
-            true => {
-                self.counts.refused += 1;
-                self.abandon(id, out);
-            }
-            false => self.stopped("a second answer", id, out),
-        }
+        self.counts.refused += u64::from(self.answer(id, answer, out));
     }
 
     pub(super) fn fail(&mut self, id: u64, out: &mut Vec<Output>) {
-        match self.answer(id, Message::release(id, FAILED), out) {
-            true => {
-                self.counts.failed += 1;
-                self.abandon(id, out);
-            }
-            false => self.stopped("a second answer", id, out),
-        }
+        self.counts.failed += u64::from(self.answer(id, Message::release(id, FAILED), out));
     }
 
     // ---- Ends of what stands ----
@@ -311,19 +277,3 @@
         }
     }
 }
-
-fn request(id: u64, opening: &Opening, moved: bool) -> Request {
-    Request {
-        session: name(id),
-        class: opening.class,
-        viewer: opening.viewer,
-        title: opening.title,
-        patience: opening.patience,
-        length: opening.length,
-        first_cell: opening.first_cell,
-        cell_count: opening.cell_count,
-        top_rung: opening.top_rung,
-        moved,
-        again: opening.returned,
-    }
-}
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -11,13 +11,14 @@
 
 use rustix::buffer::spare_capacity;
 use rustix::event::epoll::{self, EventData, EventFlags};
-use rustix::event::Timespec;
 use rustix::fd::OwnedFd;
+use rustix::io::Errno;
+use rustix::net::SendFlags;
 use salttally::brain::Brain;
 use salttally::interface::Micros;
-use salttally_front::clock::Clock;
+use salttally_front::clock::{timespec, Clock};
 use salttally_front::session_api::core::backlog::{Backlog, Step};
-use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use socket2::{Domain, Protocol, Socket, Type};
 use thiserror::Error;
 
 use crate::config::{Config, ConfigError};
@@ -119,34 +120,31 @@
         self.crossed[2] += sent;
         let rest = self.fresh.split_off(sent);
         self.fresh = Vec::new();
-        self.backlog.add(&rest, now);
+        if self.backlog.add(&rest, now) == Step::Cut {
+            return Err(());
+        }
         while !self.backlog.is_clear() {
             let turn = self.backlog.turn();
             let taken = send(&self.stream, &turn)?;
+            self.crossed[2] += taken;
             match self.backlog.tried(Some(taken), now) {
                 Step::Cut => return Err(()),
                 _ if taken == 0 => return Ok(true),
                 _ => {}
             }
-            if self.backlog.is_closed() {
-                return Err(());
-            }
         }
         Ok(false)
     }
 }
 
 fn send(stream: &TcpStream, bytes: &[u8]) -> Result<usize, ()> {
-    match SockRef::from(stream).send_with_flags(bytes, NO_WAIT) {
+    match rustix::net::send(stream, bytes, SendFlags::NOSIGNAL) {
         Ok(taken) => Ok(taken),
-        Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => Ok(0),
+        Err(Errno::AGAIN | Errno::INTR) => Ok(0),
         Err(_) => Err(()),
     }
 }
 
-/// `MSG_NOSIGNAL`: a closed peer is an error, not a signal.
-const NO_WAIT: i32 = 0x4000;
-
 struct ListCall {
     number: u64,
     stream: TcpStream,
@@ -181,7 +179,7 @@
     let config = Config::load(path)?;
     let clock = Clock::start();
     let listener = listen(config.listen).map_err(|e| NodeError::Listen(path.into(), config.listen, e))?;
-    let wait = |error: rustix::io::Errno| NodeError::Wait(error.into());
+    let wait = |error: Errno| NodeError::Wait(error.into());
     let poll = epoll::create(epoll::CreateFlags::CLOEXEC).map_err(wait)?;
     for stream in [&signals.term, &signals.hang_up] {
         stream.set_nonblocking(true).map_err(NodeError::Wait)?;
@@ -192,7 +190,7 @@
     tracing::info!(name = config.name, listen = %config.listen, boxes = config.known.len(), "front node starts");
     let brain = Brain::new(config.facts.settings.clone(), config.seed);
     let now = clock.now();
-    let mut core = Core::new(brain, config.facts, config.report_names, config.limits.sockets, now);
+    let mut core = Core::new(brain, config.facts, config.limits.sockets, now);
     let mut out = Vec::new();
     core.begin(now, config.known, config.index, config.coordinator, &mut out);
     let mut node = Node {
@@ -231,15 +229,12 @@
     socket.set_tcp_nodelay(true)?;
     match socket.connect(&to.into()) {
         Ok(()) => {}
-        Err(error) if error.raw_os_error() == Some(IN_PROGRESS) => {}
+        Err(error) if error.raw_os_error() == Some(Errno::INPROGRESS.raw_os_error()) => {}
         Err(error) => return Err(error),
     }
     Ok(socket.into())
 }
 
-/// `EINPROGRESS`: the connection is being made.
-const IN_PROGRESS: i32 = 115;
-
 impl Node {
     fn serve(mut self) -> Result<Counts, NodeError> {
         let mut events = Vec::with_capacity(128);
@@ -253,11 +248,9 @@
             if let Some((due, _)) = self.lingering.front() {
                 wait = wait.min(due.saturating_sub(now));
             }
-            let wait =
-                Timespec { tv_sec: (wait / 1_000_000) as i64, tv_nsec: (wait % 1_000_000 * 1000) as i64 };
             events.clear();
             // Interrupted, it is looked again.
-            let _ = epoll::wait(&self.poll, spare_capacity(&mut events), Some(&wait));
+            let _ = epoll::wait(&self.poll, spare_capacity(&mut events), Some(&timespec(wait)));
             for event in &events {
                 self.ready(event.data.u64(), event.flags);
                 self.work(&mut out);
@@ -401,13 +394,15 @@
         }
     }
 
+    fn watched_dial(&self, to: SocketAddr, token: u64) -> io::Result<TcpStream> {
+        let stream = dial(to)?;
+        epoll::add(&self.poll, &stream, EventData::new_u64(token), EventFlags::OUT)?;
+        Ok(stream)
+    }
+
     fn dial(&mut self, link: ConnId, to: SocketAddr) {
         let token = BOX | link.0;
-        let made = dial(to).and_then(|stream| {
-            epoll::add(&self.poll, &stream, EventData::new_u64(token), EventFlags::OUT)?;
-            Ok(stream)
-        });
-        match made {
+        match self.watched_dial(to, token) {
             Ok(stream) => {
                 self.ports.insert(token, Port::new(stream, true));
             }
@@ -416,11 +411,7 @@
     }
 
     fn follow(&mut self, number: u64, to: SocketAddr, last: u64) {
-        let made = dial(to).and_then(|stream| {
-            epoll::add(&self.poll, &stream, EventData::new_u64(LIST | number), EventFlags::OUT)?;
-            Ok(stream)
-        });
-        match made {
+        match self.watched_dial(to, LIST | number) {
             Ok(stream) => {
                 let frames = Frames::default();
                 self.list = Some(ListCall { number, stream, connecting: true, hello: last, frames });
@@ -584,10 +575,11 @@
                 Ok(None) => return,
                 Err(error) => {
                     tracing::debug!(%error, "a peer cannot be read");
-                    return match token & KINDS {
-                        VIEWER => self.inputs.push_back(Input::Garbled(ClientId(token & !KINDS))),
-                        _ => self.broken(token),
-                    };
+                    let id = token & !KINDS;
+                    return self.inputs.push_back(match token & KINDS {
+                        VIEWER => Input::Garbled(ClientId(id)),
+                        _ => Input::Spoilt(ConnId(id)),
+                    });
                 }
             }
         }
@@ -626,3 +618,26 @@
         _ => DialError::TimedOut,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_peer_that_reads_nothing_is_given_up_and_not_tried_for_ever() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        let _reads_nothing = listener.accept().unwrap();
+        let mut port = Port::new(stream, false);
+        let mut given_up = false;
+        for now in 0..1_000 {
+            port.fresh = vec![0; 64 * 1024];
+            given_up = port.flush(now).is_err();
+            if given_up {
+                break;
+            }
+        }
+        assert!(given_up);
+    }
+}
--- a/crates/platform/src/wire/words.rs
+++ b/crates/platform/src/wire/words.rs
@@ -45,10 +45,7 @@
     /// # Errors
     /// The first figure that is missing or cannot be used.
     pub fn read(text: &str) -> Result<Figures, Unusable> {
-        let find = |name: &'static str| {
-            let mut parts = text.split(';').filter_map(|part| part.trim().split_once(':'));
-            parts.find(|(key, _)| *key == name).map(|(_, value)| value)
-        };
+        let find = |name| field(text, name);
         let count = |name: &'static str| {
             let value = find(name).and_then(whole).ok_or(Unusable::Figure(name))?;
             u32::try_from(value).map_err(|_| Unusable::Figure(name))
@@ -68,6 +65,12 @@
     }
 }
 
+/// The value of a field in `name:value;name:value`.
+fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+    let mut parts = text.split(';').filter_map(|part| part.trim().split_once(':'));
+    parts.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
 /// A whole number that may be written with a fraction of zeros.
 fn whole(text: &str) -> Option<u64> {
     let value = number(text)?;
@@ -105,10 +108,7 @@
 /// The load report of a message, in the order of the settings' fields; none if it has none or one is missing.
 pub fn report(message: &Message, names: &[String], fields: &[ReportField]) -> Vec<f64> {
     let Some(text) = message.text(code::REPORT) else { return Vec::new() };
-    let find = |name: &String| {
-        let mut parts = text.split(';').filter_map(|part| part.trim().split_once(':'));
-        parts.find(|(key, _)| key == name).and_then(|(_, value)| number(value))
-    };
+    let find = |name: &String| field(text, name).and_then(number);
     let row: Option<Vec<f64>> = names.iter().take(fields.len()).map(find).collect();
     row.unwrap_or_default()
 }
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -36,6 +36,8 @@
     pub zones: Vec<String>,
     /// Names of the kinds of box, in their places.
     pub kinds: Vec<String>,
+    /// Names of the fields of a load report, in order.
+    pub report_names: Vec<String>,
     /// A connection that is not made within this time is not made.
     pub connect_within: Micros,
     /// A connection that carries nothing for this long is closed by the box.
@@ -266,6 +268,7 @@
         class_names: facts.classes.into_iter().map(|class| class.name).collect(),
         zones: facts.localities,
         kinds: facts.host_types,
+        report_names: facts.load_report.names,
         connect_within: micros(limits.connect_timeout_ms.unwrap_or(CONNECT_MS)),
         idle_closed: micros(limits.conn_idle_ms.unwrap_or(IDLE_MS)),
         streams: limits.max_streams.map_or(usize::MAX, |most| most.max(1.0) as usize),
