--- /dev/null
+++ b/crates/accord/src/core/disk.rs
@@ -0,0 +1,327 @@
+//! What a front keeps on its disk, as state: the image, and the writes that change it. The edge writes them in one piece
+//! and flushes before anything that follows from them is told.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use omnipaxos::ballot_leader_election::Ballot;
+use omnipaxos::storage::{Snapshot, StopSign, Storage, StorageOp, StorageResult};
+use serde::{Deserialize, Serialize};
+
+use super::history::{Entry, History, Step, Voters};
+
+/// The history up to a place in a voter's log, as voters send it to each other.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct Shot {
+    /// All of it; nothing where only entries are told that follow on what the other has.
+    pub whole: Option<Box<History>>,
+    /// What follows.
+    pub more: Vec<Entry>,
+}
+
+impl Snapshot<Entry> for Shot {
+    fn create(entries: &[Entry]) -> Shot {
+        Shot { whole: None, more: entries.to_vec() }
+    }
+
+    fn merge(&mut self, delta: Shot) {
+        if let Some(whole) = delta.whole {
+            (self.whole, self.more) = (Some(whole), Vec::new());
+        }
+        self.more.extend(delta.more);
+        if let Some(whole) = &mut self.whole {
+            self.more.drain(..).for_each(|entry| whole.take(&Step::Agreed(entry)));
+        }
+    }
+
+    fn use_snapshots() -> bool {
+        true
+    }
+}
+
+impl omnipaxos::storage::Entry for Entry {
+    type Snapshot = Shot;
+}
+
+/// One change of the image.
+#[derive(Clone, Debug)]
+pub enum Write {
+    /// This front's own number, drawn at the first start on this disk, and how many starts there were.
+    Identity(u64, u64),
+    /// Begins to vote, among others than before if it did.
+    Vote(Box<Vote>),
+    /// The log from this place on, counted from the vote's begin.
+    Log(usize, Vec<Entry>),
+    /// The promised ballot.
+    Promise(Ballot),
+    /// The ballot of the latest accepted entries.
+    Accepted(Ballot),
+    /// Entries decided.
+    Decided(usize),
+    /// Entries that the snapshot stands for.
+    Compacted(usize),
+    /// The snapshot.
+    Shot(Option<Shot>),
+    /// The end of this vote, with the voters after it.
+    Stop(Option<StopSign>),
+    /// The history as a front has it that only follows.
+    History(Arc<History>),
+}
+
+impl Write {
+    /// Whether others may be told what follows only once this is flushed. What is only known, and was promised to nobody,
+    /// comes again.
+    pub fn promises(&self) -> bool {
+        !matches!(self, Write::Decided(_) | Write::History(_))
+    }
+}
+
+/// What a voter keeps.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Vote {
+    /// The voters it belongs to.
+    pub voters: Voters,
+    /// Its number among them.
+    pub number: u64,
+    /// Places of the history before the log's first.
+    pub base: u64,
+    /// See [`Write`].
+    pub promise: Option<Ballot>,
+    /// See [`Write`].
+    pub accepted: Option<Ballot>,
+    /// See [`Write`].
+    pub decided: usize,
+    /// See [`Write`].
+    pub compacted: usize,
+    /// See [`Write`].
+    pub shot: Option<Shot>,
+    /// See [`Write`].
+    pub stop: Option<StopSign>,
+    /// Entries after the compacted ones.
+    pub log: Vec<Entry>,
+}
+
+impl Vote {
+    /// A vote that begins on this history, in which its voters began earlier, maybe: what was decided since is as good as
+    /// what this voter had decided itself.
+    pub fn begin(number: u64, history: &History) -> Vote {
+        let decided = (history.position - history.voters_at) as usize;
+        Vote {
+            voters: history.voters.clone(),
+            number,
+            base: history.voters_at,
+            promise: None,
+            accepted: None,
+            decided,
+            compacted: decided,
+            shot: Some(Shot { whole: Some(Box::new(history.clone())), more: Vec::new() }),
+            stop: None,
+            log: Vec::new(),
+        }
+    }
+}
+
+/// What is on a front's disk.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Image {
+    /// Its own number, and how many starts there were.
+    pub identity: Option<(u64, u64)>,
+    /// Its vote.
+    pub vote: Option<Vote>,
+    /// The history it followed.
+    pub history: Option<Arc<History>>,
+}
+
+impl Image {
+    /// One write takes place.
+    pub fn write(&mut self, write: &Write) {
+        match (write, &mut self.vote) {
+            (Write::Identity(disk, starts), _) => self.identity = Some((*disk, *starts)),
+            (Write::History(history), _) => self.history = Some(Arc::clone(history)),
+            (Write::Vote(vote), _) => self.vote = Some(vote.as_ref().clone()),
+            (write, Some(vote)) => vote.write(write),
+            (_, None) => {}
+        }
+    }
+}
+
+impl Vote {
+    fn write(&mut self, write: &Write) {
+        match write {
+            Write::Log(at, entries) => {
+                self.log.truncate(at.saturating_sub(self.compacted));
+                self.log.extend(entries.iter().cloned());
+            }
+            Write::Promise(ballot) => self.promise = Some(*ballot),
+            Write::Accepted(ballot) => self.accepted = Some(*ballot),
+            Write::Decided(decided) => self.decided = *decided,
+            Write::Compacted(to) => {
+                self.log.drain(..to.saturating_sub(self.compacted).min(self.log.len()));
+                self.compacted = (*to).max(self.compacted);
+            }
+            Write::Shot(shot) => self.shot.clone_from(shot),
+            Write::Stop(stop) => self.stop.clone_from(stop),
+            Write::Identity(..) | Write::Vote(_) | Write::History(_) => {}
+        }
+    }
+}
+
+/// Writes that wait to be carried out, in order.
+#[derive(Clone, Debug, Default)]
+pub struct Journal(Arc<Mutex<Vec<Write>>>);
+
+impl Journal {
+    /// Adds one.
+    pub fn push(&self, write: Write) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).push(write);
+    }
+
+    /// Takes all.
+    pub fn take(&self) -> Vec<Write> {
+        std::mem::take(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+/// A vote in memory, as the consensus crate reads and writes it; every change goes into the journal as well.
+#[derive(Debug)]
+pub struct Ledger {
+    vote: Vote,
+    journal: Journal,
+}
+
+impl Ledger {
+    /// Of this vote.
+    pub fn new(vote: Vote, journal: Journal) -> Ledger {
+        Ledger { vote, journal }
+    }
+
+    fn write(&mut self, write: Write) {
+        self.vote.write(&write);
+        self.journal.push(write);
+    }
+
+    fn end(&self) -> usize {
+        self.vote.compacted + self.vote.log.len()
+    }
+}
+
+impl Storage<Entry> for Ledger {
+    fn write_atomically(&mut self, ops: Vec<StorageOp<Entry>>) -> StorageResult<()> {
+        for op in ops {
+            match op {
+                StorageOp::AppendEntry(entry) => self.append_entry(entry)?,
+                StorageOp::AppendEntries(entries) => self.append_entries(entries)?,
+                StorageOp::AppendOnPrefix(from, entries) => self.append_on_prefix(from, entries)?,
+                StorageOp::SetPromise(ballot) => self.set_promise(ballot)?,
+                StorageOp::SetDecidedIndex(at) => self.set_decided_idx(at)?,
+                StorageOp::SetAcceptedRound(ballot) => self.set_accepted_round(ballot)?,
+                StorageOp::SetCompactedIdx(at) => self.set_compacted_idx(at)?,
+                StorageOp::Trim(at) => self.trim(at)?,
+                StorageOp::SetStopsign(stop) => self.set_stopsign(stop)?,
+                StorageOp::SetSnapshot(shot) => self.set_snapshot(shot)?,
+            }
+        }
+        Ok(())
+    }
+
+    fn append_entry(&mut self, entry: Entry) -> StorageResult<()> {
+        self.append_entries(vec![entry])
+    }
+
+    fn append_entries(&mut self, entries: Vec<Entry>) -> StorageResult<()> {
+        if !entries.is_empty() {
+            self.write(Write::Log(self.end(), entries));
+        }
+        Ok(())
+    }
+
+    fn append_on_prefix(&mut self, from: usize, entries: Vec<Entry>) -> StorageResult<()> {
+        if from < self.end() || !entries.is_empty() {
+            self.write(Write::Log(from, entries));
+        }
+        Ok(())
+    }
+
+    fn set_promise(&mut self, ballot: Ballot) -> StorageResult<()> {
+        // Danger: a voter that has never promised anything writes the empty ballot at its start, and counts as one that
+        // recovers at the next.
+        if self.vote.promise != Some(ballot) && ballot != Ballot::default() {
+            self.write(Write::Promise(ballot));
+        }
+        Ok(())
+    }
+
+    fn set_decided_idx(&mut self, at: usize) -> StorageResult<()> {
+        if self.vote.decided != at {
+            self.write(Write::Decided(at));
+        }
+        Ok(())
+    }
+
+    fn get_decided_idx(&self) -> StorageResult<usize> {
+        Ok(self.vote.decided)
+    }
+
+    fn set_accepted_round(&mut self, ballot: Ballot) -> StorageResult<()> {
+        if self.vote.accepted != Some(ballot) {
+            self.write(Write::Accepted(ballot));
+        }
+        Ok(())
+    }
+
+    fn get_accepted_round(&self) -> StorageResult<Option<Ballot>> {
+        Ok(self.vote.accepted)
+    }
+
+    fn get_entries(&self, from: usize, to: usize) -> StorageResult<Vec<Entry>> {
+        let (from, to) = (from.checked_sub(self.vote.compacted), to.checked_sub(self.vote.compacted));
+        let part = from.zip(to).and_then(|(from, to)| self.vote.log.get(from..to));
+        Ok(part.map(<[Entry]>::to_vec).unwrap_or_default())
+    }
+
+    fn get_log_len(&self) -> StorageResult<usize> {
+        Ok(self.vote.log.len())
+    }
+
+    fn get_suffix(&self, from: usize) -> StorageResult<Vec<Entry>> {
+        self.get_entries(from, self.end())
+    }
+
+    fn get_promise(&self) -> StorageResult<Option<Ballot>> {
+        Ok(self.vote.promise)
+    }
+
+    fn set_stopsign(&mut self, stop: Option<StopSign>) -> StorageResult<()> {
+        if self.vote.stop != stop {
+            self.write(Write::Stop(stop));
+        }
+        Ok(())
+    }
+
+    fn get_stopsign(&self) -> StorageResult<Option<StopSign>> {
+        Ok(self.vote.stop.clone())
+    }
+
+    fn trim(&mut self, to: usize) -> StorageResult<()> {
+        self.set_compacted_idx(to)
+    }
+
+    fn set_compacted_idx(&mut self, to: usize) -> StorageResult<()> {
+        if self.vote.compacted < to {
+            self.write(Write::Compacted(to));
+        }
+        Ok(())
+    }
+
+    fn get_compacted_idx(&self) -> StorageResult<usize> {
+        Ok(self.vote.compacted)
+    }
+
+    fn set_snapshot(&mut self, shot: Option<Shot>) -> StorageResult<()> {
+        self.write(Write::Shot(shot));
+        Ok(())
+    }
+
+    fn get_snapshot(&self) -> StorageResult<Option<Shot>> {
+        Ok(self.vote.shot.clone())
+    }
+}
--- /dev/null
+++ b/crates/accord/src/core/lease.rs
@@ -0,0 +1,137 @@
+//! Leases: how long a front may act on what it knows, and from when nobody acts any more on what came before.
+//!
+//! A front asks every voter; a lease holds while grants of a majority hold. A voter grants nothing to a front that lacks
+//! any step in the voter's own log, agreed on or not. So once a majority has a step, no lease of a front without it can
+//! begin, and the last one ends within its length: that is the whole proof, `docs/design/accord.md` writes it out.
+//!
+//! Time counts by clocks that only go forward and are off by at most [`Times::drift_ppm`].
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::{Micros, Name};
+
+/// Times, each a setting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Times {
+    /// A lease lasts so long from the moment it was asked for.
+    pub lease: Micros,
+    /// A front without one goes on for so long by the meet of all that it knows.
+    pub alone: Micros,
+    /// After that it refuses new sessions; otherwise it goes on so.
+    pub refuse: bool,
+    /// Leases are asked for this often.
+    pub renew: Micros,
+    /// No clock is fast or slow by more than so many parts in a million.
+    pub drift_ppm: u64,
+    /// From the last look at the lease until the last byte has left the process, at most, while the process runs.
+    pub write: Micros,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Times {
+            lease: 3_000_000,
+            alone: 1_500_000,
+            refuse: true,
+            renew: 500_000,
+            drift_ppm: 250,
+            write: 10_000,
+        }
+    }
+}
+
+impl Times {
+    /// This span of one clock, by another that may be slower: no shorter than that.
+    fn widened(&self, span: Micros) -> Micros {
+        // (1 + d) / (1 - d) is under 1 + 2d + 3d² for every d under a third.
+        span + span * (2 * self.drift_ppm + 1) / 1_000_000 + 1
+    }
+
+    /// The stated time: no two fronts act on contradicting rules for longer than this, us. Nothing where a front without
+    /// a lease goes on for ever.
+    pub fn stated(&self) -> Option<Micros> {
+        self.refuse.then(|| self.widened(self.lease + self.alone) + self.write)
+    }
+}
+
+/// A front's side: what it holds.
+#[derive(Clone, Debug, Default)]
+pub struct Held {
+    /// Until when each voter's grant holds, by this front's clock.
+    grants: BTreeMap<u64, Micros>,
+    /// Of which voters.
+    epoch: u32,
+    /// Questions under way: number, voter, when it was sent.
+    asked: BTreeMap<u64, (u64, Micros)>,
+}
+
+impl Held {
+    /// A question goes out.
+    pub fn asks(&mut self, now: Micros, voter: u64, nonce: u64, times: &Times) {
+        self.asked.retain(|_, (_, sent)| *sent + times.lease > now);
+        self.asked.insert(nonce, (voter, now));
+    }
+
+    /// A grant comes in. It counts from when it was asked for (Gray and Cheriton, 1989, section 2).
+    pub fn granted(&mut self, epoch: u32, voter: u64, nonce: u64, times: &Times) {
+        let Some((of, sent)) = self.asked.remove(&nonce) else { return };
+        if of != voter || epoch < self.epoch {
+            return;
+        }
+        self.follow(epoch);
+        let until = self.grants.entry(voter).or_default();
+        *until = (*until).max(sent + times.lease);
+    }
+
+    /// Other voters: what the former ones granted counts no more.
+    pub fn follow(&mut self, epoch: u32) {
+        if epoch > self.epoch {
+            self.grants.clear();
+            self.epoch = epoch;
+        }
+    }
+
+    /// Until when a majority's grants hold.
+    pub fn until(&self, majority: usize) -> Micros {
+        let mut all: Vec<Micros> = self.grants.values().copied().collect();
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        all.get(majority.saturating_sub(1)).copied().filter(|_| majority > 0).unwrap_or(0)
+    }
+}
+
+/// A voter's side: what it has granted.
+#[derive(Clone, Debug)]
+pub struct Granting {
+    /// Leases may be out that it does not know of, until then: it may have forgotten them, or the voters before gave them.
+    unknown: Micros,
+    /// Until when each front's grant may hold, by this voter's clock, and the latest version the front had.
+    given: BTreeMap<Name, (Micros, u64)>,
+}
+
+impl Granting {
+    /// A voter that starts, or that begins to vote among others than before.
+    pub fn new(now: Micros, times: &Times) -> Granting {
+        Granting { unknown: now + times.widened(times.lease), given: BTreeMap::new() }
+    }
+
+    /// Grants to a front that has all that this voter has, up to this version.
+    pub fn grant(&mut self, now: Micros, to: &Name, version: u64, times: &Times) {
+        self.given.insert(Name::clone(to), (now + times.widened(times.lease), version));
+    }
+
+    /// The version up to which no front acts on less by a lease of this voter. For each version this stays so once it is.
+    pub fn clear(&mut self, now: Micros, latest: u64) -> u64 {
+        if now < self.unknown {
+            return 0;
+        }
+        self.given.retain(|_, (until, _)| *until > now);
+        self.given.values().map(|(_, version)| *version).min().unwrap_or(latest).min(latest)
+    }
+
+    /// Fronts that hold a grant, and the version they have.
+    pub fn holders(&self) -> impl Iterator<Item = (&Name, u64)> {
+        self.given.iter().map(|(name, (_, version))| (name, *version))
+    }
+}
--- /dev/null
+++ b/crates/accord/src/core/mod.rs
@@ -0,0 +1,796 @@
+//! Versions of rules that fronts agree on, as state, with no I/O, clock or thread: told what comes, it answers with what
+//! is to be written to disk, sent and told.
+//!
+//! [`Accord::handle`] takes the time (of a clock that only goes forward, of this process alone) and one [`Input`];
+//! [`Accord::next_due`] tells when it must be called again. What an [`Output::Write`] holds is on the disk, flushed,
+//! before anything after it is carried out.
+//!
+//! - [`rules`]: what versions say and mean to each other. [`history`]: the steps that made them.
+//! - [`lease`]: how long a front may act on them, and the stated time. [`stand`]: what it acts on.
+//! - [`voter`]: agreement. [`disk`]: what is kept. [`mod@self`]: a front's part in all of it.
+
+pub mod disk;
+pub mod history;
+pub mod lease;
+pub mod rules;
+pub mod stand;
+pub mod voter;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use omnipaxos::messages::Message;
+use serde::{Deserialize, Serialize};
+
+use disk::{Image, Journal, Vote, Write};
+use history::{Became, Digest, Entry, History, Proposal, Seat, Step, Steps, Voters};
+use lease::{Held, Times};
+use rules::Rules;
+use stand::Stand;
+use voter::{Decided, Has, Marks, Order, Voter, TICK};
+
+/// Microseconds.
+pub type Micros = u64;
+/// A front's name.
+pub type Name = Arc<str>;
+
+/// Whoever is not yet a voter looks for the others this often.
+const SEEK_EVERY: Micros = 200_000;
+/// A front with a lease asks another one whether there is news this often.
+const FOLLOW_EVERY: Micros = 2_000_000;
+/// One without, this often.
+const FOLLOW_HURRY: Micros = 250_000;
+/// A proposal is sent again after this.
+const PROPOSE_AGAIN: Micros = 400_000;
+/// After this, whoever proposed is told that nothing is known of it.
+const PROPOSE_WITHIN: Micros = 10_000_000;
+/// Longest proposal, bytes as it is sent.
+pub const LONGEST_RULES: usize = 64 * 1024;
+
+/// What a front is told of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Own {
+    /// Its name, the same at each start.
+    pub name: Name,
+    /// A number drawn for this start: it becomes the disk's if that has none.
+    pub drawn: u64,
+    /// The voters of the first start of all; later ones stand in the history.
+    pub voters: Vec<Name>,
+    /// Times.
+    pub times: Times,
+}
+
+/// What fronts say to each other.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Body {
+    /// Between voters of these numbers: the crate's own.
+    Consensus(u32, Box<Message<Entry>>),
+    /// Between voters: how far this one has come.
+    Marks(Marks),
+    /// Who are you? The number comes back.
+    Hello(u64),
+    /// This front, voting among these if it votes.
+    Here(u64, Option<Voters>),
+    /// May I act on what I have? The number comes back.
+    Ask(u64, Has),
+    /// You may; from the voter of this number, among voters of this epoch.
+    Grant(u64, u32, u64),
+    /// Have you got more than this?
+    Follow(Has),
+    /// What follows on that place and digest.
+    Steps(u64, Digest, Vec<Step>),
+    /// All, for one who is too far behind.
+    Whole(Box<History>),
+    /// To a voter: somebody proposes this.
+    Propose(Proposal),
+    /// To a voter: this disk is to vote in place of one of the same name.
+    Replace,
+}
+
+/// A message, but for what authenticates it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Envelope {
+    /// Who says it.
+    pub name: Name,
+    /// To whom.
+    pub to: Name,
+    /// From which disk, in which start of it.
+    pub disk: u64,
+    /// See `disk`.
+    pub start: u64,
+    /// Count of messages of this start.
+    pub sequence: u64,
+    /// What it says.
+    pub body: Body,
+}
+
+/// What a front hears.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A message.
+    Heard(Box<Envelope>),
+    /// Something may be due.
+    Tick,
+    /// Who is in the view, this front left out.
+    View(BTreeSet<Name>),
+    /// An operator proposes, from this version or from the latest here: who, when (us since 1970), what.
+    Propose(u64, Option<u64>, String, u64, Rules),
+    /// An operator wants these voters.
+    Voters(u64, Vec<Name>),
+    /// Nothing can be written any more.
+    DiskFailed,
+}
+
+/// What an operator is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// What became of the proposal.
+    Became(Became),
+    /// Nothing is known of it yet: it may still become a version.
+    Unknown,
+    /// Why it is not even proposed.
+    Refused(String),
+    /// The voters are asked to change.
+    Asked,
+}
+
+/// What the edge is to do, and what is worth knowing.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Write these in one piece; if any of them [promises](Write::promises), flush.
+    Write(Vec<Write>),
+    /// Send this.
+    Send(Box<Envelope>),
+    /// What this front acts on from now on.
+    Stand(Stand),
+    /// The history has gone on: steps, digest, latest version.
+    Took(u64, Digest, u64),
+    /// A version is known here: its number, and what it says.
+    Version(u64, Arc<Rules>),
+    /// To the operator of this number.
+    Told(u64, Told),
+    /// This front votes now, under this number, among voters of this epoch; or no more.
+    Votes(Option<(u64, u32)>),
+    /// That front has another history: one of the two disks is not what it seems.
+    Parted(Name),
+}
+
+/// A proposal that nothing is known of yet.
+#[derive(Clone, Debug)]
+struct Open {
+    ticket: u64,
+    proposal: Proposal,
+    since: Micros,
+    next: Micros,
+}
+
+/// Looking for the other voters of the first start.
+#[derive(Clone, Debug, Default)]
+struct Seeking {
+    nonce: u64,
+    /// Disks of those that vote as little as this one.
+    empty: BTreeMap<Name, u64>,
+    next: Micros,
+}
+
+/// A front's part in the agreement.
+#[derive(Debug)]
+pub struct Accord {
+    own: Own,
+    disk: u64,
+    start: u64,
+    now: Micros,
+    history: History,
+    steps: Steps,
+    held: Held,
+    stand: Stand,
+    journal: Journal,
+    voter: Option<Voter>,
+    seeking: Seeking,
+    sick: bool,
+    order: Order,
+    sequence: u64,
+    nonce: u64,
+    peers: BTreeSet<Name>,
+    /// Disks of fronts that have asked for leases lately.
+    disks: BTreeMap<Name, u64>,
+    open: Vec<Open>,
+    told: u64,
+    wrote: u64,
+    next_ask: Micros,
+    next_follow: Micros,
+    next_replace: Micros,
+    next_marks: Micros,
+    turn: usize,
+}
+
+impl Accord {
+    /// A front that starts on this image. What follows at once is added to `out`.
+    pub fn new(own: Own, image: Image, now: Micros, out: &mut Vec<Output>) -> Accord {
+        let (disk, start) = image.identity.map_or((own.drawn, 1), |(disk, starts)| (disk, starts + 1));
+        let journal = Journal::default();
+        // Danger: a disk that says who it is only once it has voted is another disk to those that asked before.
+        journal.push(Write::Identity(disk, start));
+        let history = image.history.map(|history| history.as_ref().clone()).unwrap_or_default();
+        let stand = Stand {
+            begun: 0,
+            latest: 0,
+            until: 0,
+            alone: if own.times.refuse { 0 } else { Micros::MAX },
+            agreed: Arc::default(),
+            meet: Arc::default(),
+        };
+        let vote = image.vote.filter(|vote| vote.voters.epoch >= history.voters.epoch);
+        let voter = vote.and_then(|vote| Voter::start(now, vote, journal.clone(), &own.times));
+        let mut accord = Accord {
+            steps: Steps::new(&history),
+            history,
+            own,
+            disk,
+            start,
+            now,
+            held: Held::default(),
+            stand,
+            journal,
+            voter,
+            seeking: Seeking::default(),
+            sick: false,
+            order: Order::default(),
+            sequence: 0,
+            nonce: start << 40,
+            peers: BTreeSet::new(),
+            disks: BTreeMap::new(),
+            open: Vec::new(),
+            told: 0,
+            wrote: 0,
+            next_ask: now,
+            next_follow: now,
+            next_replace: now,
+            next_marks: now,
+            turn: 0,
+        };
+        let position = accord.history.position;
+        accord.tell_versions(0, out);
+        if position > 0 {
+            out.push(Output::Took(position, accord.history.digest, accord.history.latest));
+        }
+        if let Some(voter) = &accord.voter {
+            let epoch = voter.voters().epoch;
+            out.extend(
+                voter.voters().number(&accord.own.name).map(|number| Output::Votes(Some((number, epoch)))),
+            );
+        }
+        accord.handle(now, Input::Tick, out);
+        accord
+    }
+
+    /// The history as it is known here.
+    pub fn history(&self) -> &History {
+        &self.history
+    }
+
+    /// What this front acts on.
+    pub fn stand(&self) -> &Stand {
+        &self.stand
+    }
+
+    /// Its voter, if it votes.
+    pub fn voter(&self) -> Option<&Voter> {
+        self.voter.as_ref()
+    }
+
+    /// When it must be called again.
+    pub fn next_due(&self) -> Micros {
+        let voter = self.voter.as_ref().map_or(Micros::MAX, Voter::next_due);
+        voter.min(self.next_ask).min(self.next_follow).max(self.now + 1).min(self.now + TICK * 4)
+    }
+
+    /// Takes in one input; what follows is added to `out`, in order.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        let mut then = Vec::new();
+        match input {
+            Input::Heard(envelope) => self.heard(*envelope, &mut then),
+            Input::Tick => {}
+            Input::View(peers) => self.peers = peers,
+            Input::Propose(ticket, base, by, at, rules) => {
+                self.propose(ticket, base, by, at, rules, &mut then)
+            }
+            Input::Voters(ticket, names) => self.change_voters(ticket, &names, &mut then),
+            Input::DiskFailed => {
+                self.sick = true;
+                self.stop_voting(&mut then);
+                self.journal.take();
+            }
+        }
+        self.tick(&mut then);
+        self.take_decided(&mut then);
+        self.say(&mut then);
+        self.settle(&mut then);
+        if !self.sick {
+            let writes = self.journal.take();
+            if !writes.is_empty() {
+                out.push(Output::Write(writes));
+            }
+        }
+        out.append(&mut then);
+    }
+
+    // ---- What comes ----
+
+    fn heard(&mut self, envelope: Envelope, out: &mut Vec<Output>) {
+        let Envelope { name, to, disk, start, sequence, body } = envelope;
+        if to != self.own.name || name == self.own.name || !self.order.next(&name, disk, start, sequence) {
+            return;
+        }
+        match body {
+            Body::Consensus(epoch, message) => {
+                let Some(voter) = self.voter.as_mut().filter(|voter| voter.voters().epoch == epoch) else {
+                    return;
+                };
+                // Danger: a disk that took another's name speaks for a vote that it has never cast.
+                let seat = Seat { name, disk };
+                let sender = match message.as_ref() {
+                    Message::SequencePaxos(paxos) => paxos.from,
+                    Message::BLE(ballots) => ballots.from,
+                };
+                if voter.voters().seats.get(&sender) == Some(&seat) {
+                    voter.hear(*message);
+                }
+            }
+            Body::Marks(marks) => {
+                let Some(voter) = &mut self.voter else { return };
+                if let Some(number) = voter.voters().number(&name) {
+                    voter.marks(number, marks);
+                }
+            }
+            Body::Hello(nonce) => {
+                let votes = self.voter.as_ref().map(|voter| voter.voters().clone());
+                let known = (self.history.voters.epoch > 0).then(|| self.history.voters.clone());
+                self.send(&name, Body::Here(nonce, votes.or(known)), out);
+            }
+            Body::Here(nonce, voters) => self.found(name, disk, nonce, voters, out),
+            Body::Ask(nonce, has) => {
+                self.disks.insert(Name::clone(&name), disk);
+                self.asked(&name, nonce, &has, out);
+            }
+            Body::Grant(nonce, epoch, number) => self.held.granted(epoch, number, nonce, &self.own.times),
+            Body::Follow(has) => self.catch_up(&name, &has, out),
+            Body::Steps(position, digest, steps) => {
+                if position == self.history.position && digest == self.history.digest {
+                    steps.into_iter().for_each(|step| self.take(step, out));
+                    // The lease waits for nothing but this.
+                    self.next_ask = self.next_ask.min(self.now);
+                }
+            }
+            Body::Whole(history) => self.whole(&name, *history, out),
+            Body::Propose(proposal) => {
+                let known = self.history.outcome(proposal.id).is_some();
+                if let Some(voter) = self.voter.as_mut().filter(|_| !known) {
+                    voter.propose(proposal);
+                }
+            }
+            Body::Replace => {
+                if let Some(voter) = &mut self.voter {
+                    voter.replace(Seat { name, disk });
+                }
+            }
+        }
+    }
+
+    /// A front asks for a lease.
+    fn asked(&mut self, name: &Name, nonce: u64, has: &Has, out: &mut Vec<Output>) {
+        self.catch_up(name, has, out);
+        let Some(voter) = &mut self.voter else { return };
+        if voter.grant(self.now, name, has, &self.history, &self.own.times) {
+            let (epoch, number) = (voter.voters().epoch, voter.voters().number(&self.own.name));
+            if let Some(number) = number {
+                self.send(name, Body::Grant(nonce, epoch, number), out);
+            }
+        }
+    }
+
+    /// Tells a front what it lacks.
+    fn catch_up(&mut self, name: &Name, has: &Has, out: &mut Vec<Output>) {
+        if has.position >= self.history.position {
+            return;
+        }
+        let body = match self.steps.after(has.position, &has.digest) {
+            Some(steps) => Body::Steps(has.position, has.digest, steps),
+            None => Body::Whole(Box::new(self.history.clone())),
+        };
+        self.send(name, body, out);
+    }
+
+    fn whole(&mut self, from: &Name, history: History, out: &mut Vec<Output>) {
+        if self.history.parted(&history) {
+            out.push(Output::Parted(Name::clone(from)));
+            return;
+        }
+        // Danger: a history older than what this front acts on takes a refusal back that others heed.
+        if history.position > self.history.position {
+            self.replace_history(history, out);
+            self.next_ask = self.next_ask.min(self.now);
+        }
+    }
+
+    fn replace_history(&mut self, history: History, out: &mut Vec<Output>) {
+        let before = self.history.latest;
+        self.history = history;
+        self.steps = Steps::new(&self.history);
+        self.tell_versions(before, out);
+        out.push(Output::Took(self.history.position, self.history.digest, self.history.latest));
+        self.revote(out);
+    }
+
+    fn take(&mut self, step: Step, out: &mut Vec<Output>) {
+        let before = self.history.latest;
+        self.pass_on(&step, out);
+        self.history.take(&step);
+        let voters = matches!(step, Step::Voters(_));
+        self.steps.push(step, &self.history);
+        self.tell_versions(before, out);
+        out.push(Output::Took(self.history.position, self.history.digest, self.history.latest));
+        if voters {
+            self.revote(out);
+        }
+    }
+
+    /// The leader tells a step at once to those that would hear of it when they ask next.
+    fn pass_on(&mut self, step: &Step, out: &mut Vec<Output>) {
+        let Some(voter) = self.voter.as_ref().filter(|voter| voter.leads()) else { return };
+        let others = voter.holders().map(|(name, _)| name).filter(|name| **name != self.own.name);
+        let holders: Vec<Name> = others.cloned().collect();
+        for name in holders {
+            let body = Body::Steps(self.history.position, self.history.digest, vec![step.clone()]);
+            self.send(&name, body, out);
+        }
+    }
+
+    fn tell_versions(&self, before: u64, out: &mut Vec<Output>) {
+        for (number, version) in self.history.versions.range(before + 1..) {
+            out.push(Output::Version(*number, Arc::clone(&version.rules)));
+        }
+    }
+
+    // ---- Voting ----
+
+    fn stop_voting(&mut self, out: &mut Vec<Output>) {
+        if self.voter.take().is_some() {
+            out.push(Output::Votes(None));
+        }
+    }
+
+    /// The history has other voters than before: this front votes among them, or no more.
+    fn revote(&mut self, out: &mut Vec<Output>) {
+        self.held.follow(self.history.voters.epoch);
+        let epoch = self.history.voters.epoch;
+        if self.voter.as_ref().is_some_and(|voter| voter.voters().epoch >= epoch) {
+            return;
+        }
+        self.stop_voting(out);
+        let own = Seat { name: Name::clone(&self.own.name), disk: self.disk };
+        let number =
+            self.history.voters.seats.iter().find(|(_, seat)| **seat == own).map(|(number, _)| *number);
+        if let Some(number) = number.filter(|_| !self.sick) {
+            self.vote(Vote::begin(number, &self.history), out);
+        }
+    }
+
+    fn vote(&mut self, vote: Vote, out: &mut Vec<Output>) {
+        let told = (vote.number, vote.voters.epoch);
+        self.journal.push(Write::Vote(Box::new(vote.clone())));
+        self.voter = Voter::start(self.now, vote, self.journal.clone(), &self.own.times);
+        out.push(Output::Votes(self.voter.as_ref().map(|_| told)));
+    }
+
+    /// A front answers who it is.
+    fn found(&mut self, name: Name, disk: u64, nonce: u64, voters: Option<Voters>, out: &mut Vec<Output>) {
+        if nonce != self.seeking.nonce || self.voter.is_some() || self.history.voters.epoch > 0 {
+            return;
+        }
+        match voters {
+            // Its history comes by itself, and tells whether this disk is to vote.
+            Some(_) => {
+                self.seeking.empty.clear();
+                self.next_follow = self.now;
+                let has = self.has();
+                self.send(&name, Body::Follow(has), out);
+            }
+            None => {
+                self.seeking.empty.insert(name, disk);
+                self.begin_first(out);
+            }
+        }
+    }
+
+    /// All voters of the settings are there, and none of them has ever voted: only then does the first vote begin.
+    /// Danger: with fewer, the one that is missing may hold a history that these begin a second time.
+    fn begin_first(&mut self, out: &mut Vec<Output>) {
+        let own = (&self.own.name, &self.disk);
+        let all: BTreeMap<&Name, &u64> = self.seeking.empty.iter().chain([own]).collect();
+        if !self.own.voters.contains(&self.own.name)
+            || !self.own.voters.iter().all(|name| all.contains_key(name))
+        {
+            return;
+        }
+        let seat = |name: &Name| Seat { name: Name::clone(name), disk: *all[name] };
+        let mut seats: Vec<Seat> = self.own.voters.iter().map(seat).collect();
+        seats.sort();
+        let first = Voters::default().next(&seats);
+        self.take(Step::Voters(first), out);
+    }
+
+    fn change_voters(&mut self, ticket: u64, names: &[Name], out: &mut Vec<Output>) {
+        let told = |why: &str| Told::Refused(why.to_owned());
+        let answer = match &mut self.voter {
+            Some(voter) if voter.leads() => {
+                let current = voter.voters();
+                let kept = |name: &Name| current.seats.values().find(|seat| seat.name == *name).cloned();
+                let own = Seat { name: Name::clone(&self.own.name), disk: self.disk };
+                let fresh = |name: &Name| {
+                    self.disks.get(name).map(|disk| Seat { name: Name::clone(name), disk: *disk })
+                };
+                let seat = |name: &Name| {
+                    kept(name).or_else(|| fresh(name)).or((own.name == *name).then(|| own.clone()))
+                };
+                let seats: Option<Vec<Seat>> = names.iter().map(seat).collect();
+                match seats {
+                    None => told("not all of these fronts have asked for a lease lately"),
+                    Some(seats) if ![3, 5, 7].contains(&seats.len()) => told("there are 3, 5 or 7 voters"),
+                    Some(seats) => {
+                        let next = current.next(&seats);
+                        if voter.change(&next) {
+                            Told::Asked
+                        } else {
+                            told("the voters are changing already")
+                        }
+                    }
+                }
+            }
+            Some(voter) => {
+                let leader = voter.leader().and_then(|number| voter.voters().seats.get(&number));
+                told(&leader.map_or("no voter leads at present".to_owned(), |seat| {
+                    format!("ask {}, which leads", seat.name)
+                }))
+            }
+            None => told("this front is no voter: ask one"),
+        };
+        out.push(Output::Told(ticket, answer));
+    }
+
+    fn take_decided(&mut self, out: &mut Vec<Output>) {
+        let Some(voter) = &mut self.voter else { return };
+        for decided in voter.decided() {
+            match decided {
+                Decided::Step(at, step) if at == self.history.position => self.take(step, out),
+                Decided::Whole(whole) if whole.position > self.history.position => {
+                    self.replace_history(*whole, out)
+                }
+                Decided::Step(..) | Decided::Whole(_) => {}
+            }
+        }
+        if let Some(voter) = &mut self.voter {
+            voter.logged(&self.history);
+        }
+    }
+
+    // ---- What is due ----
+
+    fn has(&self) -> Has {
+        let History { position, digest, latest, voters, .. } = &self.history;
+        Has { epoch: voters.epoch, position: *position, digest: *digest, version: *latest }
+    }
+
+    fn tick(&mut self, out: &mut Vec<Output>) {
+        self.seek(out);
+        if let Some(voter) = &mut self.voter {
+            voter.tick(self.now, &self.history);
+        }
+        if self.now >= self.next_ask {
+            self.next_ask = self.now + self.own.times.renew;
+            self.ask(out);
+        }
+        if self.now >= self.next_follow {
+            let leased = self.now < self.stand.until;
+            self.next_follow = self.now + if leased { FOLLOW_EVERY } else { FOLLOW_HURRY };
+            self.turn += 1;
+            let peer = self.peers.iter().nth(self.turn % self.peers.len().max(1)).cloned();
+            if let Some(peer) = peer {
+                let has = self.has();
+                self.send(&peer, Body::Follow(has), out);
+            }
+        }
+        self.propose_again(out);
+    }
+
+    /// Looks for the other voters, or asks to vote in place of a lost disk.
+    fn seek(&mut self, out: &mut Vec<Output>) {
+        if self.voter.is_some() || self.sick {
+            return;
+        }
+        let voters = &self.history.voters;
+        if voters.epoch > 0 {
+            let lost = voters.number(&self.own.name).is_some();
+            if lost && self.now >= self.next_replace {
+                self.next_replace = self.now + 2 * SEEK_EVERY;
+                for name in self.voters() {
+                    self.send(&name, Body::Replace, out);
+                }
+            }
+            return;
+        }
+        if self.own.voters.contains(&self.own.name) && self.now >= self.seeking.next {
+            self.nonce += 1;
+            self.seeking = Seeking { nonce: self.nonce, empty: BTreeMap::new(), next: self.now + SEEK_EVERY };
+            for name in self.voters() {
+                self.send(&name, Body::Hello(self.nonce), out);
+            }
+        }
+    }
+
+    /// The other voters, as far as they are known.
+    fn voters(&self) -> Vec<Name> {
+        let known: Vec<Name> = match self.history.voters.epoch {
+            0 => self.own.voters.clone(),
+            _ => self.history.voters.seats.values().map(|seat| Name::clone(&seat.name)).collect(),
+        };
+        known.into_iter().filter(|name| *name != self.own.name).collect()
+    }
+
+    /// Asks every voter for a lease, itself among them.
+    fn ask(&mut self, out: &mut Vec<Output>) {
+        let has = self.has();
+        let seats: Vec<(u64, Name)> = self
+            .history
+            .voters
+            .seats
+            .iter()
+            .map(|(number, seat)| (*number, Name::clone(&seat.name)))
+            .collect();
+        for (number, name) in seats {
+            self.nonce += 1;
+            self.held.asks(self.now, number, self.nonce, &self.own.times);
+            if name != self.own.name {
+                self.send(&name, Body::Ask(self.nonce, has), out);
+                continue;
+            }
+            let Some(voter) = &mut self.voter else { continue };
+            if voter.grant(self.now, &name, &has, &self.history, &self.own.times) {
+                self.held.granted(has.epoch, number, self.nonce, &self.own.times);
+            }
+        }
+        if has.epoch == 0 {
+            for name in self.voters() {
+                self.send(&name, Body::Follow(has), out);
+            }
+        }
+    }
+
+    // ---- Proposals ----
+
+    fn propose(
+        &mut self,
+        ticket: u64,
+        base: Option<u64>,
+        by: String,
+        at: u64,
+        rules: Rules,
+        out: &mut Vec<Output>,
+    ) {
+        self.nonce += 1;
+        // No two fronts draw alike: the disk's number is in it.
+        let id = self.disk.rotate_left(17) ^ self.nonce.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let rules = Arc::new(rules.normal());
+        let proposal = Proposal { id, base: base.unwrap_or(self.history.latest), by, at, rules };
+        let size = postcard::to_allocvec(&proposal).map_or(usize::MAX, |bytes| bytes.len());
+        if size > LONGEST_RULES {
+            let why = format!("{size} bytes; a proposal has at most {LONGEST_RULES}");
+            out.push(Output::Told(ticket, Told::Refused(why)));
+            return;
+        }
+        self.open.push(Open { ticket, proposal, since: self.now, next: self.now });
+        self.propose_again(out);
+    }
+
+    fn propose_again(&mut self, out: &mut Vec<Output>) {
+        let (now, mut due) = (self.now, Vec::new());
+        for open in &mut self.open {
+            if open.next <= now {
+                open.next = now + PROPOSE_AGAIN;
+                due.push(open.proposal.clone());
+            }
+        }
+        for proposal in due {
+            let voters = self.voters();
+            match &mut self.voter {
+                Some(voter) => voter.propose(proposal),
+                None if voters.is_empty() => {}
+                None => {
+                    self.turn += 1;
+                    let to = Name::clone(&voters[self.turn % voters.len()]);
+                    self.send(&to, Body::Propose(proposal), out);
+                }
+            }
+        }
+        let (history, mut told) = (&self.history, Vec::new());
+        self.open.retain(|open| {
+            let answer = match history.outcome(open.proposal.id) {
+                Some(became) => Told::Became(became),
+                None if open.since + PROPOSE_WITHIN <= now => Told::Unknown,
+                None => return true,
+            };
+            told.push(Output::Told(open.ticket, answer));
+            false
+        });
+        out.append(&mut told);
+    }
+
+    // ---- What follows ----
+
+    fn send(&mut self, to: &Name, body: Body, out: &mut Vec<Output>) {
+        self.sequence += 1;
+        let (name, to) = (Name::clone(&self.own.name), Name::clone(to));
+        let (disk, start, sequence) = (self.disk, self.start, self.sequence);
+        out.push(Output::Send(Box::new(Envelope { name, to, disk, start, sequence, body })));
+    }
+
+    /// What the voter has to say.
+    fn say(&mut self, out: &mut Vec<Output>) {
+        let Some(voter) = &mut self.voter else { return };
+        let epoch = voter.voters().epoch;
+        let name =
+            |voter: &Voter, number| voter.voters().seats.get(&number).map(|seat| Name::clone(&seat.name));
+        let said = voter.say();
+        let said: Vec<(Option<Name>, Message<Entry>)> =
+            said.into_iter().map(|(number, message)| (name(voter, number), message)).collect();
+        let marks = (self.now >= self.next_marks).then(|| voter.own_marks(self.now));
+        for (to, message) in said {
+            if let Some(to) = to {
+                self.send(&to, Body::Consensus(epoch, Box::new(message)), out);
+            }
+        }
+        if let Some(marks) = marks {
+            self.next_marks = self.now + 2 * TICK;
+            for name in self.voters() {
+                self.send(&name, Body::Marks(marks), out);
+            }
+        }
+    }
+
+    /// What this front acts on, told where it has changed.
+    fn settle(&mut self, out: &mut Vec<Output>) {
+        // A voter's own history is in its log.
+        if self.voter.is_none() && self.history.position > self.wrote {
+            self.wrote = self.history.position;
+            self.journal.push(Write::History(Arc::new(self.history.clone())));
+        }
+        let until = match self.history.voters.epoch {
+            0 => 0,
+            _ => self.held.until(self.history.voters.majority()),
+        };
+        let times = &self.own.times;
+        // Other voters take the lease, and what a front without one may do for a while counts from where it ended.
+        let ends = if until > 0 { until + times.alone } else { 0 };
+        let alone = if times.refuse { self.stand.alone.max(ends) } else { Micros::MAX };
+        let proposed = self.voter.as_ref().map(Voter::proposed).unwrap_or_default();
+        let proposed = proposed.iter().chain(self.open.iter().map(|open| &open.proposal));
+        let heard: Vec<Arc<Rules>> = proposed.map(|proposal| Arc::clone(&proposal.rules)).collect();
+        let changed = (self.history.position, heard.len() as u64);
+        let mut stand = Stand { until, alone, ..self.stand.clone() };
+        if changed.0 + (changed.1 << 48) != self.told || self.stand.latest != self.history.latest {
+            self.told = changed.0 + (changed.1 << 48);
+            (stand.begun, stand.latest) = (self.history.begun, self.history.latest);
+            let agreed = self.history.meet();
+            stand.meet = Arc::new(heard.iter().fold(agreed.clone(), |meet, rules| meet.meet(rules)));
+            stand.agreed = Arc::new(agreed);
+        }
+        if stand != self.stand {
+            self.stand = stand.clone();
+            out.push(Output::Stand(stand));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/accord/src/core/rules.rs
@@ -0,0 +1,340 @@
+//! What a version says, and what two versions mean to each other: pure functions, no state.
+//!
+//! Rules only take away from what a front's own file allows. They form a meet-semilattice: [`Rules::meet`] allows exactly
+//! what both allow, the empty rules allow everything, and a version [`tightens`](Rules::tightens) another where it is
+//! their meet. Each kind has its own order:
+//!
+//! | kind | what two versions contradict in | stricter |
+//! |---|---|---|
+//! | class | whether it is open, its top rung, its seats, whether its sessions end | closed, lower, fewer, end |
+//! | ladder | the highest rung | lower |
+//! | limit | the number | lower |
+//! | title | the cells where it lies | fewer cells |
+//! | cell | whether it is closed | closed |
+//! | refused | whether a firm or viewer is refused | refused |
+//! | box | what an operator orders | drain, then hold, then nothing |
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Terms of a class. A class that no version names has the [default](Terms::default): all that the front's file says.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct Terms {
+    /// New sessions are taken.
+    pub open: bool,
+    /// Highest rung of new sessions.
+    pub top_rung: u32,
+    /// Sessions of the class at one front at most.
+    pub seats: u32,
+    /// What plays is ended once the class is not open; otherwise it stays.
+    pub ends: bool,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Terms { open: true, top_rung: u32::MAX, seats: u32::MAX, ends: false }
+    }
+}
+
+impl Terms {
+    fn meet(self, other: Terms) -> Terms {
+        Terms {
+            open: self.open && other.open,
+            top_rung: self.top_rung.min(other.top_rung),
+            seats: self.seats.min(other.seats),
+            ends: self.ends || other.ends,
+        }
+    }
+}
+
+/// Limits that a front heeds.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Limit {
+    /// Sessions at one front.
+    SessionsPerFront,
+    /// Sessions of one viewer at one front.
+    SessionsPerViewer,
+}
+
+/// Whoever is refused.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Who {
+    /// All viewers of a firm: those whose names begin with it and a slash.
+    Firm(String),
+    /// One viewer.
+    Viewer(String),
+}
+
+/// What an operator orders of a box, whatever the list says.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Order {
+    /// No new sessions; what plays there stays.
+    Hold,
+    /// As if the list said that it drains.
+    Drain,
+}
+
+/// One version's rules.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+pub struct Rules {
+    /// Classes by name.
+    pub classes: BTreeMap<String, Terms>,
+    /// Highest rung of the ladder, for all classes.
+    pub ladder: Option<u32>,
+    /// Limits.
+    pub limits: BTreeMap<Limit, u32>,
+    /// Cells where a title lies, of those that the front's file has for it; none: it is shown nowhere.
+    pub titles: BTreeMap<String, BTreeSet<u32>>,
+    /// Cells that take no new sessions.
+    pub closed: BTreeSet<u32>,
+    /// Who is refused.
+    pub refused: BTreeSet<Who>,
+    /// Orders to boxes by name.
+    pub boxes: BTreeMap<String, Order>,
+}
+
+/// What a viewer asks for, as far as rules look at it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Asked<'a> {
+    /// Name of the viewer.
+    pub viewer: &'a str,
+    /// Name of the class.
+    pub class: &'a str,
+    /// Name of the title.
+    pub title: &'a str,
+    /// Sessions held at this front: of all, of the class, of the viewer.
+    pub held: [u32; 3],
+}
+
+/// Why something is refused.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Refusal {
+    /// The viewer or its firm is refused.
+    Who,
+    /// The class takes no new sessions.
+    Class,
+    /// The class has no seat left at this front.
+    Seats,
+    /// The title is shown nowhere.
+    Title,
+    /// This front holds as many sessions as it may.
+    Front,
+    /// The viewer has as many sessions as it may.
+    Viewer,
+    /// The front has no lease, and has been without for too long.
+    Lease,
+}
+
+impl Refusal {
+    /// Whether a later try may be served with nothing changed by an operator.
+    pub fn passes(self) -> bool {
+        matches!(self, Refusal::Seats | Refusal::Front | Refusal::Viewer | Refusal::Lease)
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Refusal::Who => "this viewer is refused",
+            Refusal::Class => "this class takes no new sessions",
+            Refusal::Seats => "no seat of this class is free here",
+            Refusal::Title => "this title is shown nowhere",
+            Refusal::Front => "this front holds as many sessions as it may",
+            Refusal::Viewer => "this viewer has as many sessions as it may",
+            Refusal::Lease => "this front may not act on its rules",
+        })
+    }
+}
+
+/// One thing that two versions contradict each other in.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Contradiction {
+    /// What kind of rule.
+    pub kind: &'static str,
+    /// Of what name.
+    pub name: String,
+    /// The later version refuses what the earlier one allows.
+    pub tightened: bool,
+    /// The later version allows what the earlier one refuses.
+    pub loosened: bool,
+}
+
+impl Rules {
+    /// Entries that say nothing are taken out, so that equal rules are equal.
+    pub fn normal(mut self) -> Rules {
+        self.classes.retain(|_, terms| *terms != Terms::default());
+        self.limits.retain(|_, most| *most != u32::MAX);
+        self.ladder = self.ladder.filter(|top| *top != u32::MAX);
+        self
+    }
+
+    /// What both allow, and nothing else.
+    pub fn meet(&self, other: &Rules) -> Rules {
+        let mut both = self.clone();
+        for (name, terms) in &other.classes {
+            let here = both.classes.entry(name.clone()).or_default();
+            *here = here.meet(*terms);
+        }
+        both.ladder = self.ladder.into_iter().chain(other.ladder).min();
+        for (limit, most) in &other.limits {
+            let here = both.limits.entry(*limit).or_insert(u32::MAX);
+            *here = (*here).min(*most);
+        }
+        for (title, cells) in &other.titles {
+            match both.titles.get_mut(title) {
+                Some(here) => here.retain(|cell| cells.contains(cell)),
+                None => {
+                    both.titles.insert(title.clone(), cells.clone());
+                }
+            }
+        }
+        both.closed.extend(&other.closed);
+        both.refused.extend(other.refused.iter().cloned());
+        for (name, order) in &other.boxes {
+            let here = both.boxes.entry(name.clone()).or_insert(*order);
+            *here = (*here).max(*order);
+        }
+        both.normal()
+    }
+
+    /// Whether a new session may begin.
+    ///
+    /// # Errors
+    /// Why not: the first reason that an operator would want to hear.
+    pub fn allows(&self, asked: &Asked<'_>) -> Result<(), Refusal> {
+        let firm = asked.viewer.split_once('/').map(|(firm, _)| Who::Firm(firm.to_owned()));
+        let refused = |who: &Who| self.refused.contains(who);
+        if refused(&Who::Viewer(asked.viewer.to_owned())) || firm.as_ref().is_some_and(refused) {
+            return Err(Refusal::Who);
+        }
+        let terms = self.terms(asked.class);
+        if !terms.open {
+            return Err(Refusal::Class);
+        }
+        if self.titles.get(asked.title).is_some_and(|cells| cells.is_subset(&self.closed)) {
+            return Err(Refusal::Title);
+        }
+        let most = |limit: Limit| self.limits.get(&limit).copied().unwrap_or(u32::MAX);
+        let [all, of_class, of_viewer] = asked.held;
+        match () {
+            () if of_class >= terms.seats => Err(Refusal::Seats),
+            () if all >= most(Limit::SessionsPerFront) => Err(Refusal::Front),
+            () if of_viewer >= most(Limit::SessionsPerViewer) => Err(Refusal::Viewer),
+            () => Ok(()),
+        }
+    }
+
+    /// Terms of a class.
+    pub fn terms(&self, class: &str) -> Terms {
+        self.classes.get(class).copied().unwrap_or_default()
+    }
+
+    /// Highest rung of new sessions of a class.
+    pub fn top_rung(&self, class: &str) -> u32 {
+        self.terms(class).top_rung.min(self.ladder.unwrap_or(u32::MAX))
+    }
+
+    /// Whether a title may be shown from a cell, as far as these rules say.
+    pub fn lies(&self, title: &str, cell: u32) -> bool {
+        !self.closed.contains(&cell) && self.titles.get(title).is_none_or(|cells| cells.contains(&cell))
+    }
+
+    /// Whether this allows nothing that the other refuses.
+    pub fn tightens(&self, other: &Rules) -> bool {
+        self.meet(other) == self.clone().normal()
+    }
+
+    /// What the later of two versions changes, one line for each name.
+    pub fn contradictions(earlier: &Rules, later: &Rules) -> Vec<Contradiction> {
+        let mut found = Vec::new();
+        let mut one = |kind: &'static str, name: String, part: &dyn Fn(&Rules) -> Rules| {
+            let (a, b) = (part(earlier).normal(), part(later).normal());
+            if a != b {
+                let meet = a.meet(&b);
+                found.push(Contradiction { kind, name, tightened: meet != a, loosened: meet != b });
+            }
+        };
+        let names = |of: &dyn Fn(&Rules) -> Vec<String>| -> BTreeSet<String> {
+            of(earlier).into_iter().chain(of(later)).collect()
+        };
+        for name in names(&|rules| rules.classes.keys().cloned().collect()) {
+            one("class", name.clone(), &|rules| Rules {
+                classes: rules
+                    .classes
+                    .get_key_value(&name)
+                    .map(|(k, v)| (k.clone(), *v))
+                    .into_iter()
+                    .collect(),
+                ..Rules::default()
+            });
+        }
+        one("ladder", String::new(), &|rules| Rules { ladder: rules.ladder, ..Rules::default() });
+        for limit in [Limit::SessionsPerFront, Limit::SessionsPerViewer] {
+            one("limit", limit.to_string(), &|rules| Rules {
+                limits: rules.limits.get(&limit).map(|most| (limit, *most)).into_iter().collect(),
+                ..Rules::default()
+            });
+        }
+        for name in names(&|rules| rules.titles.keys().cloned().collect()) {
+            one("title", name.clone(), &|rules| Rules {
+                titles: rules
+                    .titles
+                    .get(&name)
+                    .map(|cells| (name.clone(), cells.clone()))
+                    .into_iter()
+                    .collect(),
+                ..Rules::default()
+            });
+        }
+        for cell in earlier.closed.symmetric_difference(&later.closed) {
+            one("cell", cell.to_string(), &|rules| Rules {
+                closed: rules.closed.get(cell).copied().into_iter().collect(),
+                ..Rules::default()
+            });
+        }
+        for who in earlier.refused.symmetric_difference(&later.refused) {
+            one("refused", who.to_string(), &|rules| Rules {
+                refused: rules.refused.get(who).cloned().into_iter().collect(),
+                ..Rules::default()
+            });
+        }
+        for name in names(&|rules| rules.boxes.keys().cloned().collect()) {
+            one("box", name.clone(), &|rules| Rules {
+                boxes: rules.boxes.get(&name).map(|order| (name.clone(), *order)).into_iter().collect(),
+                ..Rules::default()
+            });
+        }
+        found
+    }
+}
+
+impl Limit {
+    /// Its name in settings.
+    pub fn name(self) -> &'static str {
+        match self {
+            Limit::SessionsPerFront => "sessions-per-front",
+            Limit::SessionsPerViewer => "sessions-per-viewer",
+        }
+    }
+}
+
+impl fmt::Display for Limit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl fmt::Display for Who {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Who::Firm(name) => write!(f, "firm {name}"),
+            Who::Viewer(name) => write!(f, "viewer {name}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/accord/src/core/voter.rs
@@ -0,0 +1,366 @@
+//! One voter: the consensus crate with its log, and what a voter does besides: it grants leases, tells when a version may
+//! begin, and replaces a voter whose disk is lost.
+//!
+//! Omni-Paxos (Ng, Haridi, Carbone, EuroSys 2023) elects whoever is connected with a majority, so that a leader that hears
+//! all and is heard by few is given up. It wants links that keep order and tell when they lose something; ours keep order
+//! ([`Order`]) and don't tell, so voters compare their [`Marks`].
+
+use std::collections::BTreeMap;
+
+use omnipaxos::messages::Message;
+use omnipaxos::util::LogEntry;
+use omnipaxos::{ClusterConfig, OmniPaxos, OmniPaxosConfig, ServerConfig};
+use serde::{Deserialize, Serialize};
+
+use super::disk::{Journal, Ledger, Vote};
+use super::history::{Digest, Entry, History, Proposal, Seat, Step, Voters};
+use super::lease::{Granting, Times};
+use super::{Micros, Name};
+
+/// The consensus crate counts time in ticks of this length.
+pub const TICK: Micros = 50_000;
+/// Ticks after which a voter that did not answer counts as gone.
+const ELECTION: u64 = 4;
+/// Ticks after which a message that is owed an answer is sent again.
+const RESEND: u64 = 4;
+/// Whoever is behind another voter's marks for so long has lost a message.
+const BEHIND: Micros = 300_000;
+/// The log is compacted when it has so many decided entries.
+const COMPACT: usize = 64;
+
+/// What a voter tells the others each tick.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+pub struct Marks {
+    /// Of which voters.
+    pub epoch: u32,
+    /// Entries it has accepted.
+    pub accepted: u64,
+    /// Entries it knows to be decided.
+    pub decided: u64,
+    /// No front acts on less than this version by a lease of this voter.
+    pub clear: u64,
+    /// It leads.
+    pub leads: bool,
+}
+
+/// What a front has, as it says when it asks for a lease.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct Has {
+    /// Of which voters.
+    pub epoch: u32,
+    /// Steps of the history.
+    pub position: u64,
+    /// Digest of these.
+    pub digest: Digest,
+    /// Latest version.
+    pub version: u64,
+}
+
+/// A voter at work.
+pub struct Voter {
+    paxos: OmniPaxos<Entry, Ledger>,
+    voters: Voters,
+    number: u64,
+    base: u64,
+    /// Entries of this vote that the history has taken.
+    taken: usize,
+    granting: Granting,
+    /// Latest version in its own log.
+    logged: u64,
+    marks: BTreeMap<u64, Marks>,
+    /// How far it has come, and since when it has been behind others.
+    behind: Option<(u64, Micros)>,
+    next_tick: Micros,
+    /// Disks that ask to vote in place of another of the same name.
+    asks: BTreeMap<Name, u64>,
+}
+
+impl std::fmt::Debug for Voter {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Voter")
+            .field("number", &self.number)
+            .field("voters", &self.voters)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Voter {
+    /// Goes on with this vote; nothing where the voters are too few to agree on anything, or this is none of them.
+    pub fn start(now: Micros, vote: Vote, journal: Journal, times: &Times) -> Option<Voter> {
+        let (voters, number, base) = (vote.voters.clone(), vote.number, vote.base);
+        let config = OmniPaxosConfig {
+            cluster_config: ClusterConfig {
+                configuration_id: voters.epoch,
+                nodes: voters.seats.keys().copied().collect(),
+                flexible_quorum: None,
+            },
+            server_config: ServerConfig {
+                pid: number,
+                election_tick_timeout: ELECTION,
+                resend_message_tick_timeout: RESEND,
+                ..ServerConfig::default()
+            },
+        };
+        let paxos = config.build(Ledger::new(vote, journal)).ok()?;
+        Some(Voter {
+            paxos,
+            voters,
+            number,
+            base,
+            taken: 0,
+            granting: Granting::new(now, times),
+            logged: 0,
+            marks: BTreeMap::new(),
+            behind: None,
+            next_tick: now,
+            asks: BTreeMap::new(),
+        })
+    }
+
+    /// Its voters.
+    pub fn voters(&self) -> &Voters {
+        &self.voters
+    }
+
+    /// When it must be called again.
+    pub fn next_due(&self) -> Micros {
+        self.next_tick
+    }
+
+    /// Whether it leads.
+    pub fn leads(&self) -> bool {
+        self.paxos.get_current_leader() == Some((self.number, true))
+    }
+
+    /// Number of the leader, as far as it knows.
+    pub fn leader(&self) -> Option<u64> {
+        self.paxos.get_current_leader().map(|(number, _)| number)
+    }
+
+    /// A message of another voter.
+    pub fn hear(&mut self, message: Message<Entry>) {
+        self.paxos.handle_incoming(message);
+    }
+
+    /// Marks of another voter.
+    pub fn marks(&mut self, from: u64, marks: Marks) {
+        if marks.epoch == self.voters.epoch && self.voters.seats.contains_key(&from) {
+            self.marks.insert(from, marks);
+        }
+    }
+
+    /// A proposal, of this front or another; agreed on sooner or later, if voters are left that can.
+    pub fn propose(&mut self, proposal: Proposal) {
+        // Refused only while the voters change; whoever proposes tries again.
+        let _ = self.paxos.append(Entry::Propose(proposal));
+    }
+
+    /// Other voters are wanted.
+    pub fn change(&mut self, next: &Voters) -> bool {
+        let config = ClusterConfig {
+            configuration_id: next.epoch,
+            nodes: next.seats.keys().copied().collect(),
+            flexible_quorum: None,
+        };
+        let metadata = postcard::to_allocvec(next).ok();
+        self.paxos.reconfigure(config, metadata).is_ok()
+    }
+
+    /// A disk asks to vote under the name of one of the voters.
+    pub fn replace(&mut self, seat: Seat) {
+        let known = self.voters.seats.values().find(|old| old.name == seat.name);
+        if known.is_some_and(|old| old.disk != seat.disk) {
+            self.asks.insert(seat.name, seat.disk);
+        }
+    }
+
+    /// Whether a front that has taken so many steps of the history may act on them. It gets nothing while this voter has
+    /// any step more, agreed on or not.
+    pub fn grant(&mut self, now: Micros, to: &Name, has: &Has, history: &History, times: &Times) -> bool {
+        // Danger: granted by what was decided alone, a lease begins after a majority has accepted the next version, and
+        // lasts on while others act on that.
+        let wanted = (self.base + self.paxos.get_accepted_idx() as u64).max(history.position);
+        let granted = has.epoch == self.voters.epoch && has.position >= wanted;
+        if granted {
+            self.granting.grant(now, to, has.version, times);
+        }
+        granted
+    }
+
+    /// Fronts that hold a grant, and the version they have.
+    pub fn holders(&self) -> impl Iterator<Item = (&Name, u64)> {
+        self.granting.holders()
+    }
+
+    /// Proposals in the log that are not decided yet, for all that is known here.
+    pub fn proposed(&self) -> Vec<Proposal> {
+        let open = self.paxos.read_entries(self.paxos.get_decided_idx()..).unwrap_or_default();
+        let proposal = |entry| match entry {
+            LogEntry::Undecided(Entry::Propose(proposal)) => Some(proposal),
+            _ => None,
+        };
+        open.into_iter().filter_map(proposal).collect()
+    }
+
+    /// Time has passed: elections, what was lost on the way, and what the leader has to begin.
+    pub fn tick(&mut self, now: Micros, history: &History) {
+        if now < self.next_tick {
+            return;
+        }
+        // Danger: a process that was stopped makes up for all ticks at once, and takes everybody for gone.
+        self.next_tick = now + TICK;
+        self.paxos.tick();
+        self.catch_up(now);
+        if self.leads() {
+            self.begin(now, history);
+            self.replace_lost();
+        }
+        if self.paxos.get_decided_idx() >= self.paxos.get_compacted_idx() + COMPACT {
+            let _ = self.paxos.snapshot(None, true);
+        }
+    }
+
+    /// A message was lost where another voter has more than this one for a while; the crate is told as it wants to be.
+    fn catch_up(&mut self, now: Micros) {
+        let Some(leader) = self.leader().filter(|leader| *leader != self.number) else {
+            self.behind = None;
+            return;
+        };
+        let here = self.paxos.get_accepted_idx() as u64 + self.paxos.get_decided_idx() as u64;
+        let there = self.marks.get(&leader).map_or(0, |marks| marks.accepted + marks.decided);
+        match self.behind {
+            _ if here >= there => self.behind = None,
+            Some((so_far, since)) if so_far == here => {
+                if since + BEHIND <= now {
+                    self.paxos.reconnected(leader);
+                    self.behind = Some((here, now));
+                }
+            }
+            _ => self.behind = Some((here, now)),
+        }
+        // Danger: the word that all have accepted is lost on its way to the leader, which waits for it for ever.
+        let stuck = self.marks.get(&leader).is_some_and(|marks| marks.decided < marks.accepted);
+        if self.behind.is_none() && stuck {
+            self.behind = Some((here, now));
+        } else if stuck && self.behind.is_some_and(|(_, since)| since + BEHIND <= now) {
+            self.paxos.reconnected(leader);
+            self.behind = Some((here, now));
+        }
+    }
+
+    /// Begins what a majority is clear of: each lease needs one of these voters, and none of them gave one for less.
+    fn begin(&mut self, now: Micros, history: &History) {
+        let own = self.granting.clear(now, self.logged);
+        let others =
+            self.marks.iter().filter(|(number, _)| **number != self.number).map(|(_, marks)| marks.clear);
+        let mut all: Vec<u64> = others.chain([own]).collect();
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        let clear = all.get(self.voters.majority() - 1).copied().unwrap_or(0);
+        let under_way = self.paxos.get_accepted_idx() > self.paxos.get_decided_idx();
+        if clear > history.begun && !under_way {
+            let _ = self.paxos.append(Entry::Begin(clear.min(history.latest)));
+        }
+    }
+
+    /// Lets a voter's new disk vote in place of the lost one, under a number that nobody had.
+    fn replace_lost(&mut self) {
+        let Some((name, disk)) = self.asks.pop_first() else { return };
+        let seat =
+            |old: &Seat| if old.name == name { Seat { name: Name::clone(&name), disk } } else { old.clone() };
+        let wanted: Vec<Seat> = self.voters.seats.values().map(seat).collect();
+        let next = self.voters.next(&wanted);
+        self.change(&next);
+    }
+
+    /// What this voter tells the others.
+    pub fn own_marks(&mut self, now: Micros) -> Marks {
+        Marks {
+            epoch: self.voters.epoch,
+            accepted: self.paxos.get_accepted_idx() as u64,
+            decided: self.paxos.get_decided_idx() as u64,
+            clear: self.granting.clear(now, self.logged),
+            leads: self.leads(),
+        }
+    }
+
+    /// Messages to other voters.
+    pub fn say(&mut self) -> Vec<(u64, Message<Entry>)> {
+        let mut out = Vec::new();
+        self.paxos.take_outgoing_messages(&mut out);
+        out.into_iter().map(|message| (message.get_receiver(), message)).collect()
+    }
+
+    /// What has been decided since: whole histories where the log no longer has the steps. With each step, its place.
+    pub fn decided(&mut self) -> Vec<Decided> {
+        let Some(entries) = self.paxos.read_decided_suffix(self.taken) else { return Vec::new() };
+        let mut at = self.position();
+        self.taken = self.paxos.get_decided_idx();
+        let mut out = Vec::new();
+        for entry in entries {
+            let step = match entry {
+                LogEntry::Decided(entry) => Step::Agreed(entry),
+                LogEntry::Snapshotted(shot) => {
+                    let Some(whole) = shot.snapshot.whole else { continue };
+                    at = whole.position;
+                    out.push(Decided::Whole(whole));
+                    continue;
+                }
+                LogEntry::StopSign(stop, true) => {
+                    let next = stop.metadata.and_then(|bytes| postcard::from_bytes(&bytes).ok());
+                    let Some(next) = next else { continue };
+                    Step::Voters(next)
+                }
+                LogEntry::Undecided(_) | LogEntry::Trimmed(_) | LogEntry::StopSign(_, false) => continue,
+            };
+            out.push(Decided::Step(at, step));
+            at += 1;
+        }
+        out
+    }
+
+    /// The history has taken all that this log has, and ends in this version. Danger: what is known from others and not
+    /// in this log is forgotten with the process, and a voter that was clear of it would grant to fronts without it.
+    pub fn logged(&mut self, history: &History) {
+        if self.position() >= history.position {
+            self.logged = history.latest;
+        }
+    }
+
+    /// Place in the history that all it has handed out leads to.
+    pub fn position(&self) -> u64 {
+        self.base + self.taken as u64
+    }
+
+    /// This vote has ended: others vote, or the same ones under other numbers.
+    pub fn ended(&self) -> bool {
+        self.paxos.is_reconfigured().is_some()
+    }
+}
+
+/// What a voter's log has come to.
+#[derive(Clone, Debug)]
+pub enum Decided {
+    /// The step from this place on.
+    Step(u64, Step),
+    /// All up to a place.
+    Whole(Box<History>),
+}
+
+/// Messages of another front's starts, in order: what is older than what was heard is dropped. Danger: the consensus
+/// crate, told an old synchronisation of the same ballot again, cuts off entries that it has acknowledged since.
+#[derive(Clone, Debug, Default)]
+pub struct Order {
+    heard: BTreeMap<(Name, u64), (u64, u64)>,
+}
+
+impl Order {
+    /// Whether this comes after all that was heard from this disk: in a later start, or later in the same.
+    pub fn next(&mut self, name: &Name, disk: u64, start: u64, sequence: u64) -> bool {
+        let last = self.heard.entry((Name::clone(name), disk)).or_default();
+        let newer = (start, sequence) > *last;
+        if newer {
+            *last = (start, sequence);
+        }
+        newer
+    }
+}
--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -7,11 +7,11 @@
 use std::time::{Duration, Instant};
 
 use clap::{Args, ValueEnum};
-use salttally_judge::members::{judge, Property, Verdict};
+use salttally_judge::{accord, members};
 use salttally_members::core::Times;
 use salttally_settings::Document;
 use salttally_trial::describe::Trial as Description;
-use salttally_trial::{hunt, picture, plain, plan, processes, virt};
+use salttally_trial::{hunt, picture, plain, plan, processes, versions, virt};
 use serde_json::{json, Value};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
@@ -75,6 +75,47 @@
     sorted.get(((sorted.len() as f64 * share).ceil() as usize).saturating_sub(1)).copied().unwrap_or(0)
 }
 
+/// What a judge found, whichever it was.
+struct Found {
+    broken: Vec<(&'static str, String)>,
+    /// Properties, and how often each had something to decide.
+    properties: Vec<(&'static str, u64)>,
+    figures: Vec<(&'static str, Value)>,
+}
+
+fn quantiles(values: &[u64]) -> Value {
+    json!({"count": values.len(), "p50_ms": quantile(values, 0.5) / 1000, "p99_ms": quantile(values, 0.99) / 1000,
+        "most_ms": quantile(values, 1.0) / 1000})
+}
+
+impl Found {
+    fn members(verdict: &members::Verdict) -> Found {
+        let decided = |words| (words, verdict.decided.get(words).copied().unwrap_or(0));
+        Found {
+            broken: verdict.broken.iter().map(|(of, text)| (of.words(), text.clone())).collect(),
+            properties: members::Property::ALL.map(|property| decided(property.words())).to_vec(),
+            figures: vec![
+                ("crash", quantiles(&verdict.crash_to_each)),
+                ("stopped_removed", json!(verdict.stopped_removed)),
+                ("calm_to_equal_ms", json!(verdict.calm_to_equal / 1000)),
+            ],
+        }
+    }
+
+    fn versions(verdict: &accord::Verdict) -> Found {
+        let decided = |words| (words, verdict.decided.get(words).copied().unwrap_or(0));
+        Found {
+            broken: verdict.broken.iter().map(|(of, text)| (of.words(), text.clone())).collect(),
+            properties: accord::Property::ALL.map(|property| decided(property.words())).to_vec(),
+            figures: vec![
+                ("proposal_to_all", quantiles(&verdict.spread)),
+                ("longest_contradiction_ms", json!(verdict.contradiction / 1000)),
+                ("acts_by_lease_meet_none", json!(verdict.acts)),
+            ],
+        }
+    }
+}
+
 impl Trial {
     /// Plays it.
     pub fn run(&self) -> Result<ExitCode, Box<dyn Error>> {
@@ -98,10 +139,15 @@
             let (lines, cost) = match self.clock {
                 ClockKind::Virtual => {
                     let fronts = description.fronts;
-                    let out = match self.core {
-                        Core::Members => virt::play(&description, &plan, seed, Times::default(), true),
-                        Core::Swim => plain::play(&description, &plan, seed, plain::usual(fronts)),
-                        Core::SwimHasty => plain::play(&description, &plan, seed, plain::hasty(fronts)),
+                    let out = match (self.core, &description.versions) {
+                        (Core::Members, Some(described)) => {
+                            versions::play(&description, described, &plan, seed)
+                        }
+                        (Core::Members, None) => {
+                            virt::play(&description, &plan, seed, Times::default(), true)
+                        }
+                        (Core::Swim, _) => plain::play(&description, &plan, seed, plain::usual(fronts)),
+                        (Core::SwimHasty, _) => plain::play(&description, &plan, seed, plain::hasty(fronts)),
                     };
                     let span = out.span as f64 / 1e6;
                     let rate = out.bytes as f64 / span / description.fronts as f64;
@@ -127,51 +173,39 @@
             if let Some(path) = &self.svg {
                 fs::write(path, picture::svg(&lines))?;
             }
-            let verdict = judge(&lines);
-            all &= verdict.broken.is_empty();
-            self.tell(&description, seed, &verdict, &cost);
+            let found = match &description.versions {
+                Some(_) => Found::versions(&accord::judge(&lines)),
+                None => Found::members(&members::judge(&lines)),
+            };
+            all &= found.broken.is_empty();
+            self.tell(&description, seed, &found, &cost);
         }
         Ok(if all { ExitCode::SUCCESS } else { ExitCode::FAILURE })
     }
 
-    fn tell(&self, description: &Description, seed: u64, verdict: &Verdict, cost: &Value) {
-        let each = &verdict.crash_to_each;
-        let crash = json!({"views_left": each.len(), "p50_ms": quantile(each, 0.5) / 1000,
-            "p99_ms": quantile(each, 0.99) / 1000, "most_ms": quantile(each, 1.0) / 1000});
+    fn tell(&self, description: &Description, seed: u64, found: &Found, cost: &Value) {
+        let of = |words: &str| found.broken.iter().filter(move |(of, _)| *of == words).collect::<Vec<_>>();
         if self.json {
-            let count = |of: Property| verdict.broken.iter().filter(|(property, _)| *property == of).count();
-            let counts: Vec<usize> = Property::ALL.into_iter().map(count).collect();
-            let broken: Vec<Value> = verdict
-                .broken
-                .iter()
-                .take(20)
-                .map(|(property, text)| json!([property.words(), text]))
-                .collect();
-            println!(
-                "{}",
-                json!({"trial": description.name, "loss": description.link.loss, "fronts": description.fronts, "seed": seed, "broken": broken,
-                    "broken_by_property": counts,
-                    "crash": crash, "stopped_removed": verdict.stopped_removed,
-                    "calm_to_equal_ms": verdict.calm_to_equal / 1000, "cost": cost})
-            );
+            let counts: Vec<usize> = found.properties.iter().map(|(words, _)| of(words).len()).collect();
+            let broken: Vec<Value> = found.broken.iter().take(20).map(|broken| json!(broken)).collect();
+            let mut line = json!({"trial": description.name, "loss": description.link.loss,
+                "fronts": description.fronts, "seed": seed, "broken": broken, "broken_by_property": counts,
+                "cost": cost});
+            for (key, value) in &found.figures {
+                line[key] = value.clone();
+            }
+            println!("{line}");
             return;
         }
         println!("{} of {} fronts, seed {seed}", description.name, description.fronts);
-        for property in Property::ALL {
-            let broken: Vec<&String> =
-                verdict.broken.iter().filter(|(of, _)| *of == property).map(|(_, text)| text).collect();
-            let decided = verdict.decided.get(property.words()).copied().unwrap_or(0);
+        for (words, decided) in &found.properties {
+            let broken = of(words);
             let said =
                 if broken.is_empty() { "held".to_owned() } else { format!("BROKEN {} times", broken.len()) };
-            println!("  {:<48} {said} ({decided} decided)", property.words());
-            broken.iter().take(3).for_each(|text| println!("    {text}"));
+            println!("  {words:<52} {said} ({decided} decided)");
+            broken.iter().take(3).for_each(|(_, text)| println!("    {text}"));
         }
-        println!("  crash until out of a view: {crash}");
-        println!(
-            "  stopped for longer than stated and removed: {}; calm until the last change: {} ms",
-            verdict.stopped_removed,
-            verdict.calm_to_equal / 1000
-        );
+        found.figures.iter().for_each(|(key, value)| println!("  {key}: {value}"));
         println!("  {cost}");
     }
 
@@ -180,13 +214,12 @@
         let (mut seed, mut told) = (self.seed, Instant::now());
         while Instant::now() < until {
             let trial = hunt::drawn(base, seed);
-            let verdict = hunt::play(&trial, seed);
-            if let Some((property, text)) = verdict.broken.first() {
-                println!("seed {seed}: {text}");
-                let least = hunt::shrink(&trial, seed, *property);
+            let broken = hunt::play(&trial, seed);
+            if let Some((property, text)) = broken.first() {
+                println!("seed {seed}: {property}: {text}");
+                let least = hunt::shrink(&trial, seed, property);
                 if let Some(path) = &self.history {
-                    let plan = plan::plan(&least, seed);
-                    let lines = virt::play(&least, &plan, seed, Times::default(), false).lines;
+                    let lines = hunt::lines(&least, seed);
                     let _ = fs::write(path, lines.iter().map(|line| format!("{line}\n")).collect::<String>());
                 }
                 println!("least: loss {}, {:#?}", least.link.loss, least.faults);
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod accord;
 pub mod members;
 pub mod record;
 mod rules;
--- a/crates/trial/src/describe.rs
+++ b/crates/trial/src/describe.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use salttally_accord::core::lease::Times;
 use salttally_settings::{Block, Document, Node, Read};
 
 use crate::net::Quality;
@@ -26,10 +27,25 @@
     pub stated: [Micros; 3],
     /// What links are like when nothing else is said.
     pub link: Quality,
+    /// Versions that the fronts are to agree on; nothing where only membership is tried.
+    pub versions: Option<Versions>,
     /// Faults.
     pub faults: Vec<Fault>,
 }
 
+/// What is proposed in a trial, and by whom it is agreed on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Versions {
+    /// The first so many fronts vote.
+    pub voters: usize,
+    /// A front drawn anew is given a proposal this often, us.
+    pub every: Micros,
+    /// Each front acts this often, us.
+    pub acts: Micros,
+    /// Times of the leases.
+    pub times: Times,
+}
+
 /// One fault.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Fault {
@@ -46,6 +62,8 @@
 pub enum Kind {
     /// Processes are killed, and started again at the end if there is one.
     Kill(Vec<usize>, bool),
+    /// Processes are killed with their disks, and started again at the end with empty ones.
+    Lose(Vec<usize>),
     /// Processes are stopped, and go on at the end.
     Stop(Vec<usize>),
     /// So many processes at a time, drawn anew, are stopped for this long, all through.
@@ -166,6 +184,7 @@
         }
         None => [3_000_000, 10_000_000, 600_000],
     };
+    let versions = block.one("versions")?.map(|node| versions(&node, fronts)).transpose()?;
     let lasts = ms(block.value("lasts-ms")?);
     let mut faults = Vec::new();
     for node in block.all("fault") {
@@ -185,10 +204,36 @@
         quiet: ms(block.or("quiet-ms", 15_000.0)?),
         stated,
         link,
+        versions,
         faults,
     })
 }
 
+fn versions(node: &Node<'_>, fronts: usize) -> Read<Versions> {
+    let usual = Times::default();
+    let span = |name: &str, usual: Micros| -> Read<Micros> { Ok(node.maybe(name)?.map_or(usual, ms)) };
+    let versions = Versions {
+        voters: node.or("voters", 3)?,
+        every: span("every-ms", 1_000_000)?,
+        acts: span("acts-ms", 100_000)?,
+        times: Times {
+            lease: span("lease-ms", usual.lease)?,
+            alone: span("alone-ms", usual.alone)?,
+            renew: span("renew-ms", usual.renew)?,
+            refuse: node.or("refuse", true)?,
+            ..usual
+        },
+    };
+    node.done()?;
+    if ![3, 5, 7].contains(&versions.voters) || versions.voters > fronts {
+        return Err(node.bad("`voters` is 3, 5 or 7, and not more than there are fronts"));
+    }
+    if versions.every == 0 || versions.acts == 0 {
+        return Err(node.bad("`every-ms` and `acts-ms` are at least 1"));
+    }
+    Ok(versions)
+}
+
 fn fault(node: &Node<'_>, groups: &Groups, link: Quality, lasts: Micros) -> Read<Fault> {
     let what: String = node.argument()?;
     let from = ms(node.or("from-ms", 0.0)?);
@@ -196,6 +241,7 @@
     let span = || -> Read<Micros> { Ok(ms(node.need("span-ms")?)) };
     let kind = match what.as_str() {
         "kill" => Kind::Kill(groups.need(node, "fronts")?, until.is_some()),
+        "lose" => Kind::Lose(groups.need(node, "fronts")?),
         "stop" => Kind::Stop(groups.need(node, "fronts")?),
         "stops" => Kind::Stops(node.need("at-once")?, span()?),
         "crashes" => Kind::Crashes(node.need("at-once")?, span()?),
@@ -206,7 +252,7 @@
         "link" => Kind::Link(groups.need(node, "from")?, groups.need(node, "to")?, quality(node, link)?),
         "clock" => Kind::Clock(groups.need(node, "fronts")?, (node.need::<f64>("offset-s")? * 1e6) as i64),
         other => {
-            let known = "kill, stop, stops, crashes, rolling, cut, link, clock";
+            let known = "kill, lose, stop, stops, crashes, rolling, cut, link, clock";
             return Err(node.bad(format!("`{other}` is no fault; known: {known}")));
         }
     };
--- a/crates/trial/src/hunt.rs
+++ b/crates/trial/src/hunt.rs
@@ -4,17 +4,33 @@
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
-use salttally_judge::members::{judge, Property, Verdict};
+use salttally_judge::{accord, members};
 use salttally_members::core::Times;
+use serde_json::Value;
 
 use crate::describe::{Fault, Kind, Trial};
 use crate::net::Quality;
-use crate::{plan, virt, Micros};
+use crate::{plan, versions, virt, Micros};
 
-/// Plays a trial in virtual time and judges it.
-pub fn play(trial: &Trial, seed: u64) -> Verdict {
+/// What broke: the property in words, and how.
+pub type Broken = Vec<(&'static str, String)>;
+
+/// Plays a trial in virtual time.
+pub fn lines(trial: &Trial, seed: u64) -> Vec<Value> {
     let plan = plan::plan(trial, seed);
-    judge(&virt::play(trial, &plan, seed, Times::default(), false).lines)
+    match &trial.versions {
+        Some(described) => versions::play(trial, described, &plan, seed).lines,
+        None => virt::play(trial, &plan, seed, Times::default(), false).lines,
+    }
+}
+
+/// Plays a trial in virtual time and judges it.
+pub fn play(trial: &Trial, seed: u64) -> Broken {
+    let lines = lines(trial, seed);
+    match &trial.versions {
+        Some(_) => accord::judge(&lines).broken.into_iter().map(|(of, text)| (of.words(), text)).collect(),
+        None => members::judge(&lines).broken.into_iter().map(|(of, text)| (of.words(), text)).collect(),
+    }
 }
 
 /// A trial of the same fleet with faults drawn anew.
@@ -38,6 +54,7 @@
             2 | 6 => Kind::Stop(some(few)),
             3 | 7 => Kind::Cut(some(few), some(fronts), true),
             4 | 8 => Kind::Cut(some(few), (0..base.fronts).collect(), false),
+            10 | 11 if base.versions.is_some() => Kind::Lose(some(1)),
             9 => Kind::Rolling((0..base.fronts).collect(), 300_000),
             // More loss than this beside a cut is no link that a front is reached by.
             _ => Kind::Link(
@@ -59,8 +76,8 @@
 }
 
 /// Takes away faults, and shortens them, as long as the same property still breaks.
-pub fn shrink(trial: &Trial, seed: u64, broken: Property) -> Trial {
-    let breaks = |trial: &Trial| play(trial, seed).broken.iter().any(|(property, _)| *property == broken);
+pub fn shrink(trial: &Trial, seed: u64, broken: &str) -> Trial {
+    let breaks = |trial: &Trial| play(trial, seed).iter().any(|(property, _)| *property == broken);
     let mut least = trial.clone();
     let mut again = true;
     while again {
--- a/crates/trial/src/plan.rs
+++ b/crates/trial/src/plan.rs
@@ -15,6 +15,8 @@
     Start(usize),
     /// It is killed.
     Kill(usize),
+    /// It is killed, and its disk is lost.
+    Lose(usize),
     /// It is stopped.
     Stop(usize),
     /// It goes on.
@@ -80,6 +82,12 @@
                     }
                 }
             }
+            Kind::Lose(fronts) => {
+                for front in fronts {
+                    self.act(from, Act::Lose(*front));
+                    self.act(to, Act::Start(*front));
+                }
+            }
             Kind::Stop(fronts) => {
                 for front in fronts {
                     self.act(from, Act::Stop(*front));
@@ -167,7 +175,7 @@
     let of = |truth: &str, front: &usize| Some(json!({"at": at, "truth": truth, "front": name(*front)}));
     match act {
         Act::Start(front) => of("up", front),
-        Act::Kill(front) => of("down", front),
+        Act::Kill(front) | Act::Lose(front) => of("down", front),
         Act::Stop(front) => of("stopped", front),
         Act::Run(front) => of("running", front),
         Act::Cut(a, b, on) => {
--- a/crates/trial/src/processes.rs
+++ b/crates/trial/src/processes.rs
@@ -149,6 +149,16 @@
         true
     }
 
+    /// The disk of a front that does not run is lost.
+    fn lose(&self, front: usize) -> bool {
+        let _ = fs::remove_dir_all(self.disk(front));
+        true
+    }
+
+    fn disk(&self, front: usize) -> PathBuf {
+        self.folder.join(format!("{}.disk", plan::name(front)))
+    }
+
     /// Processor time of all that run, us.
     fn spent(&self) -> u64 {
         let of = |child: &Child| {
@@ -228,6 +238,7 @@
         let done = match act {
             Act::Start(front) => fleet.start(*front)?,
             Act::Kill(front) => fleet.signal(*front, Signal::KILL),
+            Act::Lose(front) => fleet.signal(*front, Signal::KILL) && fleet.lose(*front),
             Act::Stop(front) => fleet.signal(*front, Signal::STOP),
             Act::Run(front) => fleet.signal(*front, Signal::CONT),
             Act::Cut(..) | Act::Link(..) | Act::Calm => true,
--- /dev/null
+++ b/crates/trial/src/versions.rs
@@ -0,0 +1,302 @@
+//! A trial of versions in virtual time: the cores of accord themselves on one event queue, with disks that keep what was
+//! flushed, and links that keep order as TCP does.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use salttally_accord::core::disk::{Image, Write};
+use salttally_accord::core::rules::{Rules, Who};
+use salttally_accord::core::stand::Stand;
+use salttally_accord::core::{Accord, Envelope, Input, Name, Output, Own};
+use salttally_accord::lines;
+use serde_json::json;
+
+use crate::describe::{Trial, Versions};
+use crate::net::Net;
+use crate::plan::{self, Act, Plan};
+use crate::queue::Queue;
+use crate::virt::Outcome;
+use crate::Micros;
+
+/// Messages that wait for a stopped process at most: what its sockets hold.
+const BUFFER: usize = 512;
+/// A lost segment comes again after this (RFC 6298, section 2.4, with the least time-out in use).
+const AGAIN: Micros = 200_000;
+/// Viewers who ask, some of whom each proposal refuses.
+pub const VIEWERS: usize = 6;
+
+/// Name of a viewer.
+pub fn viewer(number: usize) -> String {
+    format!("v{number}")
+}
+
+/// Rules drawn anew.
+pub fn drawn(rng: &mut impl RngCore) -> Rules {
+    let refused = (0..VIEWERS).filter(|_| rng.next_u32().is_multiple_of(3)).map(|at| Who::Viewer(viewer(at)));
+    Rules { refused: refused.collect(), ..Rules::default() }
+}
+
+enum Event {
+    Act(Act),
+    Tick(usize, u64),
+    Arrive(usize, Box<Envelope>),
+    Asks(usize),
+    Propose,
+}
+
+/// A disk: what is flushed stays, what is only written may be lost with the process.
+#[derive(Clone, Default)]
+struct Disk {
+    flushed: Image,
+    pending: Vec<Write>,
+}
+
+impl Disk {
+    fn write(&mut self, writes: Vec<Write>) {
+        let flush = writes.iter().any(Write::promises);
+        self.pending.extend(writes);
+        if flush {
+            self.pending.drain(..).for_each(|write| self.flushed.write(&write));
+        }
+    }
+}
+
+struct Front {
+    accord: Option<Accord>,
+    disk: Disk,
+    stand: Option<Stand>,
+    starts: u64,
+    stopped: bool,
+    waiting: VecDeque<Box<Envelope>>,
+    offset: Micros,
+    rate: i64,
+}
+
+impl Front {
+    fn local(&self, at: Micros) -> Micros {
+        (at + self.offset).saturating_add_signed(at as i64 * self.rate / 1_000_000)
+    }
+
+    fn global(&self, local: Micros) -> Micros {
+        let since = local.saturating_sub(self.offset);
+        since.saturating_add_signed(-(since as i64 * self.rate / 1_000_000)) + 1
+    }
+}
+
+struct World<'a> {
+    trial: &'a Trial,
+    versions: &'a Versions,
+    rng: Pcg32,
+    net: Net,
+    fronts: Vec<Front>,
+    names: BTreeMap<Name, usize>,
+    queue: Queue<Event>,
+    arrived: BTreeMap<(usize, usize), Micros>,
+    now: Micros,
+    out: Outcome,
+}
+
+/// Plays a trial that describes versions.
+pub fn play(trial: &Trial, versions: &Versions, plan: &Plan, seed: u64) -> Outcome {
+    let mut rng = Pcg32::seed_from_u64(seed);
+    let fronts = (0..trial.fronts).map(|_| Front {
+        accord: None,
+        disk: Disk::default(),
+        stand: None,
+        starts: 0,
+        stopped: false,
+        waiting: VecDeque::new(),
+        offset: 3_600_000_000 + u64::from(rng.next_u32()),
+        rate: i64::from(rng.next_u32() % 401) - 200,
+    });
+    let fronts: Vec<Front> = fronts.collect();
+    let mut queue = Queue::new(trial, plan, Event::Act);
+    for front in 0..trial.fronts {
+        queue.push(u64::from(rng.next_u32()) % versions.acts, Event::Asks(front));
+    }
+    // Proposals end where faults do, so that what comes of them is to be seen.
+    let calm = queue.end().saturating_sub(trial.quiet);
+    let mut at = plan::SETTLED / 2;
+    while at < calm {
+        queue.push(at, Event::Propose);
+        at += versions.every / 2 + u64::from(rng.next_u32()) % versions.every.max(1);
+    }
+    let names = (0..trial.fronts).map(|front| (Name::from(plan::name(front)), front)).collect();
+    let mut world = World {
+        trial,
+        versions,
+        rng,
+        net: Net::new(trial.link),
+        fronts,
+        names,
+        queue,
+        arrived: BTreeMap::new(),
+        now: 0,
+        out: Outcome::default(),
+    };
+    world.out.lines.push(opening(trial, versions));
+    while let Some((at, event)) = world.queue.pop() {
+        world.now = at;
+        world.out.events += 1;
+        world.event(event);
+    }
+    world.out.span = world.queue.end();
+    world.out.lines.push(json!({"at": world.out.span, "truth": "end"}));
+    world.out
+}
+
+/// The first line of the truth, with what is stated of versions.
+pub fn opening(trial: &Trial, versions: &Versions) -> serde_json::Value {
+    let mut opening = plan::opening(trial);
+    opening["stated_us"] = json!(versions.times.stated());
+    opening["voters"] = json!(versions.voters);
+    opening
+}
+
+impl World<'_> {
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Act(act) => self.act(act),
+            Event::Tick(front, start) => {
+                if self.fronts[front].starts == start && !self.fronts[front].stopped {
+                    self.hand(front, Input::Tick, true);
+                }
+            }
+            Event::Arrive(front, envelope) => {
+                let there = &mut self.fronts[front];
+                match (&there.accord, there.stopped) {
+                    (None, _) => {}
+                    (Some(_), true) if there.waiting.len() < BUFFER => there.waiting.push_back(envelope),
+                    (Some(_), true) => {}
+                    (Some(_), false) => self.hand(front, Input::Heard(envelope), false),
+                }
+            }
+            Event::Asks(front) => {
+                self.queue.push(self.now + self.versions.acts, Event::Asks(front));
+                let viewer = viewer(self.rng.next_u32() as usize % VIEWERS);
+                let there = &self.fronts[front];
+                if let Some(stand) = there.stand.as_ref().filter(|_| !there.stopped) {
+                    let line =
+                        lines::act(self.now, &plan::name(front), stand, there.local(self.now), &viewer);
+                    self.out.lines.push(line);
+                }
+            }
+            Event::Propose => {
+                let front = self.rng.next_u32() as usize % self.trial.fronts;
+                let rules = drawn(&mut self.rng);
+                if self.fronts[front].accord.is_some() && !self.fronts[front].stopped {
+                    let ticket = self.now;
+                    self.out.lines.push(json!({"at": self.now, "truth": "proposed", "ticket": ticket}));
+                    self.hand(front, Input::Propose(ticket, None, "trial".into(), self.now, rules), false);
+                }
+            }
+        }
+    }
+
+    fn act(&mut self, act: Act) {
+        let told = plan::truth(self.now, &act, &mut self.net);
+        let there = match &act {
+            Act::Start(front) | Act::Kill(front) | Act::Lose(front) | Act::Stop(front) | Act::Run(front) => {
+                Some(*front)
+            }
+            Act::Cut(..) | Act::Link(..) | Act::Calm => None,
+        };
+        let up = there.is_some_and(|front| self.fronts[front].accord.is_some());
+        match act {
+            Act::Start(_) if up => return,
+            Act::Kill(_) | Act::Lose(_) | Act::Stop(_) if !up => return,
+            Act::Run(front) if !up || !self.fronts[front].stopped => return,
+            _ => {}
+        }
+        self.out.lines.extend(told);
+        match act {
+            Act::Start(front) => self.start(front),
+            Act::Kill(front) | Act::Lose(front) => {
+                let there = &mut self.fronts[front];
+                (there.accord, there.stand, there.stopped) = (None, None, false);
+                there.starts += 1;
+                there.disk.pending.clear();
+                if matches!(act, Act::Lose(_)) {
+                    there.disk = Disk::default();
+                }
+            }
+            Act::Stop(front) => self.fronts[front].stopped = true,
+            Act::Run(front) => {
+                self.fronts[front].stopped = false;
+                while let Some(envelope) = self.fronts[front].waiting.pop_front() {
+                    self.hand(front, Input::Heard(envelope), false);
+                }
+                self.hand(front, Input::Tick, true);
+            }
+            Act::Cut(..) | Act::Link(..) | Act::Calm => {}
+        }
+    }
+
+    fn start(&mut self, front: usize) {
+        let drawn = u64::from(self.rng.next_u32()) << 32 | u64::from(self.rng.next_u32());
+        let there = &mut self.fronts[front];
+        there.starts += 1;
+        there.waiting.clear();
+        let own = Own {
+            name: Name::from(plan::name(front)),
+            drawn,
+            voters: (0..self.versions.voters).map(|front| Name::from(plan::name(front))).collect(),
+            times: self.versions.times,
+        };
+        let mut out = Vec::new();
+        let local = there.local(self.now);
+        let mut accord = Accord::new(own, there.disk.flushed.clone(), local, &mut out);
+        there.stand = Some(accord.stand().clone());
+        let others = (0..self.trial.fronts).filter(|other| *other != front);
+        let peers: BTreeSet<Name> = others.map(|other| Name::from(plan::name(other))).collect();
+        accord.handle(local, Input::View(peers), &mut out);
+        there.accord = Some(accord);
+        self.carry_out(front, out);
+        self.hand(front, Input::Tick, true);
+    }
+
+    fn hand(&mut self, front: usize, input: Input, tick: bool) {
+        let there = &mut self.fronts[front];
+        let local = there.local(self.now);
+        let Some(accord) = &mut there.accord else { return };
+        let mut out = Vec::new();
+        accord.handle(local, input, &mut out);
+        if tick {
+            let due = accord.next_due();
+            let (start, at) = (there.starts, there.global(due).max(self.now + 1));
+            self.queue.push(at, Event::Tick(front, start));
+        }
+        self.carry_out(front, out);
+    }
+
+    fn carry_out(&mut self, front: usize, out: Vec<Output>) {
+        for output in out {
+            self.out.lines.extend(lines::line(self.now, &plan::name(front), &output));
+            match output {
+                Output::Write(writes) => self.fronts[front].disk.write(writes),
+                Output::Send(envelope) => self.send(front, envelope),
+                Output::Stand(stand) => self.fronts[front].stand = Some(stand),
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, front: usize, envelope: Box<Envelope>) {
+        self.out.datagrams += 1;
+        let Some(other) = self.names.get(&envelope.to).copied() else { return };
+        // A lost segment is sent again, and what follows waits for it; what a cut swallows is gone with the connection.
+        let mut again = 0;
+        let delay = loop {
+            match self.net.fate(self.now, front, other, &mut self.rng).first() {
+                Some(delay) => break delay + again,
+                None if again < 4 * AGAIN => again = again * 2 + AGAIN,
+                None => return,
+            }
+        };
+        let last = self.arrived.entry((front, other)).or_default();
+        *last = (*last + 1).max(self.now + delay);
+        let at = *last;
+        self.queue.push(at, Event::Arrive(other, envelope));
+    }
+}
--- a/crates/trial/src/virt.rs
+++ b/crates/trial/src/virt.rs
@@ -179,7 +179,7 @@
                 self.hand(front, Input::Tick, true);
                 return;
             }
-            Act::Kill(front) => {
+            Act::Kill(front) | Act::Lose(front) => {
                 let there = &mut self.fronts[front];
                 if there.members.take().is_none() {
                     return;
--- a/crates/trial/tests/virtual_time.rs
+++ b/crates/trial/tests/virtual_time.rs
@@ -142,7 +142,7 @@
     // The first two were broken once: a row as old as a sleep, a doubt on top of three that were cut off.
     for seed in [3_010_306, 1_002_302, 767, 997, 274].into_iter().chain(0..40) {
         let drawn = hunt::drawn(&base, seed);
-        assert_eq!(hunt::play(&drawn, seed).broken, [], "seed {seed}: {:?}", drawn.faults);
+        assert_eq!(hunt::play(&drawn, seed), [], "seed {seed}: {:?}", drawn.faults);
     }
 }
 
