--- a/crates/accord/src/core/disk.rs
+++ b/crates/accord/src/core/disk.rs
@@ -1,45 +1,19 @@
 //! What a front keeps on its disk, as state: the image, and the writes that change it. The edge writes them in one piece
 //! and flushes before anything that follows from them is told.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use omnipaxos::ballot_leader_election::Ballot;
-use omnipaxos::storage::{Snapshot, StopSign, Storage, StorageOp, StorageResult};
+use omnipaxos::storage::{NoSnapshot, StopSign, Storage, StorageOp, StorageResult};
 use serde::{Deserialize, Serialize};
 
-use super::history::{Entry, History, Step, Voters};
-
-/// The history up to a place in a voter's log, as voters send it to each other.
-#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
-pub struct Shot {
-    /// All of it; nothing where only entries are told that follow on what the other has.
-    pub whole: Option<Box<History>>,
-    /// What follows.
-    pub more: Vec<Entry>,
-}
-
-impl Snapshot<Entry> for Shot {
-    fn create(entries: &[Entry]) -> Shot {
-        Shot { whole: None, more: entries.to_vec() }
-    }
-
-    fn merge(&mut self, delta: Shot) {
-        if let Some(whole) = delta.whole {
-            (self.whole, self.more) = (Some(whole), Vec::new());
-        }
-        self.more.extend(delta.more);
-        if let Some(whole) = &mut self.whole {
-            self.more.drain(..).for_each(|entry| whole.take(&Step::Agreed(entry)));
-        }
-    }
-
-    fn use_snapshots() -> bool {
-        true
-    }
-}
+use super::history::{Entry, History, Voters};
 
 impl omnipaxos::storage::Entry for Entry {
-    type Snapshot = Shot;
+    // Danger: the crate (0.2.4) merges a snapshot of what a voter lacks into its own as if the voter had decided all of
+    // it, and so loses or doubles entries. Found by the hunt. No snapshots, then: a log stays short because its voters
+    // begin anew ([`super::voter::COMPACT`]).
+    type Snapshot = NoSnapshot;
 }
 
 /// One change of the image.
@@ -57,13 +31,9 @@
     Accepted(Ballot),
     /// Entries decided.
     Decided(usize),
-    /// Entries that the snapshot stands for.
-    Compacted(usize),
-    /// The snapshot.
-    Shot(Option<Shot>),
     /// The end of this vote, with the voters after it.
     Stop(Option<StopSign>),
-    /// The history as a front has it that only follows.
+    /// The history, as a front has it that only follows, or as a vote begins on it.
     History(Arc<History>),
 }
 
@@ -91,29 +61,22 @@
     /// See [`Write`].
     pub decided: usize,
     /// See [`Write`].
-    pub compacted: usize,
-    /// See [`Write`].
-    pub shot: Option<Shot>,
-    /// See [`Write`].
     pub stop: Option<StopSign>,
-    /// Entries after the compacted ones.
+    /// Entries since the base.
     pub log: Vec<Entry>,
 }
 
 impl Vote {
-    /// A vote that begins on this history, in which its voters began earlier, maybe: what was decided since is as good as
-    /// what this voter had decided itself.
+    /// A vote among the voters of this history. It begins with nothing in its log: what they decided before this one
+    /// joined, they tell it.
     pub fn begin(number: u64, history: &History) -> Vote {
-        let decided = (history.position - history.voters_at) as usize;
         Vote {
             voters: history.voters.clone(),
             number,
             base: history.voters_at,
             promise: None,
             accepted: None,
-            decided,
-            compacted: decided,
-            shot: Some(Shot { whole: Some(Box::new(history.clone())), more: Vec::new() }),
+            decided: 0,
             stop: None,
             log: Vec::new(),
         }
@@ -148,36 +111,46 @@
     fn write(&mut self, write: &Write) {
         match write {
             Write::Log(at, entries) => {
-                self.log.truncate(at.saturating_sub(self.compacted));
+                self.log.truncate(*at);
                 self.log.extend(entries.iter().cloned());
             }
             Write::Promise(ballot) => self.promise = Some(*ballot),
             Write::Accepted(ballot) => self.accepted = Some(*ballot),
             Write::Decided(decided) => self.decided = *decided,
-            Write::Compacted(to) => {
-                self.log.drain(..to.saturating_sub(self.compacted).min(self.log.len()));
-                self.compacted = (*to).max(self.compacted);
-            }
-            Write::Shot(shot) => self.shot.clone_from(shot),
             Write::Stop(stop) => self.stop.clone_from(stop),
             Write::Identity(..) | Write::Vote(_) | Write::History(_) => {}
         }
     }
 }
 
-/// Writes that wait to be carried out, in order.
+/// Writes that wait to be carried out, in order, and what the vote behind them has come to.
 #[derive(Clone, Debug, Default)]
-pub struct Journal(Arc<Mutex<Vec<Write>>>);
+pub struct Journal(Arc<Mutex<(Vec<Write>, Option<Ballot>)>>);
 
 impl Journal {
+    fn hold(&self) -> MutexGuard<'_, (Vec<Write>, Option<Ballot>)> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Adds one.
     pub fn push(&self, write: Write) {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).push(write);
+        let mut held = self.hold();
+        match &write {
+            Write::Accepted(ballot) => held.1 = Some(*ballot),
+            Write::Vote(vote) => held.1 = vote.accepted,
+            _ => {}
+        }
+        held.0.push(write);
     }
 
     /// Takes all.
     pub fn take(&self) -> Vec<Write> {
-        std::mem::take(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+        std::mem::take(&mut self.hold().0)
+    }
+
+    /// The ballot in which the vote's log was last brought in line with a leader's.
+    pub fn round(&self) -> Option<Ballot> {
+        self.hold().1
     }
 }
 
@@ -191,6 +164,7 @@
 impl Ledger {
     /// Of this vote.
     pub fn new(vote: Vote, journal: Journal) -> Ledger {
+        journal.hold().1 = vote.accepted;
         Ledger { vote, journal }
     }
 
@@ -200,7 +174,7 @@
     }
 
     fn end(&self) -> usize {
-        self.vote.compacted + self.vote.log.len()
+        self.vote.log.len()
     }
 }
 
@@ -273,8 +247,7 @@
     }
 
     fn get_entries(&self, from: usize, to: usize) -> StorageResult<Vec<Entry>> {
-        let (from, to) = (from.checked_sub(self.vote.compacted), to.checked_sub(self.vote.compacted));
-        let part = from.zip(to).and_then(|(from, to)| self.vote.log.get(from..to));
+        let part = self.vote.log.get(from..to);
         Ok(part.map(<[Entry]>::to_vec).unwrap_or_default())
     }
 
@@ -301,27 +274,23 @@
         Ok(self.vote.stop.clone())
     }
 
-    fn trim(&mut self, to: usize) -> StorageResult<()> {
-        self.set_compacted_idx(to)
+    fn trim(&mut self, _: usize) -> StorageResult<()> {
+        Err("a log is not trimmed".into())
     }
 
-    fn set_compacted_idx(&mut self, to: usize) -> StorageResult<()> {
-        if self.vote.compacted < to {
-            self.write(Write::Compacted(to));
-        }
-        Ok(())
+    fn set_compacted_idx(&mut self, _: usize) -> StorageResult<()> {
+        Err("a log is not compacted".into())
     }
 
     fn get_compacted_idx(&self) -> StorageResult<usize> {
-        Ok(self.vote.compacted)
+        Ok(0)
     }
 
-    fn set_snapshot(&mut self, shot: Option<Shot>) -> StorageResult<()> {
-        self.write(Write::Shot(shot));
-        Ok(())
+    fn set_snapshot(&mut self, _: Option<NoSnapshot>) -> StorageResult<()> {
+        Err("there are no snapshots".into())
     }
 
-    fn get_snapshot(&self) -> StorageResult<Option<Shot>> {
-        Ok(self.vote.shot.clone())
+    fn get_snapshot(&self) -> StorageResult<Option<NoSnapshot>> {
+        Ok(None)
     }
 }
--- a/crates/accord/src/core/lease.rs
+++ b/crates/accord/src/core/lease.rs
@@ -10,6 +10,7 @@
 
 use serde::Serialize;
 
+use super::history::{Seat, Voters};
 use super::{Micros, Name};
 
 /// Times, each a setting.
@@ -62,7 +63,7 @@
     /// Until when each voter's grant holds, by this front's clock.
     grants: BTreeMap<u64, Micros>,
     /// Of which voters.
-    epoch: u32,
+    seats: BTreeMap<u64, Seat>,
     /// Questions under way: number, voter, when it was sent.
     asked: BTreeMap<u64, (u64, Micros)>,
 }
@@ -75,21 +76,19 @@
     }
 
     /// A grant comes in. It counts from when it was asked for (Gray and Cheriton, 1989, section 2).
-    pub fn granted(&mut self, epoch: u32, voter: u64, nonce: u64, times: &Times) {
-        let Some((of, sent)) = self.asked.remove(&nonce) else { return };
-        if of != voter || epoch < self.epoch {
-            return;
-        }
-        self.follow(epoch);
+    pub fn granted(&mut self, voter: u64, nonce: u64, times: &Times) {
+        let Some((_, sent)) = self.asked.remove(&nonce).filter(|(of, _)| *of == voter) else { return };
         let until = self.grants.entry(voter).or_default();
         *until = (*until).max(sent + times.lease);
     }
 
-    /// Other voters: what the former ones granted counts no more.
-    pub fn follow(&mut self, epoch: u32) {
-        if epoch > self.epoch {
+    /// Other voters: what the former ones granted, or are asked for, counts no more. The same ones under a new epoch have
+    /// not forgotten what they granted.
+    pub fn follow(&mut self, voters: &Voters) {
+        if self.seats != voters.seats {
+            self.seats.clone_from(&voters.seats);
             self.grants.clear();
-            self.epoch = epoch;
+            self.asked.clear();
         }
     }
 
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -24,10 +24,10 @@
 
 use disk::{Image, Journal, Vote, Write};
 use history::{Became, Digest, Entry, History, Proposal, Seat, Step, Steps, Voters};
-use lease::{Held, Times};
+use lease::{Granting, Held, Times};
 use rules::Rules;
 use stand::Stand;
-use voter::{Decided, Has, Marks, Order, Voter, TICK};
+use voter::{Has, Marks, Order, Voter, TICK};
 
 /// Microseconds.
 pub type Micros = u64;
@@ -73,8 +73,8 @@
     Here(u64, Option<Voters>),
     /// May I act on what I have? The number comes back.
     Ask(u64, Has),
-    /// You may; from the voter of this number, among voters of this epoch.
-    Grant(u64, u32, u64),
+    /// You may; from the voter of this number.
+    Grant(u64, u64),
     /// Have you got more than this?
     Follow(Has),
     /// What follows on that place and digest.
@@ -221,7 +221,7 @@
             meet: Arc::default(),
         };
         let vote = image.vote.filter(|vote| vote.voters.epoch >= history.voters.epoch);
-        let voter = vote.and_then(|vote| Voter::start(now, vote, journal.clone(), &own.times));
+        let voter = vote.and_then(|vote| Voter::start(vote, journal.clone(), Granting::new(now, &own.times)));
         let mut accord = Accord {
             steps: Steps::new(&history),
             history,
@@ -250,6 +250,7 @@
             turn: 0,
         };
         let position = accord.history.position;
+        accord.held.follow(&accord.history.voters);
         accord.tell_versions(0, out);
         if position > 0 {
             out.push(Output::Took(position, accord.history.digest, accord.history.latest));
@@ -354,7 +355,7 @@
                 self.disks.insert(Name::clone(&name), disk);
                 self.asked(&name, nonce, &has, out);
             }
-            Body::Grant(nonce, epoch, number) => self.held.granted(epoch, number, nonce, &self.own.times),
+            Body::Grant(nonce, number) => self.held.granted(number, nonce, &self.own.times),
             Body::Follow(has) => self.catch_up(&name, &has, out),
             Body::Steps(position, digest, steps) => {
                 if position == self.history.position && digest == self.history.digest {
@@ -383,9 +384,8 @@
         self.catch_up(name, has, out);
         let Some(voter) = &mut self.voter else { return };
         if voter.grant(self.now, name, has, &self.history, &self.own.times) {
-            let (epoch, number) = (voter.voters().epoch, voter.voters().number(&self.own.name));
-            if let Some(number) = number {
-                self.send(name, Body::Grant(nonce, epoch, number), out);
+            if let Some(number) = voter.voters().number(&self.own.name) {
+                self.send(name, Body::Grant(nonce, number), out);
             }
         }
     }
@@ -463,24 +463,25 @@
 
     /// The history has other voters than before: this front votes among them, or no more.
     fn revote(&mut self, out: &mut Vec<Output>) {
-        self.held.follow(self.history.voters.epoch);
-        let epoch = self.history.voters.epoch;
-        if self.voter.as_ref().is_some_and(|voter| voter.voters().epoch >= epoch) {
+        let voters = &self.history.voters;
+        self.held.follow(voters);
+        if self.voter.as_ref().is_some_and(|voter| voter.voters().epoch >= voters.epoch) {
             return;
         }
-        self.stop_voting(out);
         let own = Seat { name: Name::clone(&self.own.name), disk: self.disk };
-        let number =
-            self.history.voters.seats.iter().find(|(_, seat)| **seat == own).map(|(number, _)| *number);
-        if let Some(number) = number.filter(|_| !self.sick) {
-            self.vote(Vote::begin(number, &self.history), out);
-        }
-    }
-
-    fn vote(&mut self, vote: Vote, out: &mut Vec<Output>) {
+        let number = voters.seats.iter().find(|(_, seat)| **seat == own).map(|(number, _)| *number);
+        // The same voters go on, each with what it has granted; among others, it may be the only one that knows.
+        let same = |voter: &Voter| voter.voters().seats == self.history.voters.seats;
+        let kept = self.voter.take_if(|voter| same(voter)).map(Voter::into_granting);
+        self.stop_voting(out);
+        let Some(number) = number.filter(|_| !self.sick) else { return };
+        let vote = Vote::begin(number, &self.history);
         let told = (vote.number, vote.voters.epoch);
+        // What the log will say follows on this.
+        self.journal.push(Write::History(Arc::new(self.history.clone())));
         self.journal.push(Write::Vote(Box::new(vote.clone())));
-        self.voter = Voter::start(self.now, vote, self.journal.clone(), &self.own.times);
+        let granting = kept.unwrap_or_else(|| Granting::new(self.now, &self.own.times));
+        self.voter = Voter::start(vote, self.journal.clone(), granting);
         out.push(Output::Votes(self.voter.as_ref().map(|_| told)));
     }
 
@@ -561,13 +562,10 @@
 
     fn take_decided(&mut self, out: &mut Vec<Output>) {
         let Some(voter) = &mut self.voter else { return };
-        for decided in voter.decided() {
-            match decided {
-                Decided::Step(at, step) if at == self.history.position => self.take(step, out),
-                Decided::Whole(whole) if whole.position > self.history.position => {
-                    self.replace_history(*whole, out)
-                }
-                Decided::Step(..) | Decided::Whole(_) => {}
+        for (at, step) in voter.decided() {
+            // What is known from others already is passed over.
+            if at == self.history.position {
+                self.take(step, out);
             }
         }
         if let Some(voter) = &mut self.voter {
@@ -657,7 +655,7 @@
             }
             let Some(voter) = &mut self.voter else { continue };
             if voter.grant(self.now, &name, &has, &self.history, &self.own.times) {
-                self.held.granted(has.epoch, number, self.nonce, &self.own.times);
+                self.held.granted(number, self.nonce, &self.own.times);
             }
         }
         if has.epoch == 0 {
--- a/crates/accord/src/core/voter.rs
+++ b/crates/accord/src/core/voter.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 
+use omnipaxos::messages::sequence_paxos::{PaxosMessage, PaxosMsg};
 use omnipaxos::messages::Message;
 use omnipaxos::util::LogEntry;
 use omnipaxos::{ClusterConfig, OmniPaxos, OmniPaxosConfig, ServerConfig};
@@ -19,14 +20,15 @@
 
 /// The consensus crate counts time in ticks of this length.
 pub const TICK: Micros = 50_000;
-/// Ticks after which a voter that did not answer counts as gone.
-const ELECTION: u64 = 4;
+/// Ticks after which a voter that did not answer counts as gone: longer than TCP takes to send a lost segment again, or
+/// leaders change at each loss. Measured in trials with 20% loss.
+const ELECTION: u64 = 10;
 /// Ticks after which a message that is owed an answer is sent again.
-const RESEND: u64 = 4;
+const RESEND: u64 = 10;
 /// Whoever is behind another voter's marks for so long has lost a message.
-const BEHIND: Micros = 300_000;
-/// The log is compacted when it has so many decided entries.
-const COMPACT: usize = 64;
+const BEHIND: Micros = 600_000;
+/// The voters begin anew, with an empty log, when it has so many entries.
+pub const COMPACT: usize = 256;
 
 /// What a voter tells the others each tick.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
@@ -58,6 +60,7 @@
 
 /// A voter at work.
 pub struct Voter {
+    journal: Journal,
     paxos: OmniPaxos<Entry, Ledger>,
     voters: Voters,
     number: u64,
@@ -86,7 +89,7 @@
 
 impl Voter {
     /// Goes on with this vote; nothing where the voters are too few to agree on anything, or this is none of them.
-    pub fn start(now: Micros, vote: Vote, journal: Journal, times: &Times) -> Option<Voter> {
+    pub fn start(vote: Vote, journal: Journal, granting: Granting) -> Option<Voter> {
         let (voters, number, base) = (vote.voters.clone(), vote.number, vote.base);
         let config = OmniPaxosConfig {
             cluster_config: ClusterConfig {
@@ -101,22 +104,28 @@
                 ..ServerConfig::default()
             },
         };
-        let paxos = config.build(Ledger::new(vote, journal)).ok()?;
+        let paxos = config.build(Ledger::new(vote, journal.clone())).ok()?;
         Some(Voter {
+            journal,
             paxos,
             voters,
             number,
             base,
             taken: 0,
-            granting: Granting::new(now, times),
+            granting,
             logged: 0,
             marks: BTreeMap::new(),
             behind: None,
-            next_tick: now,
+            next_tick: 0,
             asks: BTreeMap::new(),
         })
     }
 
+    /// What it has granted, for the vote that follows.
+    pub fn into_granting(self) -> Granting {
+        self.granting
+    }
+
     /// Its voters.
     pub fn voters(&self) -> &Voters {
         &self.voters
@@ -139,9 +148,26 @@
 
     /// A message of another voter.
     pub fn hear(&mut self, message: Message<Entry>) {
+        if self.stale(&message) {
+            return;
+        }
         self.paxos.handle_incoming(message);
     }
 
+    /// Whether this would take back what this voter has acknowledged. Danger: the crate (0.2.4) answers a promise that is
+    /// sent again with one more synchronisation; the later of two finds the voter further on in the same ballot and, taken
+    /// for new after one more prepare, cuts off entries that already count towards a majority. Found by the hunt. Within
+    /// one ballot a log only grows.
+    fn stale(&self, message: &Message<Entry>) -> bool {
+        let Message::SequencePaxos(PaxosMessage { msg: PaxosMsg::AcceptSync(sync), .. }) = message else {
+            return false;
+        };
+        let log = &sync.log_sync;
+        let ends = log.sync_idx + log.suffix.len() + usize::from(log.stopsign.is_some());
+        let shorter = self.journal.round() == Some(sync.n) && ends < self.paxos.get_accepted_idx();
+        shorter || log.sync_idx < self.paxos.get_decided_idx()
+    }
+
     /// Marks of another voter.
     pub fn marks(&mut self, from: u64, marks: Marks) {
         if marks.epoch == self.voters.epoch && self.voters.seats.contains_key(&from) {
@@ -151,6 +177,9 @@
 
     /// A proposal, of this front or another; agreed on sooner or later, if voters are left that can.
     pub fn propose(&mut self, proposal: Proposal) {
+        if self.proposed().iter().any(|open| open.id == proposal.id) {
+            return;
+        }
         // Refused only while the voters change; whoever proposes tries again.
         let _ = self.paxos.append(Entry::Propose(proposal));
     }
@@ -214,9 +243,11 @@
         if self.leads() {
             self.begin(now, history);
             self.replace_lost();
-        }
-        if self.paxos.get_decided_idx() >= self.paxos.get_compacted_idx() + COMPACT {
-            let _ = self.paxos.snapshot(None, true);
+            if self.paxos.get_decided_idx() >= COMPACT {
+                let same: Vec<Seat> = self.voters.seats.values().cloned().collect();
+                let next = self.voters.next(&same);
+                self.change(&next);
+            }
         }
     }
 
@@ -290,32 +321,19 @@
         out.into_iter().map(|message| (message.get_receiver(), message)).collect()
     }
 
-    /// What has been decided since: whole histories where the log no longer has the steps. With each step, its place.
-    pub fn decided(&mut self) -> Vec<Decided> {
+    /// The steps that have been decided since, each with its place.
+    pub fn decided(&mut self) -> Vec<(u64, Step)> {
         let Some(entries) = self.paxos.read_decided_suffix(self.taken) else { return Vec::new() };
-        let mut at = self.position();
+        let first = self.position();
         self.taken = self.paxos.get_decided_idx();
-        let mut out = Vec::new();
-        for entry in entries {
-            let step = match entry {
-                LogEntry::Decided(entry) => Step::Agreed(entry),
-                LogEntry::Snapshotted(shot) => {
-                    let Some(whole) = shot.snapshot.whole else { continue };
-                    at = whole.position;
-                    out.push(Decided::Whole(whole));
-                    continue;
-                }
-                LogEntry::StopSign(stop, true) => {
-                    let next = stop.metadata.and_then(|bytes| postcard::from_bytes(&bytes).ok());
-                    let Some(next) = next else { continue };
-                    Step::Voters(next)
-                }
-                LogEntry::Undecided(_) | LogEntry::Trimmed(_) | LogEntry::StopSign(_, false) => continue,
-            };
-            out.push(Decided::Step(at, step));
-            at += 1;
-        }
-        out
+        let step = |entry| match entry {
+            LogEntry::Decided(entry) => Some(Step::Agreed(entry)),
+            LogEntry::StopSign(stop, true) => {
+                stop.metadata.and_then(|bytes| postcard::from_bytes(&bytes).ok()).map(Step::Voters)
+            }
+            _ => None,
+        };
+        (first..).zip(entries.into_iter().filter_map(step)).collect()
     }
 
     /// The history has taken all that this log has, and ends in this version. Danger: what is known from others and not
@@ -337,15 +355,6 @@
     }
 }
 
-/// What a voter's log has come to.
-#[derive(Clone, Debug)]
-pub enum Decided {
-    /// The step from this place on.
-    Step(u64, Step),
-    /// All up to a place.
-    Whole(Box<History>),
-}
-
 /// Messages of another front's starts, in order: what is older than what was heard is dropped. Danger: the consensus
 /// crate, told an old synchronisation of the same ballot again, cuts off entries that it has acknowledged since.
 #[derive(Clone, Debug, Default)]
--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -218,11 +218,11 @@
             if let Some((property, text)) = broken.first() {
                 println!("seed {seed}: {property}: {text}");
                 let least = hunt::shrink(&trial, seed, property);
+                println!("least: loss {}, {:#?}", least.link.loss, least.faults);
                 if let Some(path) = &self.history {
                     let lines = hunt::lines(&least, seed);
                     let _ = fs::write(path, lines.iter().map(|line| format!("{line}\n")).collect::<String>());
                 }
-                println!("least: loss {}, {:#?}", least.link.loss, least.faults);
                 return ExitCode::FAILURE;
             }
             if told.elapsed() > Duration::from_secs(5) {
--- a/crates/trial/src/hunt.rs
+++ b/crates/trial/src/hunt.rs
@@ -26,7 +26,10 @@
 
 /// Plays a trial in virtual time and judges it.
 pub fn play(trial: &Trial, seed: u64) -> Broken {
-    let lines = lines(trial, seed);
+    // A core that panics has broken something, whatever its histories would have said.
+    let Ok(lines) = std::panic::catch_unwind(|| lines(trial, seed)) else {
+        return vec![("no core panics", "a core panicked".to_owned())];
+    };
     match &trial.versions {
         Some(_) => accord::judge(&lines).broken.into_iter().map(|(of, text)| (of.words(), text)).collect(),
         None => members::judge(&lines).broken.into_iter().map(|(of, text)| (of.words(), text)).collect(),
