Accord in the daemon: store, connections, salttally rules; trials of it as processes

Need: versions have to be agreed on by processes, not by cores in one. Change: one thread with the sockets and the store (crates/accord/src/edge.rs), the block accord { } beside members { } in both modes of the daemon, salttally rules propose|show|status|history|diff|back-to|voters|check, the relay of trials for TCP (delay, loss as late segments, cuts one way, closed after 5 s), disks that are lost. Off without the block.

--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -7,7 +7,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod ask;
 pub mod core;
+pub mod edge;
 pub mod lines;
 pub mod settings;
 pub mod store;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod members;
 mod pairs;
 mod rehearse;
+mod rules;
 mod siege;
 mod tools;
 mod trial;
@@ -73,6 +74,7 @@
     ///
     /// Exit 0 if the front answered, 2 if not.
     Members(members::Members),
+    Rules(rules::Rules),
     /// Play a trial: a fleet of fronts under faults between them
     ///
     /// As processes of salttallyd on this machine, or as the same cores in virtual time. Exit 0 if every property
@@ -133,6 +135,7 @@
         Command::Standin(standin) => standin.run(),
         Command::Open(open) => open.run(),
         Command::Members(members) => members.run(),
+        Command::Rules(rules) => rules.run(),
         Command::Trial(trial) => trial.run(),
     };
     done.unwrap_or_else(|error| {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -9,9 +9,11 @@
 
 use clap::{Parser, ValueEnum};
 use miette::Report;
+use salttally_accord::edge as accord;
+use salttally_accord::settings::Settings as Accord;
 use salttally_front::settings::{room, Settings};
 use salttally_front::Front;
-use salttally_members::edge::Running;
+use salttally_members::edge::{Listener, Running};
 use salttally_members::settings::Settings as Members;
 use salttally_platform::config::ConfigError;
 use salttally_platform::node;
@@ -63,8 +65,8 @@
         Ok(settings) => settings,
         Err(error) => return refused(*error),
     };
-    let members = match members(config) {
-        Ok(members) => members,
+    let among = match Among::read(config) {
+        Ok(among) => among,
         Err(error) => return refused(*error),
     };
     if arguments.check {
@@ -76,7 +78,8 @@
     }
     start_log(&arguments);
     // Before the front starts: a signal that comes meanwhile must not be lost.
-    let heeded: &[i32] = if members.is_some() { &[SIGTERM, SIGINT, SIGHUP] } else { &[SIGTERM, SIGINT] };
+    let heeded: &[i32] =
+        if among.members.is_some() { &[SIGTERM, SIGINT, SIGHUP] } else { &[SIGTERM, SIGINT] };
     let mut signals = match Signals::new(heeded) {
         Ok(signals) => signals,
         Err(error) => return fail(&format!("no signals: {error}")),
@@ -88,20 +91,18 @@
     tracing::info!(address = %front.address(), seed = front.seed(), "front listens");
     // Whoever started the process may wait for this line.
     println!("listening {}", front.address());
-    let running = match members.as_ref().map(Running::start).transpose() {
-        Ok(running) => running,
-        Err(error) => return fail(&error.to_string()),
+    let others = match among.start() {
+        Ok(others) => others,
+        Err(reason) => return fail(&reason),
     };
     for signal in signals.forever() {
-        match &running {
-            Some(running) if signal == SIGHUP => new_keys(config, running),
-            _ => break,
+        if signal != SIGHUP {
+            break;
         }
+        others.new_keys(config);
     }
     tracing::info!("front ends");
-    if let Some(running) = running {
-        running.leave();
-    }
+    others.leave();
     match front.shut_down(Duration::from_millis(arguments.end_within)) {
         Some(counts) => {
             tracing::info!(?counts, "front has ended");
@@ -111,20 +112,63 @@
     }
 }
 
-/// The settings of membership, where a file has any.
-fn members(config: &Path) -> Read<Option<Members>> {
-    Members::read(&Document::load(config)?)
+/// What a front does among others, as far as its settings say.
+struct Among {
+    members: Option<Members>,
+    accord: Option<Accord>,
+}
+
+impl Among {
+    fn read(config: &Path) -> Read<Among> {
+        let document = Document::load(config)?;
+        let members = Members::read(&document)?;
+        let accord = Accord::read(&document, members.as_ref())?;
+        Ok(Among { members, accord })
+    }
+
+    fn start(&self) -> Result<Others, String> {
+        let accord =
+            self.accord.as_ref().map(accord::Running::start).transpose().map_err(|e| e.to_string())?;
+        let listener = accord.as_ref().map(|running| {
+            let teller = running.teller();
+            Box::new(move |known| teller.known(known)) as Listener
+        });
+        let start = |members: &Members| Running::start_heard(members, listener);
+        let members = self.members.as_ref().map(start).transpose().map_err(|e| e.to_string())?;
+        Ok(Others { members, accord })
+    }
+}
+
+/// What runs beside the front.
+struct Others {
+    members: Option<Running>,
+    accord: Option<accord::Running>,
 }
 
-/// At SIGHUP the keys are read anew, and nothing else.
-fn new_keys(config: &Path, running: &Running) {
-    match members(config) {
-        Ok(Some(members)) => {
-            running.keys(members.keys);
-            tracing::info!("members: keys read anew");
+impl Others {
+    /// At SIGHUP the keys are read anew, and nothing else.
+    fn new_keys(&self, config: &Path) {
+        let Some(running) = &self.members else { return };
+        match Among::read(config) {
+            Ok(Among { members: Some(members), .. }) => {
+                if let Some(accord) = &self.accord {
+                    accord.keys(members.keys.clone());
+                }
+                running.keys(members.keys);
+                tracing::info!("members: keys read anew");
+            }
+            Ok(_) => tracing::warn!("members: no `members` in the settings any more; keys stay"),
+            Err(error) => tracing::warn!(%error, "members: keys stay as they were"),
+        }
+    }
+
+    fn leave(self) {
+        if let Some(accord) = self.accord {
+            accord.end();
+        }
+        if let Some(members) = self.members {
+            members.leave();
         }
-        Ok(None) => tracing::warn!("members: no `members` in the settings any more; keys stay"),
-        Err(error) => tracing::warn!(%error, "members: keys stay as they were"),
     }
 }
 
@@ -148,22 +192,21 @@
     };
     // Off, unless a file of that name lies beside the configuration.
     let beside = path.with_extension("members.kdl");
-    let members = match if beside.exists() { members(&beside) } else { Ok(None) } {
-        Ok(members) => members,
+    let off = Among { members: None, accord: None };
+    let among = match if beside.exists() { Among::read(&beside) } else { Ok(off) } {
+        Ok(among) => among,
         Err(error) => {
             eprintln!("salttallyd: {error}");
             return ExitCode::from(2);
         }
     };
-    let running = match members.as_ref().map(Running::start).transpose() {
-        Ok(running) => running,
-        Err(error) => return fail(&error.to_string()),
+    let others = match among.start() {
+        Ok(others) => others,
+        Err(reason) => return fail(&reason),
     };
     match node::run(&path, signals) {
         Ok(counts) => {
-            if let Some(running) = running {
-                running.leave();
-            }
+            others.leave();
             tracing::info!(?counts, "front node has ended");
             ExitCode::SUCCESS
         }
--- a/crates/front/src/settings/read.rs
+++ b/crates/front/src/settings/read.rs
@@ -60,6 +60,7 @@
     let (limits, edges) = limits(root)?;
     // Who else is there is read and checked by a package of its own.
     root.all("members");
+    root.all("accord");
     root.done()?;
     Ok(Settings {
         name,
--- a/crates/trial/src/net.rs
+++ b/crates/trial/src/net.rs
@@ -57,6 +57,11 @@
         before != (*cuts > 0)
     }
 
+    /// Whether a link is cut.
+    pub fn is_cut(&self, from: usize, to: usize) -> bool {
+        self.cut.get(&(from, to)).is_some_and(|cuts| *cuts > 0)
+    }
+
     /// A link is like this from now on, by this fault; or the fault has ended.
     pub fn like(&mut self, from: usize, to: usize, fault: usize, quality: Option<Quality>) {
         let special = self.special.entry((from, to)).or_default();
@@ -66,7 +71,7 @@
 
     /// After how long each copy of a datagram arrives; none where it is lost.
     pub fn fate(&mut self, now: Micros, from: usize, to: usize, rng: &mut impl RngCore) -> Vec<Micros> {
-        if self.cut.get(&(from, to)).is_some_and(|cuts| *cuts > 0) {
+        if self.is_cut(from, to) {
             return Vec::new();
         }
         let special = self.special.get(&(from, to)).and_then(|all| all.last());
--- a/crates/trial/src/processes.rs
+++ b/crates/trial/src/processes.rs
@@ -7,17 +7,25 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
 use rustix::process::{kill_process, Pid, Signal};
+use salttally_accord::ask::ask;
+use salttally_accord::core::rules::Rules;
+use salttally_accord::wire::Question;
+use salttally_settings::Document;
 use serde_json::{json, Value};
 
-use crate::describe::Trial;
+use crate::describe::{Trial, Versions};
 use crate::net::Net;
 use crate::plan::{self, Act, Plan};
 use crate::relay::Relay;
+use crate::versions::{drawn, opening, VIEWERS};
 use crate::Micros;
 
 /// What came out.
@@ -106,7 +114,8 @@
     history {history:?}
     trial relay="{relay}" clock-offset-s={offset:?}
 }}
-"#,
+{accord}"#,
+            accord = self.accord(front),
             ip = at.ip(),
             players = PORTS.1,
             seeds = seeds.join(" "),
@@ -116,6 +125,37 @@
         )
     }
 
+    /// The block `accord`, where the trial has versions.
+    fn accord(&self, front: usize) -> String {
+        let Some(versions) = &self.trial.versions else { return String::new() };
+        let names: Vec<String> =
+            (0..versions.voters).map(|voter| format!("{:?}", plan::name(voter))).collect();
+        let times = &versions.times;
+        format!(
+            r#"accord {{
+    voters {voters}
+    store {store:?}
+    lease-ms {lease}
+    alone-ms {alone}
+    renew-ms {renew}
+    without-lease "{without}"
+    history {history:?}
+    trial relay="{relay}" acts-ms={acts} viewers={viewers}
+}}
+"#,
+            voters = names.join(" "),
+            store = self.disk(front).join("accord.redb").display().to_string(),
+            lease = times.lease / 1000,
+            alone = times.alone / 1000,
+            renew = times.renew / 1000,
+            without = if times.refuse { "refuse" } else { "go-on" },
+            history = self.history(front).display().to_string(),
+            relay = self.relay,
+            acts = versions.acts / 1000,
+            viewers = VIEWERS,
+        )
+    }
+
     fn history(&self, front: usize) -> PathBuf {
         self.folder.join(format!("{}.jsonl", plan::name(front)))
     }
@@ -124,13 +164,14 @@
         if self.children[front].is_some() {
             return Ok(false);
         }
-        let config = self.folder.join(format!("{}.kdl", plan::name(front)));
+        let config = self.config(front);
+        fs::create_dir_all(self.disk(front))?;
         fs::write(&config, self.settings(front))?;
         let log = fs::File::options().create(true).append(true).open(config.with_extension("log"))?;
         let child = Command::new(self.daemon)
             .arg("--config")
             .arg(&config)
-            .args(["--log-level", "salttally_members=info,error"])
+            .args(["--log-level", "salttally_members=info,salttally_accord=info,error"])
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
@@ -155,6 +196,10 @@
         true
     }
 
+    fn config(&self, front: usize) -> PathBuf {
+        self.folder.join(format!("{}.kdl", plan::name(front)))
+    }
+
     fn disk(&self, front: usize) -> PathBuf {
         self.folder.join(format!("{}.disk", plan::name(front)))
     }
@@ -188,6 +233,61 @@
     }
 }
 
+/// Proposes as an operator does, to one front after the other, from a thread of its own: an answer may take long.
+struct Proposer {
+    over: Arc<AtomicBool>,
+    thread: thread::JoinHandle<Vec<Value>>,
+}
+
+impl Proposer {
+    fn start(fleet: &Fleet<'_>, plan: &Plan, of: Versions, seed: u64, clock: Clock) -> io::Result<Proposer> {
+        let configs: Vec<PathBuf> = (0..fleet.trial.fronts).map(|front| fleet.config(front)).collect();
+        // Proposals end where faults do, so that what comes of them is to be seen.
+        let calm = plan.last().map_or(0, |(at, _)| *at);
+        let over = Arc::new(AtomicBool::new(false));
+        let ends = Arc::clone(&over);
+        let work = move || {
+            let (lines, mut rng) = (Arc::new(Mutex::new(Vec::new())), Pcg32::seed_from_u64(seed));
+            let mut at = plan::SETTLED / 2;
+            let mut asked = Vec::new();
+            while at < calm && !ends.load(Ordering::Acquire) {
+                thread::sleep(Duration::from_micros(at.saturating_sub(clock.now())));
+                at += of.every / 2 + u64::from(rng.next_u32()) % of.every;
+                let front = rng.next_u32() as usize % configs.len();
+                let (config, rules, lines) = (configs[front].clone(), drawn(&mut rng), Arc::clone(&lines));
+                asked.push(thread::spawn(move || propose(&config, front, rules, clock, &lines)));
+            }
+            for one in asked {
+                let _ = one.join();
+            }
+            let lines = std::mem::take(&mut *lines.lock().unwrap_or_else(PoisonError::into_inner));
+            lines
+        };
+        Ok(Proposer { over, thread: thread::Builder::new().name("proposer".into()).spawn(work)? })
+    }
+
+    fn end(self) -> Vec<Value> {
+        self.over.store(true, Ordering::Release);
+        self.thread.join().unwrap_or_default()
+    }
+}
+
+fn propose(config: &Path, front: usize, rules: Rules, clock: Clock, lines: &Mutex<Vec<Value>>) {
+    let settings = Document::load(config).ok().and_then(|document| {
+        let members = salttally_members::settings::Settings::read(&document).ok()?;
+        salttally_accord::settings::Settings::read(&document, members.as_ref()).ok()?
+    });
+    let Some(settings) = settings else { return };
+    let at = clock.now();
+    let answer = ask(&settings, Question::Propose(None, "trial".into(), Box::new(rules)));
+    let version = answer.ok().and_then(|json| serde_json::from_str::<Value>(&json).ok()?["version"].as_u64());
+    let Some(version) = version else { return };
+    let (ticket, name) = (at << 8 | front as u64 & 0xff, plan::name(front));
+    let mut lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
+    lines.push(json!({"at": at, "truth": "proposed", "ticket": ticket}));
+    lines.push(json!({"at": clock.now(), "front": name, "told": ticket, "what": format!("Became(Version({version}))")}));
+}
+
 /// Plays a trial by processes of this daemon; `tell` hears how it goes.
 ///
 /// # Errors
@@ -213,8 +313,11 @@
         addresses,
         children: (0..trial.fronts).map(|_| None).collect(),
     };
-    let mut lines = vec![plan::opening(trial)];
+    let mut lines =
+        vec![trial.versions.as_ref().map_or_else(|| plan::opening(trial), |of| opening(trial, of))];
     let mut told = 0;
+    let proposer =
+        trial.versions.clone().map(|of| Proposer::start(&fleet, plan, of, seed, clock)).transpose()?;
     let wait_until = |at: Micros,
                       fleet: &mut Fleet<'_>,
                       tell: &mut dyn FnMut(&str),
@@ -249,6 +352,7 @@
     let end = plan.last().map_or(0, |(at, _)| *at) + trial.quiet;
     wait_until(end, &mut fleet, tell, &mut told)?;
     let (span, spent) = (clock.now(), fleet.spent());
+    lines.extend(proposer.map(Proposer::end).unwrap_or_default());
     for front in 0..trial.fronts {
         fleet.signal(front, Signal::KILL);
         let text = fs::read_to_string(fleet.history(front)).unwrap_or_default();
@@ -266,7 +370,9 @@
     let (came, bytes) =
         (relay.passed.came.load(Ordering::Relaxed), relay.passed.bytes.load(Ordering::Relaxed));
     let per = span as f64 / 1e6 * trial.fronts as f64;
-    let cost = json!({"bytes_per_s_and_front": (bytes as f64 / per).round(), "datagrams": came,
+    let streamed = relay.passed.streamed.load(Ordering::Relaxed);
+    let cost = json!({"streamed_per_s_and_front": (streamed as f64 / per).round(),
+        "bytes_per_s_and_front": (bytes as f64 / per).round(), "datagrams": came,
         "processor_ms_per_s_and_front": (spent as f64 / 1e3 / per * 100.0).round() / 100.0,
         "seconds": span as f64 / 1e6});
     Ok(Played { lines, cost })
