Sessions under rules that are agreed on, looked at where set-ups and answers go out

Need: a version is worth nothing while fronts go on by their own files; a process that was stopped must not act on what it held before. Change: crates/front/src/core/terms.rs fits rules to the front's settings; the ledger asks it at an open, at a set-up, again as the set-up leaves and at the answer; the thread that writes looks at the lease once more. What plays stays or ends as its class says; operators hold and drain boxes. Without accord { } nothing is asked.

--- a/crates/accord/src/edge.rs
+++ b/crates/accord/src/edge.rs
@@ -116,6 +116,9 @@
     }
 }
 
+/// What wants to hear what this front stands on.
+pub type Listener = Box<dyn Fn(Stand) + Send>;
+
 /// Running accord. Dropped, it ends.
 pub struct Running {
     teller: Teller,
@@ -124,15 +127,14 @@
 }
 
 impl Running {
-    /// Starts it.
+    /// Starts it; `listener` is told what this front stands on, at first and whenever that changes.
     ///
     /// # Errors
     /// The address cannot be bound, the store cannot be used, the history cannot be written, no thread is to be had.
-    pub fn start(settings: &Settings) -> Result<Running, StartError> {
-        let mut listener =
-            TcpListener::bind(settings.bind).map_err(|e| StartError::Bind(settings.bind, e))?;
+    pub fn start(settings: &Settings, listener: Option<Listener>) -> Result<Running, StartError> {
+        let mut socket = TcpListener::bind(settings.bind).map_err(|e| StartError::Bind(settings.bind, e))?;
         let poll = Poll::new().map_err(StartError::Thread)?;
-        poll.registry().register(&mut listener, LISTENER, Interest::READABLE).map_err(StartError::Thread)?;
+        poll.registry().register(&mut socket, LISTENER, Interest::READABLE).map_err(StartError::Thread)?;
         let waker = Arc::new(Waker::new(poll.registry(), WAKER).map_err(StartError::Thread)?);
         let (store, image, found) = Store::open(&settings.store)?;
         match &found {
@@ -166,6 +168,7 @@
             history,
             authority: authority.clone(),
             poll,
+            socket,
             listener,
             links: BTreeMap::new(),
             next: 2,
@@ -261,7 +264,8 @@
     history: Option<File>,
     authority: Authority,
     poll: Poll,
-    listener: TcpListener,
+    socket: TcpListener,
+    listener: Option<Listener>,
     links: BTreeMap<usize, Link>,
     next: usize,
     known: BTreeMap<Name, SocketAddr>,
@@ -276,6 +280,9 @@
 
 impl Work {
     fn run(mut self, out: Vec<Output>, words: &Receiver<Word>) {
+        if let Some(listener) = &self.listener {
+            listener(self.accord.stand().clone());
+        }
         self.carry_out(out);
         let mut events = Events::with_capacity(256);
         loop {
@@ -340,7 +347,7 @@
 
     fn accept(&mut self) {
         loop {
-            match self.listener.accept() {
+            match self.socket.accept() {
                 Ok((stream, _)) if self.links.len() < MOST => {
                     self.link(stream, None, true);
                 }
@@ -592,7 +599,12 @@
                     }
                 }
                 Output::Send(envelope) => self.send(envelope),
-                Output::Stand(stand) => self.authority.set(stand),
+                Output::Stand(stand) => {
+                    if let Some(listener) = &self.listener {
+                        listener(stand.clone());
+                    }
+                    self.authority.set(stand);
+                }
                 Output::Told(ticket, told) => self.told(ticket, &told),
                 Output::Version(number, _) => tracing::info!(number, "accord: a version is agreed on"),
                 Output::Votes(votes) => tracing::info!(?votes, "accord: votes"),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -91,7 +91,7 @@
     tracing::info!(address = %front.address(), seed = front.seed(), "front listens");
     // Whoever started the process may wait for this line.
     println!("listening {}", front.address());
-    let others = match among.start() {
+    let others = match among.start(Some(Box::new(front.stands()))) {
         Ok(others) => others,
         Err(reason) => return fail(&reason),
     };
@@ -126,9 +126,9 @@
         Ok(Among { members, accord })
     }
 
-    fn start(&self) -> Result<Others, String> {
-        let accord =
-            self.accord.as_ref().map(accord::Running::start).transpose().map_err(|e| e.to_string())?;
+    fn start(&self, stands: Option<accord::Listener>) -> Result<Others, String> {
+        let start = |settings: &Accord| accord::Running::start(settings, stands);
+        let accord = self.accord.as_ref().map(start).transpose().map_err(|e| e.to_string())?;
         let listener = accord.as_ref().map(|running| {
             let teller = running.teller();
             Box::new(move |known| teller.known(known)) as Listener
@@ -200,7 +200,8 @@
             return ExitCode::from(2);
         }
     };
-    let others = match among.start() {
+    // What the fronts agree on does not reach a front node's decisions: see docs/operate/rules.md.
+    let others = match among.start(None) {
         Ok(others) => others,
         Err(reason) => return fail(&reason),
     };
--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -1288,6 +1288,7 @@
     fn opening(&self, viewer: u32) -> Opening {
         Opening {
             viewer: ViewerId(u64::from(viewer)),
+            firm: None,
             title: TitleId(1),
             class: self.class_of(viewer),
             first_cell: 0,
--- a/crates/front/src/boxes/link.rs
+++ b/crates/front/src/boxes/link.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use crossbeam_channel::{Receiver, Sender};
-use salttally::interface::ServerId;
+use salttally::interface::{Micros, ServerId};
 use socket2::SockRef;
 
 use super::core::Meter;
@@ -40,15 +40,15 @@
 
 impl Exchanger {
     /// Connects, then carries requests until it is hung up.
-    pub fn run(self, requests: &Receiver<BoxRequest>) {
+    pub fn run(self, requests: &Receiver<(BoxRequest, Option<Micros>)>) {
         let stream = self.socket.connect(self.address, &self.settings);
         let result = stream.as_ref().map(|_| ()).map_err(|error| *error);
         if self.engine.send(Msg::Core(Input::Dialed(self.id, result))).is_err() {
             return;
         }
         let Ok(mut stream) = stream else { return };
-        while let Ok(request) = requests.recv() {
-            let end = self.exchange(&mut stream, &request);
+        while let Ok((request, until)) = requests.recv() {
+            let end = self.exchange(&mut stream, &request, until);
             tracing::trace!(server = self.server.0, conn = self.id.0, ?end, "exchange");
             if self.engine.send(Msg::Core(Input::Exchanged(self.id, end))).is_err() {
                 return;
@@ -56,12 +56,17 @@
         }
     }
 
-    fn exchange(&self, stream: &mut TcpStream, request: &BoxRequest) -> ExchangeEnd {
+    fn exchange(&self, stream: &mut TcpStream, request: &BoxRequest, until: Option<Micros>) -> ExchangeEnd {
         if !still_open(stream) {
             return ExchangeEnd::Stale;
         }
+        let bytes = wire::request(request, &self.settings);
+        // Danger: the process was stopped since this was decided, and its lease has run out.
+        if until.is_some_and(|until| salttally_accord::edge::now() >= until) {
+            return ExchangeEnd::Unwritten;
+        }
         // All of it or an incomplete request, which the box must not run (RFC 9112 section 8).
-        if stream.write_all(&wire::request(request, &self.settings)).is_err() {
+        if stream.write_all(&bytes).is_err() {
             return ExchangeEnd::Unwritten;
         }
         let mut bytes = Vec::new();
--- a/crates/front/src/boxes/mod.rs
+++ b/crates/front/src/boxes/mod.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 
 use crossbeam_channel::Sender;
-use salttally::interface::ServerId;
+use salttally::interface::{Micros, ServerId};
 
 use crate::clock::Clock;
 use crate::core::{BoxRequest, ConnId};
@@ -34,7 +34,7 @@
 
 struct Conn {
     socket: Arc<Socket>,
-    requests: Sender<BoxRequest>,
+    requests: Sender<(BoxRequest, Option<Micros>)>,
 }
 
 impl Boxes {
@@ -70,11 +70,12 @@
         });
     }
 
-    /// Sends a request on a connection that stands.
-    pub fn exchange(&mut self, id: ConnId, request: &BoxRequest) {
+    /// Sends a request on a connection that stands; a set-up only until then, by the clock of leases, if that is said.
+    pub fn exchange(&mut self, id: ConnId, request: &BoxRequest, until: Option<Micros>) {
+        let until = until.filter(|_| matches!(request, BoxRequest::SetUp { .. }));
         if let Some(conn) = self.conns.get(&id) {
             // A thread that has ended has told so.
-            let _ = conn.requests.send(request.clone());
+            let _ = conn.requests.send((request.clone(), until));
         }
     }
 
--- a/crates/front/src/boxes/wire.rs
+++ b/crates/front/src/boxes/wire.rs
@@ -183,6 +183,7 @@
         let title = settings.titles.get(&context.title)?;
         Some(Opening {
             viewer: ViewerId(u64::from_str_radix(&context.viewer, 16).ok()?),
+            firm: None,
             title: title.id,
             class: settings.class(&context.class)?,
             first_cell: title.first_cell,
--- a/crates/front/src/core/ledger.rs
+++ b/crates/front/src/core/ledger.rs
@@ -7,10 +7,12 @@
 use std::sync::Arc;
 
 use salttally::interface::*;
+use salttally_accord::core::rules::Refusal;
 
 use super::pool::{End, Pool, Proof};
 use super::session::{Attempt, Playing, Session, Stage, Stop};
 use super::streams::{Streams, Verdict};
+use super::terms::{Holds, Terms};
 use super::timers::{Due, Timers};
 use super::*;
 
@@ -98,9 +100,43 @@
     finished: bool,
     events: VecDeque<Event>,
     counts: Counts,
+    /// Rules that are agreed on; nothing where the front acts on its own file alone.
+    terms: Option<Terms>,
+    /// The last list, before operators overruled it; kept only under rules.
+    listed: BTreeMap<ServerId, Listed>,
     tap: Option<Tap>,
 }
 
+/// A viewer who is refused for a reason that passes by itself may come back after this.
+const COME_BACK: Micros = 1_000_000;
+
+/// Why a set-up, or its answer, may not be written.
+enum Forbidden {
+    /// The session may not be.
+    All(Refusal),
+    /// Nothing new is set up at that box.
+    Box,
+}
+
+/// What a ledger holds.
+struct Counted<'a, D> {
+    ledger: &'a Ledger<D>,
+}
+
+impl<D> Holds for Counted<'_, D> {
+    fn all(&self) -> usize {
+        self.ledger.sessions.len()
+    }
+
+    fn of_class(&self, class: usize) -> usize {
+        self.ledger.sessions.values().filter(|session| session.opening.class == class).count()
+    }
+
+    fn of_viewer(&self, viewer: ViewerId) -> usize {
+        self.ledger.by_viewer.get(&viewer).copied().unwrap_or(0)
+    }
+}
+
 /// A process that runs again after it was stopped hears what waits in its sockets, for so long, before it does what
 /// became due meanwhile. Danger: set-ups whose answers lie there are taken back, boxes whose word lies there are lost.
 const WAKES: Micros = 50_000;
@@ -126,6 +162,8 @@
             timers: self.timers.clone(),
             found: self.found.clone(),
             events: self.events.clone(),
+            terms: self.terms.clone(),
+            listed: self.listed.clone(),
             tap: None,
             ..*self
         }
@@ -172,10 +210,30 @@
             finished: false,
             events: VecDeque::new(),
             counts: Counts::default(),
+            terms: None,
+            listed: BTreeMap::new(),
             tap: None,
         }
     }
 
+    /// Acts on rules that are agreed on.
+    pub fn under(mut self, terms: Terms) -> Self {
+        self.terms = Some(terms);
+        self
+    }
+
+    /// The time by the clock of leases, ahead of each input; nothing where the front acts on its own file alone.
+    pub fn lease_clock(&mut self, now: impl FnOnce() -> Micros) {
+        if let Some(terms) = &mut self.terms {
+            terms.at(now());
+        }
+    }
+
+    /// Until when a set-up that goes out now may be written, by the clock of leases.
+    pub fn write_until(&self) -> Option<Micros> {
+        self.terms.as_ref().map(Terms::until)
+    }
+
     /// Has every event and its actions told to `tap`.
     pub fn tapped(mut self, tap: Tap) -> Self {
         self.tap = Some(tap);
@@ -237,6 +295,7 @@
 
     /// Takes in one input; what is to be done is added to `out`, in order.
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        let before = out.len();
         self.now = self.now.max(now);
         match input {
             Input::Open(client, ticket, opening) => self.open(client, ticket, opening, false, out),
@@ -260,6 +319,7 @@
                 self.request_ended(ended, out);
             }
             Input::Stream(server, number, news) => self.stream(server, number, news, out),
+            Input::Stand(stand) => self.stands(*stand, out),
             Input::ShutDown => self.shut_down(out),
             Input::Woke => {
                 self.streams.woke(self.now);
@@ -273,6 +333,7 @@
             self.due(due, out);
             self.settle(out);
         }
+        self.hold_back(before, out);
         if self.ending && !self.finished && self.sessions.is_empty() && self.releases.is_empty() {
             self.finished = true;
             self.streams.stop(out);
@@ -287,7 +348,7 @@
         &mut self,
         client: ClientId,
         ticket: Ticket,
-        opening: Opening,
+        mut opening: Opening,
         only_back: bool,
         out: &mut Vec<Output>,
     ) {
@@ -310,8 +371,18 @@
             out.push(Output::Answer(client, ticket, Answer::Refused(id, hold_off)));
             return;
         }
+        let moved = moved.cloned();
+        if let Some(terms) = &self.terms {
+            if let Err(why) = terms.may(&opening, &Counted { ledger: self }) {
+                self.counts.refused += 1;
+                let answer = Answer::Refused(id, self.come_back(why));
+                out.push(Output::Answer(client, ticket, answer));
+                return;
+            }
+            terms.narrow(&mut opening, self.settings.cells);
+        }
         // A move counts as one only for the viewer and the session that it was done to, and once.
-        let moved = moved.cloned().is_some_and(|old| self.moved.remove(&old).is_some());
+        let moved = moved.is_some_and(|old| self.moved.remove(&old).is_some());
         let request = opening.request(&id, moved);
         let class = self.settings.classes.get(opening.class);
         let (effect, floor) = class.map_or((Effect::Safe, 0), |class| (class.effect, class.floor));
@@ -570,6 +641,27 @@
                 return self.stopped("a set-up that must not be", id, out);
             }
         };
+        // Danger: the lease has ended, or another version has come, since this was decided: others act on other rules.
+        if let Some(forbidden) = self.forbidden(id, server) {
+            let ended = |outcome, last| Event::Ended {
+                session: id.clone(),
+                attempt: number,
+                server,
+                outcome,
+                last,
+                report: Vec::new(),
+            };
+            match forbidden {
+                Forbidden::Box => self.events.push_back(ended(Outcome::Full, false)),
+                Forbidden::All(why) => {
+                    let after = self.come_back(why);
+                    self.refuse(id, after, out);
+                    self.events.push_back(ended(Outcome::NotSent, true));
+                }
+            }
+            return;
+        }
+        let Some(session) = self.sessions.get_mut(id) else { return };
         // No time-out of the module's means until the viewer gives up; none reaches past that.
         let whole = session.deadline - self.now;
         let time_out = if time_out == 0 { whole } else { time_out.min(whole) };
@@ -645,6 +737,92 @@
         }
     }
 
+    // ---- Rules that are agreed on ----
+
+    /// Whether a set-up or its answer may not be written now.
+    fn forbidden(&self, id: &SessionId, server: ServerId) -> Option<Forbidden> {
+        let terms = self.terms.as_ref()?;
+        let session = self.sessions.get(id).filter(|session| session.owed())?;
+        match terms.allows(&session.opening) {
+            Err(why) => Some(Forbidden::All(why)),
+            Ok(()) if terms.held(server) && session.out().is_none() => Some(Forbidden::Box),
+            Ok(()) => None,
+        }
+    }
+
+    /// Takes set-ups back that are about to go out and may not. Danger: one that waited for its connection was decided
+    /// under rules that have changed since; found by a test that draws what happens.
+    fn hold_back(&mut self, from: usize, out: &mut Vec<Output>) {
+        let stopped = |ledger: &Self, output: &Output| match output {
+            Output::Exchange(conn, BoxRequest::SetUp { opening, .. }) => {
+                ledger.terms.as_ref()?.allows(opening).is_err().then_some(*conn)
+            }
+            _ => None,
+        };
+        while let Some((at, conn)) =
+            out.iter().enumerate().skip(from).find_map(|(at, output)| Some((at, stopped(self, output)?)))
+        {
+            out.remove(at);
+            let (end, kept) = (ExchangeEnd::Unwritten, self.limits.idle_kept);
+            let ended = self.pool.exchanged(self.now, conn, end, kept, &mut self.timers, out);
+            self.request_ended(ended, out);
+            self.settle(out);
+        }
+    }
+
+    /// When a viewer who is refused may come back: soon where the reason passes by itself.
+    fn come_back(&self, why: Refusal) -> Micros {
+        let most = self.settings.max_hold_off;
+        if why.passes() {
+            most.min(COME_BACK)
+        } else {
+            most
+        }
+    }
+
+    fn stands(&mut self, stand: Stand, out: &mut Vec<Output>) {
+        let Some(terms) = &mut self.terms else { return };
+        if !terms.stands(stand) {
+            return;
+        }
+        let ends = |s: &Session| s.playing().is_some() && terms.ends(s.opening.class);
+        let ended: Vec<SessionId> =
+            self.sessions.iter().filter(|(_, s)| ends(s)).map(|(id, _)| id.clone()).collect();
+        for id in ended {
+            self.ended_by_itself(&id, EndReason::Rules, Outcome::Withdrawn, out);
+        }
+        let again: Vec<Listed> = self.listed.values().cloned().collect();
+        if !again.is_empty() {
+            self.overruled(ListKind::Changes, again);
+        }
+    }
+
+    /// Tells the module the list, as operators have overruled it.
+    fn overruled(&mut self, kind: ListKind, lines: Vec<Listed>) {
+        if let Some(terms) = &self.terms {
+            if matches!(kind, ListKind::Whole) {
+                self.listed.clear();
+            }
+            for line in &lines {
+                if line.entry.state == ServerState::Gone {
+                    self.listed.remove(&line.entry.server);
+                } else {
+                    self.listed.insert(line.entry.server, line.clone());
+                }
+            }
+            let overrule = |line: Listed| {
+                let mut entry = line.entry;
+                terms.overrule(&mut entry);
+                entry
+            };
+            let entries = lines.into_iter().map(overrule).collect();
+            self.events.push_back(Event::Servers(kind, entries));
+            return;
+        }
+        let entries = lines.into_iter().map(|line| line.entry).collect();
+        self.events.push_back(Event::Servers(kind, entries));
+    }
+
     // ---- Boxes: requests and their ends ----
 
     /// Asks a box for something other than a set-up.
@@ -718,6 +896,13 @@
             return self.attempt_ended(server, id, number, Outcome::Withdrawn, report, out);
         }
         let (class, rung) = (session.opening.class, attempt.rung);
+        if let Some(Forbidden::All(why)) = self.forbidden(id, server) {
+            // It was set up while it might be, and nobody may be told now that it plays.
+            self.release((server, attempt.address), id, attempt.wire, out);
+            let after = self.come_back(why);
+            self.refuse(id, after, out);
+            return self.attempt_ended(server, id, number, Outcome::Withdrawn, report, out);
+        }
         let answer = Answer::Plays {
             session: id.clone(),
             server,
@@ -910,8 +1095,7 @@
                 self.pool.forget(id, &mut self.timers, out);
             }
         }
-        let entries = lines.into_iter().map(|line| line.entry).collect();
-        self.events.push_back(Event::Servers(kind, entries));
+        self.overruled(kind, lines);
         if matches!(kind, ListKind::Whole | ListKind::Changes) && !self.fresh {
             self.fresh = true;
             for (server, held) in std::mem::take(&mut self.found) {
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -11,6 +11,7 @@
 //! - [`pool`]: keep-alive connections to boxes: which to use, dial, keep, hang up.
 //! - [`streams`]: the event stream from each box: when a box counts as lost, when to try again.
 //! - [`room`]: what of the process's files and threads is whose.
+//! - [`terms`]: rules that fronts agree on.
 //! - [`timers`]: one queue of all that is due.
 
 mod ledger;
@@ -18,6 +19,7 @@
 pub mod room;
 pub mod session;
 pub mod streams;
+pub mod terms;
 pub mod timers;
 
 use std::collections::BTreeSet;
@@ -25,6 +27,7 @@
 
 use salttally::brain::Brain;
 use salttally::interface::*;
+use salttally_accord::core::stand::Stand;
 
 pub use ledger::{Counts, Ledger};
 
@@ -57,6 +60,8 @@
 pub struct Opening {
     /// Who watches.
     pub viewer: ViewerId,
+    /// Its firm's number, where its name has one.
+    pub firm: Option<ViewerId>,
     /// What is watched.
     pub title: TitleId,
     /// Place of the class in the settings.
@@ -158,6 +163,8 @@
     Stream(ServerId, u64, StreamNews),
     /// The front is to end: all that is owed is answered, all that plays is released.
     ShutDown,
+    /// What this front stands on, by rules that are agreed on.
+    Stand(Box<Stand>),
     /// The process was not running for a while, and runs again.
     Woke,
     /// Something may be due.
@@ -353,6 +360,8 @@
     Lost,
     /// The front ends.
     ShuttingDown,
+    /// By rules that are agreed on.
+    Rules,
 }
 
 /// What the edge is to do.
--- a/crates/front/src/core/tests.rs
+++ b/crates/front/src/core/tests.rs
@@ -12,6 +12,7 @@
 use crate::settings::tests::settings;
 
 mod doors;
+mod terms;
 
 const CLIP: usize = 0;
 const PAID: usize = 1;
@@ -32,6 +33,7 @@
 fn opening(viewer: u64, class: usize) -> Opening {
     Opening {
         viewer: ViewerId(viewer),
+        firm: None,
         title: TitleId(1),
         class,
         first_cell: 0,
--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -175,6 +175,7 @@
         if let Input::Open(client, ..) | Input::Return(client, ..) = &input {
             touched.insert(*client);
         }
+        self.ledger.lease_clock(salttally_accord::edge::now);
         self.ledger.handle(self.clock.now(), input, &mut out);
         let mut finished = false;
         for output in out.drain(..) {
@@ -187,7 +188,10 @@
                 Output::Reply(client, ticket, reply) => self.reply(*client, *ticket, reply),
                 Output::Tell(client, news) => self.tell(*client, news),
                 Output::Dial(conn, server, address) => self.boxes.dial(*conn, *server, *address),
-                Output::Exchange(conn, request) => self.boxes.exchange(*conn, request),
+                Output::Exchange(conn, request) => {
+                    let until = self.ledger.write_until();
+                    self.boxes.exchange(*conn, request, until);
+                }
                 Output::Hang(conn) => self.boxes.hang(*conn),
                 Output::Listen(server, number, address) => self.boxes.listen(*server, *number, *address),
                 Output::StopListening(_, number) => self.boxes.stop_listening(*number),
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -11,12 +11,14 @@
 use crossbeam_channel::{Receiver, Sender};
 use salttally::brain::Brain;
 use salttally::interface::{ListKind, Micros, SessionId};
+use salttally_accord::core::stand::Stand;
 use salttally_members::core::pauses::Pauses;
 use thiserror::Error;
 
 use crate::box_list::Follower;
 use crate::boxes::Boxes;
 use crate::clock::Clock;
+use crate::core::terms::{Names, Terms};
 use crate::core::{Answer, ClientId, Counts, Input, Ledger, News, Opening, Reply, Ticket};
 use crate::engine::Engine;
 use crate::inside::messages::{Look, Msg, Port, ToCaller};
@@ -27,7 +29,7 @@
 use crate::session_api::entrance::Entrance;
 use crate::session_api::outbox;
 use crate::session_api::server::{Server, Ways};
-use crate::settings::{viewer, Settings};
+use crate::settings::{firm, viewer, Settings};
 
 /// Why a front does not start.
 #[derive(Debug, Error)]
@@ -116,6 +118,11 @@
         let brain = Brain::new(settings.module.clone(), seed);
         let (module, limits) = (settings.module.clone(), settings.limits.clone());
         let mut ledger = Ledger::new(brain, module, limits, &settings.name, boot);
+        if settings.accord {
+            let titles = settings.titles.iter().map(|(name, title)| (title.id, name.clone())).collect();
+            let names = Names { classes: settings.classes.clone(), titles, viewer: Some(viewer) };
+            ledger = ledger.under(Terms::new(names));
+        }
         if let Some(recorder) = &recorder {
             ledger = ledger.tapped(Box::new(recorder.tap()));
         }
@@ -155,6 +162,14 @@
         Ok(Front { settings, engine, clients, server, thread: Some(thread), recorder, seed })
     }
 
+    /// Whom to tell what this front stands on, where its settings have `accord`.
+    pub fn stands(&self) -> impl Fn(Stand) + Send + 'static {
+        let engine = self.engine.clone();
+        move |stand| {
+            let _ = engine.send(Msg::Core(Input::Stand(Box::new(stand))));
+        }
+    }
+
     /// Where players connect.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
@@ -186,6 +201,7 @@
         }
         let opening = Opening {
             viewer: viewer(&asked.viewer),
+            firm: firm(&asked.viewer),
             title: title.id,
             class,
             first_cell: title.first_cell,
--- a/crates/front/src/session_api/rpc.rs
+++ b/crates/front/src/session_api/rpc.rs
@@ -7,7 +7,7 @@
 
 use super::core::gate::OPEN;
 use crate::core::{Answer, EndReason, FailReason, HeldBy as Held, News, Opening, Reply};
-use crate::settings::{viewer, Settings};
+use crate::settings::{firm, viewer, Settings};
 
 /// Not JSON (JSON-RPC 2.0 section 5.1).
 pub const PARSE_ERROR: i64 = -32700;
@@ -294,6 +294,7 @@
     let moved_from = given.0.get("moved_from").map(|_| given.name("moved_from")).transpose()?;
     Ok(Opening {
         viewer: viewer(given.name("viewer")?),
+        firm: firm(given.name("viewer")?),
         title: lies.id,
         class,
         first_cell: lies.first_cell,
@@ -409,6 +410,7 @@
                 EndReason::Box => "box",
                 EndReason::Lost => "lost",
                 EndReason::ShuttingDown => "shutting-down",
+                EndReason::Rules => "rules",
             };
             ("session.ended", json!({"session": &*session.0, "reason": reason}))
         }
--- a/crates/front/src/settings/mod.rs
+++ b/crates/front/src/settings/mod.rs
@@ -47,6 +47,8 @@
     pub limits: Limits,
     /// Limits of the edges.
     pub edges: Edges,
+    /// The front acts on rules that are agreed on.
+    pub accord: bool,
 }
 
 /// Where a title lies.
@@ -142,5 +144,10 @@
     ViewerId(xxhash_rust::xxh3::xxh3_64(name.as_bytes()))
 }
 
+/// The number of a viewer's firm: of what stands ahead of the first slash in its name.
+pub fn firm(name: &str) -> Option<ViewerId> {
+    name.split_once('/').map(|(firm, _)| viewer(firm))
+}
+
 #[cfg(test)]
 pub(crate) mod tests;
--- a/crates/front/src/settings/read.rs
+++ b/crates/front/src/settings/read.rs
@@ -60,7 +60,7 @@
     let (limits, edges) = limits(root)?;
     // Who else is there is read and checked by a package of its own.
     root.all("members");
-    root.all("accord");
+    let accord = !root.all("accord").is_empty();
     root.done()?;
     Ok(Settings {
         name,
@@ -74,6 +74,7 @@
         titles,
         limits,
         edges,
+        accord,
     })
 }
 
--- a/crates/platform/src/core/viewers.rs
+++ b/crates/platform/src/core/viewers.rs
@@ -121,6 +121,7 @@
         }
         let opening = Opening {
             viewer: ViewerId(figures.viewer),
+            firm: None,
             title: TitleId(words::hex16(text(code::TITLE)?).ok_or(Unusable::Value(code::TITLE))?),
             class,
             first_cell: figures.home,
