Processes under accord: disks full, torn, copied, voters lost, a sleep past the lease

Need: each piece is proven by processes and faults between them. Change: crates/daemon/tests/accord.rs starts fleets of salttallyd with stand-ins for boxes and players. The store catches panics of the database: it panics over damaged pages that its own integrity check passes, found by the test that tears files in 60 ways (each is whole, or set aside, never half a vote). Measured: with two of three voters killed, 20 of 20 new sessions play where the operator wants to go on, 20 of 20 are refused at once with a time to come back where not; five opens that waited while a front slept through its lease set nothing up.

--- a/crates/accord/src/store.rs
+++ b/crates/accord/src/store.rs
@@ -9,6 +9,7 @@
 use std::fs;
 use std::io;
 use std::os::unix::fs::MetadataExt;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
 use std::time::UNIX_EPOCH;
 
@@ -74,7 +75,7 @@
     /// It is in use, of another form, or cannot be written. One that is damaged is set aside.
     pub fn open(path: &Path) -> Result<(Store, Image, Found), StoreError> {
         let existed = path.exists();
-        match Store::read(path) {
+        match unharmed(path, || Store::read(path)) {
             Ok((store, image, copied)) => {
                 let found = match (existed, copied) {
                     (false, _) => Found::New,
@@ -202,6 +203,10 @@
     /// # Errors
     /// The disk is full, read-only or broken: nothing that follows may be told.
     pub fn write(&self, writes: &[Write]) -> Result<(), StoreError> {
+        unharmed(&self.path, || self.write_all(writes))
+    }
+
+    fn write_all(&self, writes: &[Write]) -> Result<(), StoreError> {
         let mut write = self.database.begin_write().map_err(|error| self.failed(error))?;
         if !writes.iter().any(Write::promises) {
             write.set_durability(Durability::None).map_err(|error| self.failed(error))?;
@@ -238,6 +243,12 @@
     }
 }
 
+/// Danger: the database panics over some damage that its own look at the pages passes; found by a test that tears files.
+fn unharmed<T>(path: &Path, work: impl FnOnce() -> Result<T, StoreError>) -> Result<T, StoreError> {
+    let damaged = |_| StoreError::Damaged(path.display().to_string(), "a page cannot be read".into());
+    catch_unwind(AssertUnwindSafe(work)).unwrap_or_else(|panic| Err(damaged(panic)))
+}
+
 fn encoded<T: Serialize>(value: &T) -> Result<Vec<u8>, redb::StorageError> {
     postcard::to_allocvec(value).map_err(|error| redb::StorageError::Io(io::Error::other(error.to_string())))
 }
--- a/crates/daemon/tests/accord.rs
+++ b/crates/daemon/tests/accord.rs
@@ -1,14 +1,19 @@
 //! Versions among processes: agreed on under faults, kept on disks that fail, and heeded by the front's own sessions.
 #![allow(clippy::disallowed_types, clippy::disallowed_methods)]
 
+mod rig;
+
 use std::fs;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rig::{head, script, wait};
+use rustix::process::{kill_process, Pid, Signal};
 use salttally_accord::ask::{ask, AskError};
 use salttally_accord::core::disk::{Image, Vote, Write as Change};
 use salttally_accord::core::history::{Entry, History, Proposal};
@@ -18,6 +23,8 @@
 use salttally_accord::wire::Question;
 use salttally_judge::accord::judge;
 use salttally_settings::Document;
+use salttally_standin::day::Day;
+use salttally_standin::players::Line;
 use salttally_trial::describe::Trial;
 use salttally_trial::{plan, processes};
 use serde_json::Value;
@@ -41,7 +48,7 @@
 /// Fronts without a relay, each on its own address, all in one folder.
 struct Fleet {
     folder: PathBuf,
-    block: u8,
+    block: (u8, u8),
     children: Vec<Option<Child>>,
 }
 
@@ -58,14 +65,17 @@
     fn new(name: &str) -> Fleet {
         let folder = std::env::temp_dir().join(format!("salttally-accord-{name}-{}", std::process::id()));
         fs::create_dir_all(&folder).unwrap();
+        static FLEETS: AtomicU8 = AtomicU8::new(90);
+        let own = FLEETS.fetch_add(1, Ordering::Relaxed);
         let here = (std::process::id() % 60) as u8;
-        let free = |block: &u8| TcpListener::bind((Ipv4Addr::new(127, *block, 90, 1), 7301)).is_ok();
+        let free = |block: &u8| TcpListener::bind((Ipv4Addr::new(127, *block, own, 1), 7301)).is_ok();
         let block = (0..180u8).map(|step| 20 + (here * 3 + step) % 180).find(free).unwrap();
+        let block = (block, own);
         Fleet { folder, block, children: (0..3).map(|_| None).collect() }
     }
 
     fn address(&self, front: usize) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.block, 90, front as u8 + 1)
+        Ipv4Addr::new(127, self.block.0, self.block.1, front as u8 + 1)
     }
 
     fn config(&self, front: usize) -> PathBuf {
@@ -214,22 +224,96 @@
     assert!(fleet.open(1, "eve")["error"]["data"]["hold_off_ms"].is_u64());
 }
 
+/// A fleet of three of which the last serves players at stand-ins of boxes.
+fn serving(name: &str, more: &str) -> (Fleet, Day) {
+    let mut fleet = Fleet::new(name);
+    (0..2).for_each(|front| fleet.start(front, more));
+    let day = Day::start(script(&head(4, 5), "")).unwrap();
+    fleet.write(2, more);
+    let blocks = fs::read_to_string(fleet.config(2)).unwrap();
+    let blocks = &blocks[blocks.find("members {").unwrap()..];
+    let text = day.settings(0);
+    let named = text.split('"').nth(1).unwrap();
+    let text = text.replacen(&format!("{named:?}"), "\"f2\"", 1);
+    fs::write(fleet.config(2), format!("{text}\n{blocks}")).unwrap();
+    let config = fleet.config(2);
+    fleet.start_by(2, Command::new(DAEMON).arg("--config").arg(config));
+    fleet.until(2, "a lease", leased);
+    (fleet, day)
+}
+
+fn opened(line: &mut Line, viewer: &str) -> Value {
+    let params = serde_json::json!({"viewer": viewer, "title": "title-0", "class": "paid", "top_rung": 2,
+        "patience_ms": 2000});
+    let begun = Instant::now();
+    let id = line.call("session.open", &params).unwrap();
+    let mut said = line.response(id, Instant::now() + Duration::from_secs(4), &mut Vec::new()).unwrap();
+    said["took_ms"] = (begun.elapsed().as_millis() as u64).into();
+    said
+}
+
+fn plays(said: &Value) -> bool {
+    said["result"]["session"].is_string()
+}
+
+fn refused_at_once(said: &Value) -> bool {
+    said["error"]["data"]["hold_off_ms"].as_u64().is_some_and(|after| after > 0)
+        && said["took_ms"].as_u64().is_some_and(|took| took < 500)
+}
+
 #[test]
 fn a_front_whose_voters_are_lost_refuses_new_sessions_after_the_stated_time_or_goes_on_as_it_was_told() {
     for (more, refuses) in [("", true), ("without-lease \"go-on\"", false)] {
-        let mut fleet = Fleet::new(if refuses { "refuses" } else { "goes-on" });
-        (0..3).for_each(|front| fleet.start(front, more));
-        fleet.until(2, "a lease", leased);
+        let (mut fleet, day) = serving(if refuses { "refuses" } else { "goes-on" }, more);
+        let mut line = Line::connect(day.front_address(0), Duration::from_secs(3)).unwrap();
+        wait(Duration::from_secs(10), || plays(&opened(&mut line, "first")), || "no box".into());
         fleet.propose(2, None, refuse("eve")).unwrap();
         fleet.until(2, "version 1", |status| status["begun"] == 1);
         (0..2).for_each(|front| fleet.kill(front));
         let by = if refuses { "none" } else { "meet" };
         fleet.until(2, by, |status| status["acts_by"] == by);
-        // There is no box: whoever may ask is answered when the patience ends, whoever may not, at once.
-        let said = fleet.open(2, "ann");
-        assert_eq!(said["took_ms"].as_u64().unwrap() < 500, refuses, "{said}");
-        assert!(fleet.open(2, "eve")["took_ms"].as_u64().unwrap() < 500, "the last version stays in force");
+        for viewer in 0..20 {
+            let said = opened(&mut line, &format!("ann-{viewer}"));
+            assert_eq!((plays(&said), refused_at_once(&said)), (!refuses, refuses), "{said}");
+        }
+        assert!(refused_at_once(&opened(&mut line, "eve")), "the last version stays in force");
+        let held = day.boxes.fleet().boxes.values().map(|state| state.plays.len()).sum::<usize>();
+        assert!(held >= 1, "what plays plays on");
+        // The voters are back: sessions are taken again.
+        (0..2).for_each(|front| fleet.start(front, more));
+        fleet.until(2, "a lease", leased);
+        assert!(plays(&opened(&mut line, "ann")));
+    }
+}
+
+#[test]
+fn a_process_that_sleeps_through_its_lease_sets_nothing_up_when_it_wakes() {
+    let (fleet, day) = serving("sleeps", "");
+    let mut line = Line::connect(day.front_address(0), Duration::from_secs(3)).unwrap();
+    wait(Duration::from_secs(10), || plays(&opened(&mut line, "first")), || "no box".into());
+    let set_ups = |day: &Day| day.boxes.fleet().boxes.values().map(|state| state.plays.len()).sum::<usize>();
+    let before = set_ups(&day);
+    let pid = Pid::from_child(fleet.children[2].as_ref().unwrap());
+    kill_process(pid, Signal::STOP).unwrap();
+    // Asked while it sleeps, of a front that had a lease when it fell asleep; others have gone on to a version that
+    // refuses this viewer.
+    let params = |viewer: &str| {
+        serde_json::json!({"viewer": viewer, "title": "title-0", "class": "paid",
+        "top_rung": 2, "patience_ms": 20000})
+    };
+    let ids: Vec<u64> = (0..5).map(|_| line.call("session.open", &params("eve")).unwrap()).collect();
+    fleet.propose(0, None, refuse("eve")).unwrap();
+    thread::sleep(Duration::from_millis(5_500));
+    kill_process(pid, Signal::CONT).unwrap();
+    let until = Instant::now() + Duration::from_secs(4);
+    let said: Vec<Value> = (0..ids.len()).filter_map(|_| line.next(until).ok()).collect();
+    for id in ids {
+        let answer = said.iter().find(|said| said["id"] == id);
+        assert!(answer.is_some_and(|said| said["error"]["data"]["hold_off_ms"].is_u64()), "{said:?}");
     }
+    assert_eq!(set_ups(&day), before);
+    fleet.until(2, "a lease", |status| leased(status) && status["begun"] == 1);
+    assert!(plays(&opened(&mut line, "ann")) && refused_at_once(&opened(&mut line, "eve")));
 }
 
 #[test]
