--- a/crates/judge/tests/accord.rs
+++ b/crates/judge/tests/accord.rs
@@ -88,6 +88,11 @@
     assert_eq!(broken(both(act(20 * SECOND, "b", "v2", true, "lease", 1, 2))), [Property::AllOnOne]);
     assert_eq!(broken(both(act(20 * SECOND, "b", "v2", false, "none", 2, 2))), [Property::AllOnOne]);
     assert_eq!(broken(both(act(12 * SECOND, "b", "v2", true, "lease", 1, 2))), [], "there is still time");
+    assert_eq!(
+        broken(both(act(20 * SECOND, "b", "v2", true, "meet", 2, 2))),
+        [],
+        "on the version, by the meet"
+    );
 }
 
 #[test]
