--- a/crates/daemon/tests/accord.rs
+++ b/crates/daemon/tests/accord.rs
@@ -286,6 +286,42 @@
     }
 }
 
+/// Not in CI: prints what accord costs an answer. `cargo test --release -p salttally-daemon --test accord -- --ignored
+/// --nocapture`.
+#[test]
+#[ignore = "a measurement"]
+fn measure_what_accord_costs_an_answer() {
+    let measure = |day: &Day, what: &str| {
+        let mut line = Line::connect(day.front_address(0), Duration::from_secs(3)).unwrap();
+        wait(Duration::from_secs(10), || plays(&opened(&mut line, "first")), || "no box".into());
+        let mut spans: Vec<u128> = Vec::new();
+        for turn in 0..3_000 {
+            let params = serde_json::json!({"viewer": format!("v{turn}"), "title": "title-0", "class": "paid",
+                "top_rung": 2, "patience_ms": 2000});
+            let begun = Instant::now();
+            let id = line.call("session.open", &params).unwrap();
+            let said = line.response(id, begun + Duration::from_secs(4), &mut Vec::new()).unwrap();
+            spans.push(begun.elapsed().as_micros());
+            let session = said["result"]["session"].as_str().map(str::to_owned);
+            let id = line.call("session.close", &serde_json::json!({"session": session})).unwrap();
+            let _ = line.response(id, Instant::now() + Duration::from_secs(4), &mut Vec::new());
+        }
+        spans.sort_unstable();
+        println!("{what}: p50 {} us, p99 {} us, most {} us", spans[1_500], spans[2_970], spans[2_999]);
+    };
+    for round in 0..3 {
+        let (_fleet, day) = serving(&format!("cost-{round}"), "");
+        measure(&day, "with accord, 3 fronts");
+        drop((_fleet, day));
+        let day = Day::start(script(&head(4, 5), "")).unwrap();
+        let mut fleet = Fleet::new(&format!("alone-{round}"));
+        fs::write(fleet.config(2), day.settings(0)).unwrap();
+        let config = fleet.config(2);
+        fleet.start_by(2, Command::new(DAEMON).arg("--config").arg(config));
+        measure(&day, "alone");
+    }
+}
+
 #[test]
 fn a_process_that_sleeps_through_its_lease_sets_nothing_up_when_it_wakes() {
     let (fleet, day) = serving("sleeps", "");
