Strangers bounded before a key vouches for them; a speaking voter is not replaced

Read again: (1) whoever has no key could have a front keep 8 MB for each connection until it saw that nothing vouches for them; (2) two processes under one voter's name would take each other's vote in turn, an epoch every 0.4 s. Measured: six kinds of strangers hung up on while an operator is served; 29 requests of a second process change nothing while the first speaks.

--- a/crates/accord/src/ask.rs
+++ b/crates/accord/src/ask.rs
@@ -47,7 +47,7 @@
     let (mut heard, mut part) = (Vec::new(), [0; 16 * 1024]);
     loop {
         if let Some((frame, used)) =
-            wire::decode(&heard, &settings.keys).map_err(|error| AskError::Frame(to, error))?
+            wire::decode(&heard, &settings.keys, wire::LONGEST).map_err(|error| AskError::Frame(to, error))?
         {
             heard.drain(..used);
             if let Frame::Answers(1, answer) = frame {
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -357,8 +357,11 @@
             }
             Body::Marks(marks) => {
                 let Some(voter) = &mut self.voter else { return };
-                if let Some(number) = voter.voters().number(&name) {
-                    voter.marks(number, marks);
+                let seat = Seat { name, disk };
+                let number =
+                    voter.voters().seats.iter().find(|(_, old)| **old == seat).map(|(number, _)| *number);
+                if let Some(number) = number {
+                    voter.marks(self.now, number, marks);
                 }
             }
             Body::Hello(nonce) => {
--- a/crates/accord/src/core/tests.rs
+++ b/crates/accord/src/core/tests.rs
@@ -344,6 +344,45 @@
     assert_eq!(*fronts[0].0.stand().agreed, rules);
 }
 
+#[test]
+fn a_second_process_of_a_voters_name_takes_no_vote_while_the_first_still_speaks() {
+    let mut fronts = three();
+    talk(&mut fronts, 0, 2_000_000);
+    let says = |sequence| Envelope {
+        name: "b".into(),
+        to: "a".into(),
+        disk: 77,
+        start: 1,
+        sequence,
+        body: Body::Replace,
+    };
+    for sequence in 1..30 {
+        let now = 2_000_000 + sequence * 100_000;
+        for (accord, image) in &mut fronts {
+            let mut out = Vec::new();
+            let envelope = Envelope { to: accord.own.name.clone(), ..says(sequence) };
+            accord.handle(now, Input::Heard(Box::new(envelope)), &mut out);
+            post(out, image);
+        }
+        talk(&mut fronts, now, now + 100_000);
+    }
+    assert_eq!(fronts[0].0.history().voters.epoch, 1);
+    // It falls silent: now the other disk is let in.
+    fronts.remove(1);
+    for sequence in 30..60 {
+        let now = 2_000_000 + sequence * 100_000;
+        for (accord, image) in &mut fronts {
+            let mut out = Vec::new();
+            let envelope = Envelope { to: accord.own.name.clone(), ..says(sequence) };
+            accord.handle(now, Input::Heard(Box::new(envelope)), &mut out);
+            post(out, image);
+        }
+        talk(&mut fronts, now, now + 100_000);
+    }
+    let voters = &fronts[0].0.history().voters;
+    assert!(voters.epoch == 2 && voters.seats.values().any(|seat| seat.disk == 77), "{voters:?}");
+}
+
 #[test]
 fn a_front_whose_disk_failed_promises_nothing_more() {
     let mut fronts = three();
--- a/crates/accord/src/core/voter.rs
+++ b/crates/accord/src/core/voter.rs
@@ -27,6 +27,8 @@
 const RESEND: u64 = 10;
 /// Whoever is behind another voter's marks for so long has lost a message.
 const BEHIND: Micros = 600_000;
+/// A voter that was not heard for so long may have lost its disk.
+const SILENT: Micros = 1_000_000;
 /// The voters begin anew, with an empty log, when it has so many entries.
 pub const COMPACT: usize = 256;
 
@@ -73,6 +75,9 @@
     /// Latest version in its own log.
     logged: u64,
     marks: BTreeMap<u64, Marks>,
+    /// When each of the others was last heard, and when this one began to listen.
+    heard: BTreeMap<u64, Micros>,
+    since: Option<Micros>,
     /// How far it has come, and since when it has been behind others.
     behind: Option<(u64, Micros)>,
     next_tick: Micros,
@@ -118,6 +123,8 @@
             granting,
             logged: 0,
             marks: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            since: None,
             behind: None,
             next_tick: 0,
             asks: BTreeMap::new(),
@@ -172,7 +179,10 @@
     }
 
     /// Marks of another voter.
-    pub fn marks(&mut self, from: u64, marks: Marks) {
+    pub fn marks(&mut self, now: Micros, from: u64, marks: Marks) {
+        if self.voters.seats.contains_key(&from) {
+            self.heard.insert(from, now);
+        }
         if marks.epoch == self.voters.epoch && self.voters.seats.contains_key(&from) {
             self.marks.insert(from, marks);
         }
@@ -235,13 +245,14 @@
         if now < self.next_tick {
             return;
         }
+        self.since.get_or_insert(now);
         // Danger: a process that was stopped makes up for all ticks at once, and takes everybody for gone.
         self.next_tick = now + TICK;
         self.paxos.tick();
         self.catch_up(now);
         if self.leads() {
             self.begin(now, history);
-            self.replace_lost();
+            self.replace_lost(now);
             if self.paxos.get_decided_idx() >= COMPACT {
                 let same: Vec<Seat> = self.voters.seats.values().cloned().collect();
                 let next = self.voters.next(&same);
@@ -292,9 +303,15 @@
         }
     }
 
-    /// Lets a voter's new disk vote in place of the lost one, under a number that nobody had.
-    fn replace_lost(&mut self) {
+    /// Lets a voter's new disk vote in place of the lost one, under a number that nobody had. Danger: two processes run
+    /// under one name, and each in turn takes the other's vote: a disk that still speaks is not lost.
+    fn replace_lost(&mut self, now: Micros) {
         let Some((name, disk)) = self.asks.pop_first() else { return };
+        let number = self.voters.number(&name);
+        let heard = number.and_then(|number| self.heard.get(&number).copied()).or(self.since);
+        if heard.is_none_or(|heard| heard + SILENT > now) {
+            return;
+        }
         let seat =
             |old: &Seat| if old.name == name { Seat { name: Name::clone(&name), disk } } else { old.clone() };
         let wanted: Vec<Seat> = self.voters.seats.values().map(seat).collect();
--- a/crates/accord/src/edge.rs
+++ b/crates/accord/src/edge.rs
@@ -250,6 +250,8 @@
     called: Option<Name>,
     /// Whether it has come about.
     open: bool,
+    /// Since when nothing of it was vouched for; nothing once something was.
+    strange: Option<Micros>,
     read: Vec<u8>,
     write: Vec<u8>,
     /// Since when nothing was taken of what waits.
@@ -365,7 +367,11 @@
         let both = Interest::READABLE | Interest::WRITABLE;
         self.poll.registry().register(&mut stream, Token(token), both).ok()?;
         let stuck = (!open).then(now);
-        self.links.insert(token, Link { stream, called, open, read: Vec::new(), write: Vec::new(), stuck });
+        let strange = called.is_none().then(now);
+        self.links.insert(
+            token,
+            Link { stream, called, open, strange, read: Vec::new(), write: Vec::new(), stuck },
+        );
         Some(token)
     }
 
@@ -389,6 +395,7 @@
             self.links.entry(token).and_modify(|link| link.write = ahead);
         }
         self.to.insert(Name::clone(to), token);
+        self.put(token, &Frame::Opens);
         Some(token)
     }
 
@@ -403,7 +410,8 @@
     /// Connections on which nothing moves.
     fn give_up(&mut self) {
         let now = now();
-        let stuck = |link: &Link| link.stuck.is_some_and(|since| since + STUCK <= now);
+        let long = |since: Option<Micros>| since.is_some_and(|since| since + STUCK <= now);
+        let stuck = |link: &Link| long(link.stuck) || long(link.strange);
         let all: Vec<usize> =
             self.links.iter().filter(|(_, link)| stuck(link)).map(|(token, _)| *token).collect();
         all.into_iter().for_each(|token| self.hang(token));
@@ -471,8 +479,10 @@
         }
         loop {
             let Some(link) = self.links.get_mut(&token) else { return };
-            match wire::decode(&link.read, &self.settings.keys) {
+            let longest = if link.strange.is_some() { wire::LONGEST_FIRST } else { wire::LONGEST };
+            match wire::decode(&link.read, &self.settings.keys, longest) {
                 Ok(Some((frame, used))) => {
+                    link.strange = None;
                     link.read.drain(..used);
                     self.frame(token, frame);
                 }
@@ -498,7 +508,7 @@
                 self.hand(Input::Heard(envelope));
             }
             Frame::Asks(count, question) => self.asked(token, count, question),
-            Frame::Answers(..) => {}
+            Frame::Opens | Frame::Answers(..) => {}
         }
     }
 
--- a/crates/accord/src/wire.rs
+++ b/crates/accord/src/wire.rs
@@ -11,6 +11,9 @@
 
 /// Longest frame, bytes.
 pub const LONGEST: usize = 8 * 1024 * 1024;
+/// Longest first frame of a connection, bytes: an operator's proposal fits. Danger: whoever has no key makes this front
+/// keep megabytes for each connection until it sees that nothing vouches for them.
+pub const LONGEST_FIRST: usize = 128 * 1024;
 /// Version of the encoding.
 pub const VERSION: u8 = 1;
 /// Bytes ahead of the content.
@@ -37,6 +40,8 @@
 /// One frame.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Frame {
+    /// The first of a connection between fronts: nothing, under a key.
+    Opens,
     /// Between fronts.
     Peer(Box<Envelope>),
     /// From an operator, in the operator's count.
@@ -79,14 +84,14 @@
     Ok(bytes)
 }
 
-/// The first frame of what has come, and how many bytes it took; nothing while it is not whole.
+/// The first frame of what has come, of at most `longest` bytes, and how many bytes it took; nothing while it is not whole.
 ///
 /// # Errors
 /// What has come can be no frame of a front: the connection is of no use.
-pub fn decode(bytes: &[u8], ring: &KeyRing) -> Result<Option<(Frame, usize)>, BadFrame> {
+pub fn decode(bytes: &[u8], ring: &KeyRing, longest: usize) -> Result<Option<(Frame, usize)>, BadFrame> {
     let Some((length, rest)) = bytes.split_first_chunk::<4>() else { return Ok(None) };
     let length = u32::from_be_bytes(*length) as usize;
-    if !(1 + TAG..=LONGEST).contains(&length) {
+    if !(1 + TAG..=longest).contains(&length) {
         return Err(BadFrame::Length(length));
     }
     if rest.first().is_some_and(|version| *version != VERSION) {
--- a/crates/daemon/tests/accord.rs
+++ b/crates/daemon/tests/accord.rs
@@ -381,6 +381,35 @@
     assert_eq!(fleet.status(0)["votes"], false);
 }
 
+#[test]
+fn strangers_are_hung_up_on_and_cost_nobody_anything() {
+    let mut fleet = Fleet::new("strangers");
+    fleet.start(0, "");
+    let at = SocketAddrV4::new(fleet.address(0), 7301);
+    let mut strangers: Vec<std::net::TcpStream> = Vec::new();
+    for said in [
+        &b""[..],
+        &b"GET / HTTP/1.1\r\n\r\n"[..],
+        &[0, 127, 255, 255, 1, 2, 3][..],
+        &[0, 0, 0, 20, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0][..],
+        &[0, 0, 0, 20, 9, 0][..],
+        &[0, 0, 0, 20, 1, 0][..],
+    ] {
+        let mut stream = std::net::TcpStream::connect(at).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
+        stream.write_all(said).unwrap();
+        strangers.push(stream);
+    }
+    assert_eq!(fleet.status(0)["front"], "f0", "an operator is served meanwhile");
+    for (number, stream) in strangers.iter_mut().enumerate() {
+        let ended = std::io::Read::read(stream, &mut [0; 8]);
+        assert!(
+            matches!(&ended, Ok(0)) || ended.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset),
+            "{number}"
+        );
+    }
+}
+
 fn folder(name: &str) -> PathBuf {
     let folder = std::env::temp_dir().join(format!("salttally-store-{name}-{}", std::process::id()));
     let _ = fs::remove_dir_all(&folder);
