Read again: one clock for both virtual worlds, one lookup of a seat, one reader

Cause: reading the whole change once more found the same thing written twice or more: the skewed clocks of virt.rs and versions.rs, a voter's number by name and disk (three times), the undecided part of the log, all acts in order of time in the judge, the reading of members and accord from one file (four times); and a mark of who leads that nobody read. Change: skew.rs, Voters::number_of, Voter::undecided, World::acts, Settings::load; the mark is gone. Behaviour stays.

--- a/crates/accord/src/core/history.rs
+++ b/crates/accord/src/core/history.rs
@@ -72,13 +72,17 @@
         self.seats.iter().find(|(_, seat)| &*seat.name == name).map(|(number, _)| *number)
     }
 
+    /// Number of a voter by its name and its disk.
+    pub fn number_of(&self, seat: &Seat) -> Option<u64> {
+        self.seats.iter().find(|(_, old)| *old == seat).map(|(number, _)| *number)
+    }
+
     /// The next voters, where these seats are to vote: whoever stays keeps its number, whoever is new, by name or by
     /// disk, gets one that nobody had.
     pub fn next(&self, wanted: &[Seat]) -> Voters {
         let mut fresh = self.seats.keys().max().copied().unwrap_or(0);
-        let number = |seat: &Seat| self.seats.iter().find(|(_, old)| *old == seat).map(|(number, _)| *number);
         let seats = wanted.iter().map(|seat| {
-            let number = number(seat).unwrap_or_else(|| {
+            let number = self.number_of(seat).unwrap_or_else(|| {
                 fresh += 1;
                 fresh
             });
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -357,10 +357,7 @@
             }
             Body::Marks(marks) => {
                 let Some(voter) = &mut self.voter else { return };
-                let seat = Seat { name, disk };
-                let number =
-                    voter.voters().seats.iter().find(|(_, old)| **old == seat).map(|(number, _)| *number);
-                if let Some(number) = number {
+                if let Some(number) = voter.voters().number_of(&Seat { name, disk }) {
                     voter.marks(self.now, number, marks);
                 }
             }
@@ -488,7 +485,7 @@
             return;
         }
         let own = Seat { name: Name::clone(&self.own.name), disk: self.disk };
-        let number = voters.seats.iter().find(|(_, seat)| **seat == own).map(|(number, _)| *number);
+        let number = voters.number_of(&own);
         // The same voters go on, each with what it has granted; among others, it may be the only one that knows.
         let same = |voter: &Voter| voter.voters().seats == self.history.voters.seats;
         let kept = self.voter.take_if(|voter| same(voter)).map(Voter::into_granting);
--- a/crates/accord/src/core/voter.rs
+++ b/crates/accord/src/core/voter.rs
@@ -43,8 +43,6 @@
     pub decided: u64,
     /// No front acts on less than this version by a lease of this voter.
     pub clear: u64,
-    /// It leads.
-    pub leads: bool,
 }
 
 /// What a front has, as it says when it asks for a lease.
@@ -180,10 +178,11 @@
 
     /// Marks of another voter.
     pub fn marks(&mut self, now: Micros, from: u64, marks: Marks) {
-        if self.voters.seats.contains_key(&from) {
-            self.heard.insert(from, now);
+        if !self.voters.seats.contains_key(&from) {
+            return;
         }
-        if marks.epoch == self.voters.epoch && self.voters.seats.contains_key(&from) {
+        self.heard.insert(from, now);
+        if marks.epoch == self.voters.epoch {
             self.marks.insert(from, marks);
         }
     }
@@ -199,8 +198,7 @@
 
     /// Other voters are wanted.
     pub fn change(&mut self, next: &Voters) -> bool {
-        let open = self.paxos.read_entries(self.paxos.get_decided_idx()..).unwrap_or_default();
-        let changing = open.iter().any(|entry| matches!(entry, LogEntry::Undecided(Entry::Voters(_))));
+        let changing = self.undecided().any(|entry| matches!(entry, Entry::Voters(_)));
         !changing && self.paxos.append(Entry::Voters(next.clone())).is_ok()
     }
 
@@ -232,12 +230,20 @@
 
     /// Proposals in the log that are not decided yet, for all that is known here.
     pub fn proposed(&self) -> Vec<Proposal> {
-        let open = self.paxos.read_entries(self.paxos.get_decided_idx()..).unwrap_or_default();
         let proposal = |entry| match entry {
-            LogEntry::Undecided(Entry::Propose(proposal)) => Some(proposal),
+            Entry::Propose(proposal) => Some(proposal),
+            _ => None,
+        };
+        self.undecided().filter_map(proposal).collect()
+    }
+
+    fn undecided(&self) -> impl Iterator<Item = Entry> {
+        let open = self.paxos.read_entries(self.paxos.get_decided_idx()..).unwrap_or_default();
+        let entry = |entry| match entry {
+            LogEntry::Undecided(entry) => Some(entry),
             _ => None,
         };
-        open.into_iter().filter_map(proposal).collect()
+        open.into_iter().filter_map(entry)
     }
 
     /// Time has passed: elections, what was lost on the way, and what the leader has to begin.
@@ -326,7 +332,6 @@
             accepted: self.paxos.get_accepted_idx() as u64,
             decided: self.paxos.get_decided_idx() as u64,
             clear: self.granting.clear(now, self.logged),
-            leads: self.leads(),
         }
     }
 
--- a/crates/accord/src/settings.rs
+++ b/crates/accord/src/settings.rs
@@ -1,7 +1,7 @@
 //! The block `accord { }` of a front's settings, checked before anything starts.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use salttally_members::settings::Settings as Members;
 use salttally_members::wire::KeyRing;
@@ -43,6 +43,16 @@
 }
 
 impl Settings {
+    /// The block of a file, if it has one.
+    ///
+    /// # Errors
+    /// What cannot hold, with file, line and reason.
+    pub fn load(path: &Path) -> Read<Option<Settings>> {
+        let document = Document::load(path)?;
+        let members = Members::read(&document)?;
+        Settings::read(&document, members.as_ref())
+    }
+
     /// The block, if the document has one; membership must be on.
     ///
     /// # Errors
--- a/crates/cli/src/rules.rs
+++ b/crates/cli/src/rules.rs
@@ -170,10 +170,7 @@
 }
 
 fn settings(config: &Path) -> Result<Settings, Box<dyn Error>> {
-    let document = Document::load(config)?;
-    let members = salttally_members::settings::Settings::read(&document)?;
-    let settings = Settings::read(&document, members.as_ref())?;
-    settings.ok_or_else(|| {
+    Settings::load(config)?.ok_or_else(|| {
         format!("{} has no `accord`: that front acts on its own file", config.display()).into()
     })
 }
--- a/crates/daemon/tests/accord.rs
+++ b/crates/daemon/tests/accord.rs
@@ -136,9 +136,7 @@
     }
 
     fn settings(&self, front: usize) -> Settings {
-        let document = Document::load(&self.config(front)).unwrap();
-        let members = salttally_members::settings::Settings::read(&document).unwrap();
-        Settings::read(&document, members.as_ref()).unwrap().unwrap()
+        Settings::load(&self.config(front)).unwrap().unwrap()
     }
 
     fn status(&self, front: usize) -> Value {
--- a/crates/judge/src/accord.rs
+++ b/crates/judge/src/accord.rs
@@ -201,6 +201,14 @@
         self.versions.get(&version).is_some_and(|(refuses, _)| refuses.contains(viewer))
     }
 
+    /// What all fronts did, in the order of time.
+    fn acts(&self) -> Vec<(&Act, &String)> {
+        let all = self.lives.iter().flat_map(|(front, life)| life.acts.iter().map(move |act| (act, front)));
+        let mut acts: Vec<(&Act, &String)> = all.collect();
+        acts.sort_by_key(|(act, _)| act.at);
+        acts
+    }
+
     fn one_order(&mut self) {
         let mut at: BTreeMap<u64, (String, String)> = BTreeMap::new();
         let mut broken = Vec::new();
@@ -221,16 +229,10 @@
     /// Two ways to contradict: somebody still allows what a later version refuses, and somebody still refuses, by a lease
     /// and for an old version alone, what others allow already.
     fn contradictions(&mut self) {
-        let mut acts: Vec<(&Act, &String)> = self
-            .lives
-            .iter()
-            .flat_map(|(front, life)| life.acts.iter().map(move |act| (act, front)))
-            .collect();
-        acts.sort_by_key(|(act, _)| act.at);
         let (mut longest, mut count, mut broken) = (0, 0, Vec::new());
         // Of each viewer: since when acts on a version that had begun allowed it.
         let mut allowed: BTreeMap<&str, BTreeMap<u64, u64>> = BTreeMap::new();
-        for (act, front) in acts {
+        for (act, front) in self.acts() {
             let since = if act.allowed {
                 let begun = allowed.entry(&act.viewer).or_default();
                 begun.entry(act.begun).or_insert(act.at);
@@ -313,14 +315,8 @@
     }
 
     fn begins_after_leases(&mut self) {
-        let mut acts: Vec<(&Act, &String)> = self
-            .lives
-            .iter()
-            .flat_map(|(front, life)| life.acts.iter().map(move |act| (act, front)))
-            .collect();
-        acts.sort_by_key(|(act, _)| act.at);
         let (mut begun, mut broken, mut count) = ((0, 0, ""), Vec::new(), 0);
-        for (act, front) in acts {
+        for (act, front) in self.acts() {
             if act.by == 0 && act.latest < begun.0 && act.at > begun.1 {
                 broken.push(format!(
                     "{}: {front} acts by a lease on {} and no more, {} began at {} for {}",
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod processes;
 pub mod queue;
 pub mod relay;
+pub mod skew;
 pub mod versions;
 pub mod virt;
 
--- a/crates/trial/src/processes.rs
+++ b/crates/trial/src/processes.rs
@@ -18,7 +18,6 @@
 use salttally_accord::ask::ask;
 use salttally_accord::core::rules::Rules;
 use salttally_accord::wire::Question;
-use salttally_settings::Document;
 use serde_json::{json, Value};
 
 use crate::describe::{Trial, Versions};
@@ -273,10 +272,7 @@
 }
 
 fn propose(config: &Path, front: usize, rules: Rules, clock: Clock, lines: &Mutex<Vec<Value>>) {
-    let settings = Document::load(config).ok().and_then(|document| {
-        let members = salttally_members::settings::Settings::read(&document).ok()?;
-        salttally_accord::settings::Settings::read(&document, members.as_ref()).ok()?
-    });
+    let settings = salttally_accord::settings::Settings::load(config).ok().flatten();
     let Some(settings) = settings else { return };
     let at = clock.now();
     let answer = ask(&settings, Question::Propose(None, "trial".into(), Box::new(rules)));
--- a/crates/trial/src/versions.rs
+++ b/crates/trial/src/versions.rs
@@ -16,6 +16,7 @@
 use crate::net::Net;
 use crate::plan::{self, Act, Plan};
 use crate::queue::Queue;
+use crate::skew::Skew;
 use crate::virt::Outcome;
 use crate::Micros;
 
@@ -69,19 +70,7 @@
     starts: u64,
     stopped: bool,
     waiting: VecDeque<Box<Envelope>>,
-    offset: Micros,
-    rate: i64,
-}
-
-impl Front {
-    fn local(&self, at: Micros) -> Micros {
-        (at + self.offset).saturating_add_signed(at as i64 * self.rate / 1_000_000)
-    }
-
-    fn global(&self, local: Micros) -> Micros {
-        let since = local.saturating_sub(self.offset);
-        since.saturating_add_signed(-(since as i64 * self.rate / 1_000_000)) + 1
-    }
+    skew: Skew,
 }
 
 /// One crash and one loss, each at a message that [carries](salttally_accord::core::Body::carries) something, counted
@@ -159,8 +148,7 @@
         starts: 0,
         stopped: false,
         waiting: VecDeque::new(),
-        offset: 3_600_000_000 + u64::from(rng.next_u32()),
-        rate: i64::from(rng.next_u32() % 401) - 200,
+        skew: Skew::drawn(&mut rng, 0),
     });
     let fronts: Vec<Front> = fronts.collect();
     let mut queue = Queue::new(trial, plan, Event::Act);
@@ -232,7 +220,7 @@
                 let there = &self.fronts[front];
                 if let Some(stand) = there.stand.as_ref().filter(|_| !there.stopped) {
                     let line =
-                        lines::act(self.now, &plan::name(front), stand, there.local(self.now), &viewer);
+                        lines::act(self.now, &plan::name(front), stand, there.skew.local(self.now), &viewer);
                     self.out.lines.push(line);
                 }
             }
@@ -299,7 +287,7 @@
             times: self.versions.times,
         };
         let mut out = Vec::new();
-        let local = there.local(self.now);
+        let local = there.skew.local(self.now);
         let mut accord = Accord::new(own, there.disk.flushed.clone(), local, &mut out);
         there.stand = Some(accord.stand().clone());
         let others = (0..self.trial.fronts).filter(|other| *other != front);
@@ -312,13 +300,13 @@
 
     fn hand(&mut self, front: usize, input: Input, tick: bool) {
         let there = &mut self.fronts[front];
-        let local = there.local(self.now);
+        let local = there.skew.local(self.now);
         let Some(accord) = &mut there.accord else { return };
         let mut out = Vec::new();
         accord.handle(local, input, &mut out);
         if tick {
             let due = accord.next_due();
-            let (start, at) = (there.starts, there.global(due).max(self.now + 1));
+            let (start, at) = (there.starts, there.skew.global(due).max(self.now + 1));
             self.queue.push(at, Event::Tick(front, start));
         }
         self.carry_out(front, out);
--- a/crates/trial/src/virt.rs
+++ b/crates/trial/src/virt.rs
@@ -15,6 +15,7 @@
 use crate::net::Net;
 use crate::plan::{self, Act, Plan};
 use crate::queue::Queue;
+use crate::skew::Skew;
 use crate::Micros;
 
 /// Datagrams that wait for a stopped process at most; the rest is lost, as in a socket's buffer.
@@ -50,23 +51,7 @@
     starts: u64,
     stopped: bool,
     waiting: VecDeque<(SocketAddr, Box<Envelope>)>,
-    /// Its clock: an offset, and parts in a million by which it is fast or slow.
-    offset: Micros,
-    rate: i64,
-}
-
-impl Front {
-    /// The time on its own clock.
-    fn local(&self, at: Micros) -> Micros {
-        let drift = at as i64 * self.rate / 1_000_000;
-        (at + self.offset).saturating_add_signed(drift)
-    }
-
-    /// The time at which its own clock shows this.
-    fn global(&self, local: Micros) -> Micros {
-        let since = local.saturating_sub(self.offset);
-        since.saturating_add_signed(-(since as i64 * self.rate / 1_000_000)) + 1
-    }
+    skew: Skew,
 }
 
 struct World<'a> {
@@ -103,9 +88,7 @@
             starts: 0,
             stopped: false,
             waiting: VecDeque::new(),
-            // Clocks have nothing to do with each other; steps of the machine's clock are no business of these.
-            offset: 3_600_000_000_u64.saturating_add_signed(clocks[front]) + u64::from(rng.next_u32()),
-            rate: i64::from(rng.next_u32() % 401) - 200,
+            skew: Skew::drawn(&mut rng, clocks[front]),
         })
         .collect();
     let mut world = World {
@@ -175,7 +158,7 @@
                     observers: self.trial.observers,
                     times: self.times,
                 };
-                there.members = Some(Members::new(own, there.local(self.now)));
+                there.members = Some(Members::new(own, there.skew.local(self.now)));
                 self.out.lines.extend(told);
                 self.out.lines.push(json!({"at": self.now, "front": plan::name(front), "starts": boot}));
                 self.hand(front, Input::Tick, true);
@@ -215,13 +198,13 @@
 
     fn hand(&mut self, front: usize, input: Input, tick: bool) {
         let there = &mut self.fronts[front];
-        let local = there.local(self.now);
+        let local = there.skew.local(self.now);
         let Some(members) = &mut there.members else { return };
         let mut out = Vec::new();
         members.handle(local, input, &mut out);
         let due = members.next_due();
         if tick {
-            let (start, at) = (there.starts, there.global(due).max(self.now + 1));
+            let (start, at) = (there.starts, there.skew.global(due).max(self.now + 1));
             self.queue.push(at, Event::Tick(front, start));
         }
         for output in out {
