A test of strangers waits until the front listens for other fronts

Observed: connection refused once in three runs of the test. Cause: the daemon prints that it listens for players before it starts accord, and the test called at once. Change: the test waits for an operator's answer first; its assertions stay.

--- a/crates/daemon/tests/accord.rs
+++ b/crates/daemon/tests/accord.rs
@@ -383,6 +383,8 @@
 fn strangers_are_hung_up_on_and_cost_nobody_anything() {
     let mut fleet = Fleet::new("strangers");
     fleet.start(0, "");
+    // Players are listened for before other fronts are.
+    fleet.until(0, "an answer", |status| status["front"] == "f0");
     let at = SocketAddrV4::new(fleet.address(0), 7301);
     let mut strangers: Vec<std::net::TcpStream> = Vec::new();
     for said in [
