--- /dev/null
+++ b/crates/accord/src/core/heirs.rs
@@ -0,0 +1,127 @@
+//! Who goes on with what a front promised that is no more there: one heir for each life, by epochs that only grow.
+//!
+//! A life is one start of a front. Taking one over is a version of its own, with the rules of the version before: it begins
+//! as any version does, when no front acts by a lease without it. So the front that lived that life, only stopped or cut
+//! off, has heard of its heir before the heir's first act, or acts no more for want of a lease.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::Name;
+
+/// One start of a front: what the ids of its sessions begin with.
+pub type Life = Arc<str>;
+
+/// Lives known at most that have heirs, and lives remembered to be over. Danger: without a bound the history grows with
+/// every restart.
+pub const MOST: usize = 4_096;
+
+/// Whoever goes on with a life.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct Heir {
+    /// Counts the heirs of this life, from 1; 0 is the front itself.
+    pub epoch: u64,
+    /// Name of the heir.
+    pub name: Name,
+    /// Its own life.
+    pub life: Life,
+    /// Where players reach it.
+    pub serves: Option<SocketAddr>,
+    /// The version that made it the heir: it acts once that has begun.
+    pub version: u64,
+    /// All that was promised lies with the heir's own promises now.
+    pub settled: bool,
+}
+
+/// A change of heirs.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub enum Succession {
+    /// A front takes a life over, as the heir after all before; its version is filled in here.
+    Takes(Life, Heir),
+    /// The heir of this epoch has it all.
+    Settled(Life, u64),
+    /// Nothing is left of it, with the heir of this epoch.
+    Over(Life, u64),
+}
+
+/// Heirs by the lives they go on with.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+pub struct Heirs {
+    /// Lives that have one.
+    pub of: BTreeMap<Life, Heir>,
+    /// Lives of which nothing is left, by the version that said so. Danger: a front that comes back with an old disk
+    /// finds promises on it that were kept long ago.
+    pub over: BTreeMap<Life, u64>,
+}
+
+impl Heirs {
+    /// Whether this would change anything.
+    pub fn would(&self, change: &Succession) -> bool {
+        match change {
+            Succession::Takes(life, heir) => {
+                let before = self.of.get(life).map_or(0, |heir| heir.epoch);
+                let room = self.of.contains_key(life) || self.of.len() < MOST;
+                heir.epoch == before + 1 && *life != heir.life && room && !self.over.contains_key(life)
+            }
+            Succession::Settled(life, epoch) => {
+                self.of.get(life).is_some_and(|heir| heir.epoch == *epoch && !heir.settled)
+            }
+            Succession::Over(life, epoch) => self.of.get(life).is_some_and(|heir| heir.epoch == *epoch),
+        }
+    }
+
+    /// Takes a change in that is part of this version; returns whether anything changed. Of two fronts that take one life
+    /// over at once, the second finds that its epoch is taken.
+    pub fn take(&mut self, change: &Succession, version: u64) -> bool {
+        if !self.would(change) {
+            return false;
+        }
+        match change {
+            Succession::Takes(life, heir) => {
+                self.of.insert(Life::clone(life), Heir { version, settled: false, ..heir.clone() });
+            }
+            Succession::Settled(life, _) => {
+                if let Some(heir) = self.of.get_mut(life) {
+                    heir.settled = true;
+                }
+            }
+            Succession::Over(life, _) => {
+                self.of.remove(life);
+                self.over.insert(Life::clone(life), version);
+                if self.over.len() > MOST {
+                    let oldest = self.over.iter().min_by_key(|(_, version)| **version);
+                    let oldest = oldest.map(|(life, _)| Life::clone(life));
+                    oldest.and_then(|life| self.over.remove(&life));
+                }
+            }
+        }
+        true
+    }
+
+    /// Who has what a life promised, through heirs that have heirs themselves; nothing while the life is its own.
+    pub fn last(&self, life: &str) -> Option<&Heir> {
+        let mut found = self.of.get(life)?;
+        // A chain is no longer than the heirs are many, whatever it says.
+        for _ in 0..self.of.len() {
+            match self.of.get(&found.life) {
+                Some(next) => found = next,
+                None => break,
+            }
+        }
+        Some(found)
+    }
+
+    /// Whether this life is over for the front that lived it.
+    pub fn retired(&self, life: &str) -> bool {
+        self.of.contains_key(life) || self.over.contains_key(life)
+    }
+
+    /// The epoch by which a front in this life may act for another once `begun` has begun; nothing if it may not.
+    pub fn epoch(&self, life: &str, own: &str, begun: u64) -> Option<u64> {
+        let heir = self.of.get(life)?;
+        (&*heir.life == own && heir.version <= begun).then_some(heir.epoch)
+    }
+}
--- a/crates/accord/src/core/history.rs
+++ b/crates/accord/src/core/history.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::heirs::{Heirs, Succession};
 use super::rules::Rules;
 use super::Name;
 
@@ -38,6 +39,8 @@
     Propose(Proposal),
     /// Nobody can act any more on what came before this version.
     Begin(u64),
+    /// Heirs of fronts that are no more there: a version of its own, if any of it still holds.
+    Succeed(Vec<Succession>),
     /// Others vote from here on, or the same ones on a new log. Danger: the crate (0.2.4) has a sign of its own for this,
     /// and counts it twice after a loss; found by the hunt.
     Voters(Voters),
@@ -101,6 +104,8 @@
     pub at: u64,
     /// What it says.
     pub rules: Arc<Rules>,
+    /// It only names heirs; its rules are those of the version before.
+    pub only_heirs: bool,
 }
 
 /// What became of a proposal.
@@ -136,6 +141,8 @@
     pub voters: Voters,
     /// Steps taken when they began to.
     pub voters_at: u64,
+    /// Who goes on with whose promises.
+    pub heirs: Arc<Heirs>,
     /// Digests after the steps that made the kept versions: two histories that share a place and differ there have
     /// parted.
     pub trail: BTreeMap<u64, Digest>,
@@ -151,6 +158,7 @@
                     self.begun = self.begun.max(*version);
                 }
             }
+            Entry::Succeed(changes) => self.succeed(changes),
             Entry::Voters(voters) => {
                 if voters.epoch == self.voters.epoch + 1 {
                     self.voters = voters.clone();
@@ -175,20 +183,41 @@
         }
     }
 
+    fn succeed(&mut self, changes: &[Succession]) {
+        // What does not fit now comes again from whoever wants it.
+        let crowded = self.latest - self.begun >= PENDING;
+        if crowded || !changes.iter().any(|change| self.heirs.would(change)) {
+            return;
+        }
+        let rules = self.rules(self.latest).unwrap_or_default();
+        self.latest += 1;
+        let heirs = Arc::make_mut(&mut self.heirs);
+        for change in changes {
+            heirs.take(change, self.latest);
+        }
+        self.versions.insert(self.latest, Version { by: "succession".into(), at: 0, rules, only_heirs: true });
+    }
+
+    /// Whether a proposal made from this version is made from what holds: a version that only names heirs changes no rule.
+    fn fits(&self, base: u64) -> bool {
+        let kept = base <= self.latest && (base + 1..=self.latest).all(|at| self.versions.contains_key(&at));
+        kept && self.versions.range(base + 1..).all(|(_, version)| version.only_heirs)
+    }
+
     fn propose(&mut self, proposal: &Proposal) {
         // Danger: a proposal sent again because its answer was lost becomes two versions, or is told that it lost
         // against itself.
         if self.outcome(proposal.id).is_some() {
             return;
         }
-        let became = if proposal.base != self.latest {
+        let became = if !self.fits(proposal.base) {
             Became::Late(self.latest)
         } else if self.latest - self.begun >= PENDING {
             Became::Crowded
         } else {
             self.latest += 1;
             let Proposal { by, at, rules, .. } = proposal.clone();
-            self.versions.insert(self.latest, Version { by, at, rules });
+            self.versions.insert(self.latest, Version { by, at, rules, only_heirs: false });
             Became::Version(self.latest)
         };
         self.outcomes.push_back((proposal.id, became));
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -6,10 +6,12 @@
 //! before anything after it is carried out.
 //!
 //! - [`rules`]: what versions say and mean to each other. [`history`]: the steps that made them.
+//! - [`heirs`]: who goes on with the promises of a front that is no more there.
 //! - [`lease`]: how long a front may act on them, and the stated time. [`stand`]: what it acts on.
 //! - [`voter`]: agreement. [`disk`]: what is kept. [`mod@self`]: a front's part in all of it.
 
 pub mod disk;
+pub mod heirs;
 pub mod history;
 pub mod lease;
 pub mod rules;
@@ -23,6 +25,7 @@
 use serde::{Deserialize, Serialize};
 
 use disk::{Image, Journal, Vote, Write};
+use heirs::Succession;
 use history::{Became, Digest, Entry, History, Proposal, Seat, Steps, Voters};
 use lease::{Granting, Held, Times};
 use rules::Rules;
@@ -83,6 +86,8 @@
     Whole(Box<History>),
     /// To a voter: somebody proposes this.
     Propose(Proposal),
+    /// To a voter: heirs are to change so.
+    Succeed(Vec<Succession>),
     /// To a voter: this disk is to vote in place of one of the same name.
     Replace,
 }
@@ -92,7 +97,9 @@
     pub fn carries(&self) -> bool {
         match self {
             Body::Consensus(_, message) => matches!(message.as_ref(), Message::SequencePaxos(_)),
-            Body::Grant(..) | Body::Steps(..) | Body::Whole(_) | Body::Propose(_) => true,
+            Body::Grant(..) | Body::Steps(..) | Body::Whole(_) | Body::Propose(_) | Body::Succeed(_) => {
+                true
+            }
             Body::Marks(_)
             | Body::Hello(_)
             | Body::Here(..)
@@ -131,6 +138,8 @@
     View(BTreeSet<Name>),
     /// An operator proposes, from this version or from the latest here: who, when (us since 1970), what.
     Propose(u64, Option<u64>, String, u64, Rules),
+    /// Heirs are to change so; said again by whoever wants it until it is seen.
+    Succeed(Vec<Succession>),
     /// An operator wants these voters.
     Voters(u64, Vec<Name>),
     /// Nothing can be written any more.
@@ -235,6 +244,7 @@
             alone: if own.times.refuse { 0 } else { Micros::MAX },
             agreed: Arc::default(),
             meet: Arc::default(),
+            heirs: Arc::default(),
         };
         let vote = image.vote.filter(|vote| vote.voters.epoch >= history.voters.epoch);
         let voter = vote.and_then(|vote| Voter::start(vote, journal.clone(), Granting::new(now, &own.times)));
@@ -313,6 +323,7 @@
             Input::Propose(ticket, base, by, at, rules) => {
                 self.propose(ticket, base, by, at, rules, &mut then)
             }
+            Input::Succeed(changes) => self.succeed(changes, &mut then),
             Input::Voters(ticket, names) => self.change_voters(ticket, &names, &mut then),
             Input::DiskFailed => {
                 self.sick = true;
@@ -387,6 +398,7 @@
                     voter.propose(proposal);
                 }
             }
+            Body::Succeed(changes) => self.succeed_here(changes),
             Body::Replace => {
                 if let Some(voter) = &mut self.voter {
                     voter.replace(Seat { name, disk });
@@ -740,6 +752,29 @@
         out.append(&mut told);
     }
 
+    // ---- Heirs ----
+
+    fn succeed(&mut self, mut changes: Vec<Succession>, out: &mut Vec<Output>) {
+        changes.retain(|change| self.history.heirs.would(change));
+        let voters = self.voters();
+        if changes.is_empty() || self.voter.is_none() && voters.is_empty() {
+            return;
+        }
+        if self.voter.is_some() {
+            return self.succeed_here(changes);
+        }
+        self.turn += 1;
+        let to = Name::clone(&voters[self.turn % voters.len()]);
+        self.send(&to, Body::Succeed(changes), out);
+    }
+
+    fn succeed_here(&mut self, mut changes: Vec<Succession>) {
+        changes.retain(|change| self.history.heirs.would(change));
+        if let Some(voter) = self.voter.as_mut().filter(|_| !changes.is_empty()) {
+            voter.succeed(changes);
+        }
+    }
+
     // ---- What follows ----
 
     fn send(&mut self, to: &Name, body: Body, out: &mut Vec<Output>) {
@@ -798,6 +833,7 @@
             let agreed = self.history.meet();
             stand.meet = Arc::new(heard.iter().fold(agreed.clone(), |meet, rules| meet.meet(rules)));
             stand.agreed = Arc::new(agreed);
+            stand.heirs = Arc::clone(&self.history.heirs);
         }
         if stand != self.stand {
             self.stand = stand.clone();
--- a/crates/accord/src/core/stand.rs
+++ b/crates/accord/src/core/stand.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::heirs::Heirs;
 use super::rules::{Asked, Refusal, Rules};
 use super::Micros;
 
@@ -29,6 +30,8 @@
     pub agreed: Arc<Rules>,
     /// The same with what is proposed and, for all that is known here, not agreed on.
     pub meet: Arc<Rules>,
+    /// Who goes on with whose promises, as far as it is agreed on; each heir acts once its version has begun.
+    pub heirs: Arc<Heirs>,
 }
 
 impl Stand {
@@ -44,6 +47,18 @@
         }
     }
 
+    /// Whether it may act now for what was promised in `life`, itself living `own`, and by which epoch. Never without a
+    /// lease: who has none cannot know that nobody has taken over.
+    pub fn epoch(&self, now: Micros, own: &str, life: &str) -> Option<u64> {
+        if now >= self.until {
+            return None;
+        }
+        match own == life {
+            true => (!self.heirs.retired(life)).then_some(0),
+            false => self.heirs.epoch(life, own, self.begun),
+        }
+    }
+
     /// Whether a new session may begin now.
     ///
     /// # Errors
--- a/crates/accord/src/core/tests.rs
+++ b/crates/accord/src/core/tests.rs
@@ -7,6 +7,7 @@
 use proptest::prelude::*;
 
 use super::disk::{Image, Vote, Write};
+use super::heirs::{Heir, Succession};
 use super::history::{Became, Entry, History, Proposal, Seat, Steps, Voters, KEPT, PENDING};
 use super::lease::{Granting, Held, Times};
 use super::rules::{Asked, Limit, Order, Rules, Terms, Who};
@@ -253,7 +254,7 @@
 fn a_stand_outlives_its_lease_by_the_meet_and_that_by_nothing() {
     let (agreed, meet) =
         (Arc::new(Rules::default()), Arc::new(Rules { ladder: Some(0), ..Rules::default() }));
-    let stand = Stand { begun: 1, latest: 2, until: 100, alone: 150, agreed, meet };
+    let stand = Stand { begun: 1, latest: 2, until: 100, alone: 150, agreed, meet, heirs: Arc::default() };
     assert_eq!(stand.acts(99).map(|(by, rules)| (by, rules.ladder)), Ok((By::Lease, None)));
     assert_eq!(stand.acts(100).map(|(by, rules)| (by, rules.ladder)), Ok((By::Meet, Some(0))));
     assert!(stand.acts(150).is_err());
@@ -448,3 +449,50 @@
     image.write(&Write::Log(1, vec![propose(4, 0)]));
     assert_eq!(image.vote.unwrap().log, [propose(1, 0), propose(4, 0)]);
 }
+
+fn takes(life: &str, epoch: u64, by: &str) -> Succession {
+    let heir = Heir { epoch, name: by.into(), life: format!("{by}-1").into(), serves: None, version: 0, settled: false };
+    Succession::Takes(life.into(), heir)
+}
+
+#[test]
+fn of_two_heirs_at_once_one_takes_the_life_over_and_acts_only_once_the_version_has_begun() {
+    let mut history = History::default();
+    history.take(&propose(1, 0));
+    history.take(&Entry::Begin(1));
+    history.take(&Entry::Succeed(vec![takes("a-1", 1, "b")]));
+    history.take(&Entry::Succeed(vec![takes("a-1", 1, "c")]));
+    assert_eq!((history.latest, history.heirs.of["a-1"].name.as_ref()), (2, "b"), "one version, the first one's");
+    let epoch = |history: &History, own| history.heirs.epoch("a-1", own, history.begun);
+    assert_eq!((epoch(&history, "b-1"), epoch(&history, "c-1")), (None, None), "not before it has begun");
+    history.take(&Entry::Begin(2));
+    assert_eq!((epoch(&history, "b-1"), epoch(&history, "c-1")), (Some(1), None));
+    // Who made a proposal from the version before has missed no rule.
+    history.take(&propose(9, 1));
+    assert_eq!(history.outcome(9), Some(Became::Version(3)));
+    // The heir is lost too: the next one is known before it acts, and the first acts no more.
+    history.take(&Entry::Succeed(vec![takes("b-1", 1, "c"), takes("a-1", 2, "c")]));
+    assert_eq!(epoch(&history, "b-1"), None);
+    assert_eq!(history.heirs.last("a-1").map(|heir| heir.name.as_ref()), Some("c"));
+    // What is over stays over, whoever comes back with an old disk.
+    history.take(&Entry::Succeed(vec![Succession::Over("a-1".into(), 1)]));
+    assert!(history.heirs.of.contains_key("a-1"), "an earlier heir ends nothing");
+    history.take(&Entry::Succeed(vec![Succession::Over("a-1".into(), 2)]));
+    let before = history.latest;
+    history.take(&Entry::Succeed(vec![takes("a-1", 1, "b"), takes("a-1", 3, "b")]));
+    assert_eq!((history.latest, history.heirs.of.contains_key("a-1")), (before, false));
+}
+
+#[test]
+fn a_front_without_a_lease_acts_for_nobody_not_even_for_itself() {
+    let mut history = History::default();
+    history.take(&Entry::Succeed(vec![takes("a-1", 1, "b")]));
+    history.take(&Entry::Begin(1));
+    let (agreed, meet) = (Arc::default(), Arc::default());
+    let heirs = Arc::clone(&history.heirs);
+    let stand = Stand { begun: 1, latest: 1, until: 100, alone: 1_000, agreed, meet, heirs };
+    assert_eq!(stand.epoch(99, "b-1", "a-1"), Some(1));
+    assert_eq!(stand.epoch(99, "b-1", "b-1"), Some(0));
+    assert_eq!(stand.epoch(99, "a-1", "a-1"), None, "it is another's now");
+    assert_eq!((stand.epoch(100, "b-1", "a-1"), stand.epoch(100, "b-1", "b-1")), (None, None));
+}
--- a/crates/accord/src/core/voter.rs
+++ b/crates/accord/src/core/voter.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::disk::{Journal, Ledger, Vote};
+use super::heirs::Succession;
 use super::history::{Digest, Entry, History, Proposal, Seat, Voters};
 use super::lease::{Granting, Times};
 use super::{Micros, Name};
@@ -196,6 +197,14 @@
         let _ = self.paxos.append(Entry::Propose(proposal));
     }
 
+    /// Heirs are to change so, unless just that is under way.
+    pub fn succeed(&mut self, changes: Vec<Succession>) {
+        let entry = Entry::Succeed(changes);
+        if !self.undecided().any(|open| open == entry) {
+            let _ = self.paxos.append(entry);
+        }
+    }
+
     /// Other voters are wanted.
     pub fn change(&mut self, next: &Voters) -> bool {
         let changing = self.undecided().any(|entry| matches!(entry, Entry::Voters(_)));
--- a/crates/accord/src/edge.rs
+++ b/crates/accord/src/edge.rs
@@ -21,6 +21,7 @@
 use serde_json::json;
 use thiserror::Error;
 
+use crate::core::heirs::Succession;
 use crate::core::rules::Rules;
 use crate::core::stand::Stand;
 use crate::core::{Accord, Envelope, Input, Micros, Name, Output, Own, Told};
@@ -92,6 +93,8 @@
 }
 
 enum Word {
+    Pass(Name, Vec<u8>),
+    Succeed(Vec<Succession>),
     Known(Vec<Known>),
     Keys(KeyRing),
     End,
@@ -114,11 +117,30 @@
     pub fn known(&self, known: Vec<Known>) {
         self.tell(Word::Known(known));
     }
+
+    /// Sends bytes of another subsystem to its like at another front, in order with all that goes there; what cannot be
+    /// sent is lost without a word.
+    pub fn pass(&self, to: Name, bytes: Vec<u8>) {
+        self.tell(Word::Pass(to, bytes));
+    }
+
+    /// Asks the voters for these heirs; said again by whoever wants it until it is seen.
+    pub fn succeed(&self, changes: Vec<Succession>) {
+        self.tell(Word::Succeed(changes));
+    }
 }
 
 /// What wants to hear what this front stands on.
 pub type Listener = Box<dyn Fn(Stand) + Send>;
 
+/// Another subsystem that goes by accord's connections.
+pub struct Beside {
+    /// Takes what its like at another front has passed.
+    pub passed: Box<dyn Fn(Name, Vec<u8>) + Send>,
+    /// How it stands, for operators.
+    pub shows: Box<dyn Fn() -> String + Send>,
+}
+
 /// Running accord. Dropped, it ends.
 pub struct Running {
     teller: Teller,
@@ -132,6 +154,18 @@
     /// # Errors
     /// The address cannot be bound, the store cannot be used, the history cannot be written, no thread is to be had.
     pub fn start(settings: &Settings, listener: Option<Listener>) -> Result<Running, StartError> {
+        Running::start_beside(settings, listener, None)
+    }
+
+    /// The same with another subsystem beside it.
+    ///
+    /// # Errors
+    /// As [`Running::start`].
+    pub fn start_beside(
+        settings: &Settings,
+        listener: Option<Listener>,
+        beside: Option<Beside>,
+    ) -> Result<Running, StartError> {
         let mut socket = TcpListener::bind(settings.bind).map_err(|e| StartError::Bind(settings.bind, e))?;
         let poll = Poll::new().map_err(StartError::Thread)?;
         poll.registry().register(&mut socket, LISTENER, Interest::READABLE).map_err(StartError::Thread)?;
@@ -170,6 +204,7 @@
             poll,
             socket,
             listener,
+            beside,
             links: BTreeMap::new(),
             next: 2,
             known: BTreeMap::new(),
@@ -215,7 +250,7 @@
 }
 
 /// A number that no other disk has, in all likelihood.
-fn drawn() -> u64 {
+pub fn drawn() -> u64 {
     let mut hasher = blake3::Hasher::new();
     hasher.update(&unix().to_be_bytes());
     hasher.update(&now().to_be_bytes());
@@ -268,6 +303,7 @@
     poll: Poll,
     socket: TcpListener,
     listener: Option<Listener>,
+    beside: Option<Beside>,
     links: BTreeMap<usize, Link>,
     next: usize,
     known: BTreeMap<Name, SocketAddr>,
@@ -291,6 +327,12 @@
             loop {
                 match words.try_recv() {
                     Ok(Word::Known(known)) => self.view(known),
+                    Ok(Word::Succeed(changes)) => self.hand(Input::Succeed(changes)),
+                    Ok(Word::Pass(to, bytes)) => {
+                        if let Some(token) = self.way(&to) {
+                            self.put(token, &Frame::Passes(Name::clone(&self.name), bytes));
+                        }
+                    }
                     Ok(Word::Keys(keys)) => self.settings.keys = keys,
                     Ok(Word::End) | Err(TryRecvError::Disconnected) => return,
                     Err(TryRecvError::Empty) => break,
@@ -507,6 +549,14 @@
                 }
                 self.hand(Input::Heard(envelope));
             }
+            Frame::Passes(name, bytes) => {
+                if self.links.get(&token).is_some_and(|link| link.called.is_none()) {
+                    self.from.insert(Name::clone(&name), token);
+                }
+                if let Some(beside) = &self.beside {
+                    (beside.passed)(name, bytes);
+                }
+            }
             Frame::Asks(count, question) => self.asked(token, count, question),
             Frame::Opens | Frame::Answers(..) => {}
         }
@@ -533,6 +583,10 @@
         let history = self.accord.history();
         let answer: Answer = match question {
             Question::Show => Ok(self.show().to_string()),
+            Question::Beside => match &self.beside {
+                Some(beside) => Ok((beside.shows)()),
+                None => Err("this front keeps no copies: its settings have no `copies`".into()),
+            },
             Question::Version(number) => {
                 let stand = self.accord.stand();
                 let (number, rules) = match number {
--- a/crates/accord/src/store.rs
+++ b/crates/accord/src/store.rs
@@ -21,7 +21,7 @@
 use crate::core::disk::{Image, Vote, Write};
 
 /// Number of the form in which things are stored.
-const FORM: u32 = 1;
+const FORM: u32 = 2;
 const HEAD: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("head");
 const LOG: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("log");
 
@@ -62,7 +62,7 @@
 }
 
 /// What tells a file from its copies: its number on the disk, and when it was made.
-fn place(path: &Path) -> io::Result<(u64, u64)> {
+pub fn place(path: &Path) -> io::Result<(u64, u64)> {
     let about = fs::metadata(path)?;
     let made = about.created().ok().and_then(|at| at.duration_since(UNIX_EPOCH).ok());
     Ok((about.ino(), made.map_or(0, |since| since.as_nanos() as u64)))
@@ -243,13 +243,17 @@
     }
 }
 
-/// Danger: the database panics over some damage that its own look at the pages passes; found by a test that tears files.
-fn unharmed<T>(path: &Path, work: impl FnOnce() -> Result<T, StoreError>) -> Result<T, StoreError> {
+/// What the database does, kept from ending the process. Danger: it panics over some damage that its own look at the pages passes; found by a test that tears files.
+pub fn unharmed<T>(path: &Path, work: impl FnOnce() -> Result<T, StoreError>) -> Result<T, StoreError> {
     let damaged = |_| StoreError::Damaged(path.display().to_string(), "a page cannot be read".into());
     catch_unwind(AssertUnwindSafe(work)).unwrap_or_else(|panic| Err(damaged(panic)))
 }
 
-fn encoded<T: Serialize>(value: &T) -> Result<Vec<u8>, redb::StorageError> {
+/// The form in which things are stored.
+///
+/// # Errors
+/// It cannot be encoded.
+pub fn encoded<T: Serialize>(value: &T) -> Result<Vec<u8>, redb::StorageError> {
     postcard::to_allocvec(value).map_err(|error| redb::StorageError::Io(io::Error::other(error.to_string())))
 }
 
@@ -262,11 +266,13 @@
     Ok(())
 }
 
-fn io_error(path: &Path, error: &io::Error) -> StoreError {
+/// What the file system said of this file.
+pub fn io_error(path: &Path, error: &io::Error) -> StoreError {
     StoreError::Io(path.display().to_string(), error.to_string())
 }
 
-fn storage(path: &Path, error: &redb::StorageError) -> StoreError {
+/// What the database said of this file.
+pub fn storage(path: &Path, error: &redb::StorageError) -> StoreError {
     match error {
         // A file that is none of the database's is told as one that cannot be read.
         redb::StorageError::Corrupted(why) => StoreError::Damaged(path.display().to_string(), why.clone()),
--- a/crates/accord/src/wire.rs
+++ b/crates/accord/src/wire.rs
@@ -32,6 +32,8 @@
     Propose(Option<u64>, String, Box<Rules>),
     /// Let these vote.
     Voters(Vec<Name>),
+    /// How does the subsystem beside this one stand?
+    Beside,
 }
 
 /// What the operator hears: JSON, or why not.
@@ -46,6 +48,8 @@
     Peer(Box<Envelope>),
     /// From an operator, in the operator's count.
     Asks(u64, Question),
+    /// Between fronts, of another subsystem: from whom.
+    Passes(Name, Vec<u8>),
     /// To an operator.
     Answers(u64, Answer),
 }
--- /dev/null
+++ b/crates/copies/src/core/owner.rs
@@ -0,0 +1,255 @@
+//! A front's own promises, and how far each of its holders has them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::shelf::{mark, part, Change, Shelf, PARTS};
+use super::{Bytes, Key, Micros, Name, BATCH, RESEND};
+
+/// One front that holds copies of this one's promises.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// Changes that it has, as it says.
+    pub acked: u64,
+    /// Changes that are on their way to it, or there.
+    pub sent: u64,
+    /// When it last said something, or something was first sent after that.
+    pub heard: Micros,
+    /// Its disk. Danger: a copy that has lost its disk since it acknowledged.
+    pub disk: u64,
+    /// It has once had all that there was.
+    pub filled: bool,
+}
+
+/// What goes to a holder.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Batch {
+    /// It has all up to here.
+    pub from: u64,
+    /// And then all up to here.
+    pub to: u64,
+    /// Nothing between is left out.
+    pub whole: bool,
+    /// What changed.
+    pub changes: Vec<Change>,
+}
+
+/// A front's own promises.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Owner {
+    number: u64,
+    entries: BTreeMap<Key, (u64, Option<Bytes>)>,
+    order: BTreeMap<u64, Key>,
+    digests: [u64; PARTS],
+    stands: usize,
+    /// Those that hold copies.
+    pub holders: BTreeMap<Name, Holder>,
+    /// Promises that somebody waits for, and until when.
+    waiting: BTreeMap<Key, Micros>,
+}
+
+impl Owner {
+    /// Changes so far.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Promises that stand.
+    pub fn stands(&self) -> usize {
+        self.stands
+    }
+
+    /// Promises that somebody waits for.
+    pub fn waits(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Digests of the parts, as a whole shelf has them.
+    pub fn digests(&self) -> [u64; PARTS] {
+        self.digests
+    }
+
+    /// What stands under a key.
+    pub fn get(&self, key: &str) -> Option<&Bytes> {
+        self.entries.get(key).and_then(|(_, body)| body.as_ref())
+    }
+
+    /// Keys under which something stands.
+    pub fn keys(&self) -> impl Iterator<Item = &Key> {
+        self.entries.iter().filter(|(_, (_, body))| body.is_some()).map(|(key, _)| key)
+    }
+
+    /// A change; nothing ends what stands. Returns it with its number.
+    pub fn change(&mut self, key: Key, body: Option<Bytes>) -> Option<Change> {
+        let before = self.entries.get(&key);
+        if before.is_none() && body.is_none() {
+            return None;
+        }
+        if let Some((number, old)) = before {
+            self.order.remove(number);
+            if let Some(old) = old {
+                self.digests[part(&key)] ^= mark(&key, *number, old);
+                self.stands -= 1;
+            }
+        }
+        self.number += 1;
+        if let Some(body) = &body {
+            self.digests[part(&key)] ^= mark(&key, self.number, body);
+            self.stands += 1;
+        } else {
+            self.waiting.remove(&key);
+        }
+        self.order.insert(self.number, Key::clone(&key));
+        self.entries.insert(Key::clone(&key), (self.number, body.clone()));
+        Some(Change { key, number: self.number, body })
+    }
+
+    /// Somebody waits until this is kept, at most so long.
+    pub fn wait(&mut self, key: Key, until: Micros) {
+        self.waiting.insert(key, until);
+    }
+
+    /// Those waited for that are at enough holders now, and those that waited too long.
+    pub fn settled(&mut self, now: Micros, enough: usize) -> (Vec<Key>, Vec<Key>) {
+        if self.waiting.is_empty() {
+            return (Vec::new(), Vec::new());
+        }
+        let mut acked: Vec<u64> = self.holders.values().map(|holder| holder.acked).collect();
+        acked.sort_unstable_by(|a, b| b.cmp(a));
+        // So many changes are at enough holders.
+        let sure = if enough == 0 { u64::MAX } else { acked.get(enough - 1).copied().unwrap_or(0) };
+        let (mut kept, mut late) = (Vec::new(), Vec::new());
+        let entries = &self.entries;
+        self.waiting.retain(|key, until| {
+            let there = entries.get(key).is_some_and(|(number, _)| *number <= sure);
+            match () {
+                () if there => kept.push(Key::clone(key)),
+                () if *until <= now => late.push(Key::clone(key)),
+                () => return true,
+            }
+            false
+        });
+        (kept, late)
+    }
+
+    /// The earliest time at which somebody has waited too long.
+    pub fn next_late(&self) -> Option<Micros> {
+        self.waiting.values().min().copied()
+    }
+
+    /// A front begins to hold copies.
+    pub fn begin(&mut self, now: Micros, name: Name) {
+        let holder = Holder { acked: 0, sent: 0, heard: now, disk: 0, filled: false };
+        self.holders.insert(name, holder);
+    }
+
+    /// A holder says that it has so much, on this disk.
+    pub fn acked(&mut self, now: Micros, name: &Name, have: u64, disk: u64) {
+        let number = self.number;
+        let Some(holder) = self.holders.get_mut(name) else { return };
+        holder.heard = now;
+        // What it has now counts, also where that is less than it said before.
+        let lost = holder.disk != disk && holder.disk != 0;
+        holder.disk = disk;
+        if have < holder.acked || lost {
+            (holder.sent, holder.filled) = (have, false);
+        }
+        holder.acked = have.min(number);
+        holder.sent = holder.sent.max(holder.acked);
+        holder.filled |= holder.acked == number;
+        let all = self.holders.values().map(|holder| holder.acked).min().unwrap_or(0);
+        self.forget(all);
+    }
+
+    /// Ends that everybody has are forgotten.
+    fn forget(&mut self, all: u64) {
+        let ended: Vec<(u64, Key)> = self
+            .order
+            .range(..=all)
+            .filter(|(_, key)| self.entries.get(*key).is_some_and(|(_, body)| body.is_none()))
+            .map(|(number, key)| (*number, Key::clone(key)))
+            .collect();
+        for (number, key) in ended {
+            self.order.remove(&number);
+            self.entries.remove(&key);
+        }
+    }
+
+    /// Ends kept at most while holders are behind; beyond that whoever is so far behind is filled anew.
+    pub fn bound(&mut self, most: usize) {
+        let ended = self.entries.len() - self.stands;
+        if ended > most {
+            let number = self.number;
+            self.forget(number);
+            self.holders.values_mut().filter(|holder| holder.acked < number).for_each(|holder| {
+                (holder.acked, holder.sent, holder.filled) = (0, 0, false);
+            });
+        }
+    }
+
+    /// What a holder that does not answer was sent is sent again.
+    pub fn again(&mut self, now: Micros) {
+        for holder in self.holders.values_mut() {
+            if holder.acked < holder.sent && holder.heard + RESEND <= now {
+                (holder.sent, holder.heard) = (holder.acked, now);
+            }
+        }
+    }
+
+    /// What is to go to a holder now. One that is being filled gets one step at a time.
+    pub fn batch(&mut self, now: Micros, name: &Name) -> Option<Batch> {
+        let holder = self.holders.get_mut(name)?;
+        let (from, number) = (holder.sent, self.number);
+        if from >= number || !holder.filled && holder.acked < from {
+            return None;
+        }
+        if holder.acked == holder.sent {
+            holder.heard = now;
+        }
+        let (mut changes, mut size, mut to) = (Vec::new(), 0, number);
+        for (at, key) in self.order.range(from + 1..) {
+            let Some((_, body)) = self.entries.get(key) else { continue };
+            let change = Change { key: Key::clone(key), number: *at, body: body.clone() };
+            size += change.size();
+            if size > BATCH && !changes.is_empty() {
+                to = changes.last().map_or(number, |change: &Change| change.number);
+                break;
+            }
+            changes.push(change);
+        }
+        holder.sent = to;
+        Some(Batch { from, to, whole: to == number, changes })
+    }
+
+    /// One part, for a holder whose digest differs.
+    pub fn part(&self, which: usize) -> Vec<Change> {
+        let there = self.entries.iter().filter(|(key, (_, body))| part(key) == which && body.is_some());
+        there
+            .map(|(key, (number, body))| Change {
+                key: Key::clone(key),
+                number: *number,
+                body: body.clone(),
+            })
+            .collect()
+    }
+
+    /// Its promises as a shelf that is whole.
+    pub fn shelf(&self, name: &Name, boot: u64) -> Shelf {
+        let mut shelf = Shelf::new(name, boot);
+        shelf.entries =
+            self.entries.iter().filter(|(_, (_, body))| body.is_some()).map(|(k, v)| (k.clone(), v.clone())).collect();
+        (shelf.head.have, shelf.head.whole) = (self.number, true);
+        shelf.head.group = self.group();
+        shelf
+    }
+
+    /// Who holds copies.
+    pub fn group(&self) -> Vec<Name> {
+        self.holders.keys().cloned().collect()
+    }
+
+    /// Holders that have once had all.
+    pub fn filled(&self) -> BTreeSet<Name> {
+        let filled = self.holders.iter().filter(|(_, holder)| holder.filled);
+        filled.map(|(name, _)| Name::clone(name)).collect()
+    }
+}
--- /dev/null
+++ b/crates/copies/src/store.rs
@@ -0,0 +1,191 @@
+//! The store of one front: a file of the embedded database `redb`, with the copies that it holds of others' promises and
+//! its own.
+//!
+//! What it promises after a crash: all writes of a batch are there or none; where the settings flush, a batch is there once
+//! [`Store::write`] has returned. A damaged file is set aside and a new disk begun, which owners hear of by its number and
+//! fill anew; a copied one counts as a new disk too.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition};
+use salttally_accord::store::{encoded, io_error, place, storage, unharmed, StoreError};
+
+use crate::core::shelf::{Head, Shelf};
+use crate::core::{Bytes, Image, Key, Life, Write};
+
+/// Number of the form in which things are stored.
+const FORM: u32 = 1;
+const ABOUT: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("about");
+const HEADS: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("heads");
+const ENTRIES: TableDefinition<'_, (&str, &str), &[u8]> = TableDefinition::new("entries");
+
+/// What was found at the start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// Nothing: a new file.
+    New,
+    /// All as it was left.
+    Whole,
+    /// A damaged file, set aside under this name; a new one was begun.
+    SetAside(PathBuf, String),
+    /// A file that is not where it was first written: what it holds stays, and it is another disk.
+    Copied,
+}
+
+/// An open store.
+pub struct Store {
+    path: PathBuf,
+    database: Database,
+    flush: bool,
+    /// Its number.
+    pub disk: u64,
+}
+
+impl Store {
+    /// Opens the file, or begins it; a new disk takes the number `drawn`.
+    ///
+    /// # Errors
+    /// It is in use, of another form, or cannot be written. One that is damaged is set aside.
+    pub fn open(path: &Path, flush: bool, drawn: u64) -> Result<(Store, Image, Found), StoreError> {
+        match unharmed(path, || Store::read(path, flush, drawn)) {
+            Err(StoreError::Damaged(_, why)) => {
+                let aside = path.with_extension("damaged");
+                fs::rename(path, &aside).map_err(|error| io_error(path, &error))?;
+                let (store, image, _) = Store::read(path, flush, drawn)?;
+                Ok((store, image, Found::SetAside(aside, why)))
+            }
+            other => other,
+        }
+    }
+
+    fn read(path: &Path, flush: bool, drawn: u64) -> Result<(Store, Image, Found), StoreError> {
+        let name = path.display().to_string();
+        let mut database = Database::create(path).map_err(|error| match error {
+            redb::DatabaseError::DatabaseAlreadyOpen => StoreError::InUse(name.clone()),
+            redb::DatabaseError::Storage(error) => storage(path, &error),
+            other => StoreError::Damaged(name.clone(), other.to_string()),
+        })?;
+        match database.check_integrity() {
+            Ok(_) => {}
+            Err(redb::DatabaseError::Storage(error)) => return Err(storage(path, &error)),
+            Err(other) => return Err(StoreError::Damaged(name, other.to_string())),
+        }
+        let mut store = Store { path: path.to_owned(), database, flush, disk: drawn };
+        let (image, found) = store.load(drawn)?;
+        Ok((store, image, found))
+    }
+
+    fn failed(&self, error: impl Into<redb::Error>) -> StoreError {
+        match error.into() {
+            redb::Error::Corrupted(why) => StoreError::Damaged(self.path.display().to_string(), why),
+            other => StoreError::Io(self.path.display().to_string(), other.to_string()),
+        }
+    }
+
+    fn load(&mut self, drawn: u64) -> Result<(Image, Found), StoreError> {
+        let here = place(&self.path).map_err(|error| io_error(&self.path, &error))?;
+        let about: Option<(u32, u64, (u64, u64))> = {
+            let begun = self.database.begin_read().map_err(|error| self.failed(error))?;
+            match begun.open_table(ABOUT) {
+                Ok(table) => match table.get("about").map_err(|error| self.failed(error))? {
+                    Some(bytes) => Some(self.decoded(bytes.value())?),
+                    None => None,
+                },
+                Err(redb::TableError::TableDoesNotExist(_)) => None,
+                Err(error) => return Err(self.failed(error)),
+            }
+        };
+        let name = || self.path.display().to_string();
+        let found = match about {
+            None => Found::New,
+            Some((form, ..)) if form != FORM => return Err(StoreError::Form(name(), form)),
+            Some((_, disk, first)) if first == here => {
+                self.disk = disk;
+                Found::Whole
+            }
+            Some(_) => Found::Copied,
+        };
+        if found != Found::Whole {
+            let write = self.database.begin_write().map_err(|error| self.failed(error))?;
+            {
+                let mut table = write.open_table(ABOUT).map_err(|error| self.failed(error))?;
+                let bytes = encoded(&(FORM, drawn, here)).map_err(|error| self.failed(error))?;
+                table.insert("about", bytes.as_slice()).map_err(|error| self.failed(error))?;
+                write.open_table(HEADS).map_err(|error| self.failed(error))?;
+                write.open_table(ENTRIES).map_err(|error| self.failed(error))?;
+            }
+            write.commit().map_err(|error| self.failed(error))?;
+        }
+        Ok((self.image()?, found))
+    }
+
+    fn decoded<T: serde::de::DeserializeOwned>(&self, bytes: &[u8]) -> Result<T, StoreError> {
+        let damaged = |error: postcard::Error| StoreError::Damaged(self.path.display().to_string(), error.to_string());
+        postcard::from_bytes(bytes).map_err(damaged)
+    }
+
+    fn image(&self) -> Result<Image, StoreError> {
+        let mut image = Image::default();
+        let begun = self.database.begin_read().map_err(|error| self.failed(error))?;
+        let heads = begun.open_table(HEADS).map_err(|error| self.failed(error))?;
+        for row in heads.iter().map_err(|error| self.failed(error))? {
+            let (life, head) = row.map_err(|error| self.failed(error))?;
+            let head: Head = self.decoded(head.value())?;
+            let shelf = Shelf { head, entries: Default::default() };
+            image.shelves.insert(Life::from(life.value()), shelf);
+        }
+        let entries = begun.open_table(ENTRIES).map_err(|error| self.failed(error))?;
+        for row in entries.iter().map_err(|error| self.failed(error))? {
+            let (at, entry) = row.map_err(|error| self.failed(error))?;
+            let (life, key) = at.value();
+            let entry: (u64, Option<Bytes>) = self.decoded(entry.value())?;
+            if let Some(shelf) = image.shelves.get_mut(life) {
+                shelf.entries.insert(Key::from(key), entry);
+            }
+        }
+        Ok(image)
+    }
+
+    /// Writes a batch in one piece, and flushes it if the settings say so.
+    ///
+    /// # Errors
+    /// The disk is full, read-only or broken: nothing that follows may be told.
+    pub fn write(&self, writes: &[Write]) -> Result<(), StoreError> {
+        unharmed(&self.path, || self.write_all(writes))
+    }
+
+    fn write_all(&self, writes: &[Write]) -> Result<(), StoreError> {
+        let mut write = self.database.begin_write().map_err(|error| self.failed(error))?;
+        if !self.flush {
+            write.set_durability(Durability::None).map_err(|error| self.failed(error))?;
+        }
+        {
+            let mut heads = write.open_table(HEADS).map_err(|error| self.failed(error))?;
+            let mut entries = write.open_table(ENTRIES).map_err(|error| self.failed(error))?;
+            for one in writes {
+                let done: Result<(), redb::StorageError> = (|| {
+                    match one {
+                        Write::Head(life, head) => {
+                            heads.insert(&**life, encoded(head)?.as_slice())?;
+                        }
+                        Write::Entry(life, key, Some(entry)) => {
+                            entries.insert((&**life, &**key), encoded(entry)?.as_slice())?;
+                        }
+                        Write::Entry(life, key, None) => {
+                            entries.remove((&**life, &**key))?;
+                        }
+                        Write::Drop(life) => {
+                            heads.remove(&**life)?;
+                            let after = format!("{life}\u{0}");
+                            entries.retain_in((&**life, "")..(after.as_str(), ""), |_, _| false)?;
+                        }
+                    }
+                    Ok(())
+                })();
+                done.map_err(|error| self.failed(error))?;
+            }
+        }
+        write.commit().map_err(|error| self.failed(error))
+    }
+}
--- a/crates/members/src/core/gossip.rs
+++ b/crates/members/src/core/gossip.rs
@@ -50,7 +50,7 @@
 
 /// What a fact takes in a message, at most.
 pub fn size(fact: &Fact) -> usize {
-    fact.name.len() + 1 + 20 + 10 + 5
+    fact.name.len() + 1 + 20 + 10 + 5 + 5 + 21
 }
 
 /// Keys with the number of times that each is still to be sent, those that were sent least first.
--- a/crates/members/src/core/mod.rs
+++ b/crates/members/src/core/mod.rs
@@ -78,6 +78,10 @@
     pub name: Name,
     /// Where other fronts reach it.
     pub address: SocketAddr,
+    /// Its zone.
+    pub zone: u32,
+    /// Where players reach it, if it takes any.
+    pub serves: Option<SocketAddr>,
     /// Drawn anew at each start.
     pub boot: u64,
     /// Where others may be found at the start.
@@ -636,7 +640,8 @@
             }
         };
         let name = Name::clone(&self.own.name);
-        let fact = Fact { name, address: self.own.address, boot: self.own.boot, count };
+        let Own { address, zone, serves, boot, .. } = self.own;
+        let fact = Fact { name, address, zone, serves, boot, count };
         self.learn_fact(&fact);
         self.sample.1.clear();
         // What it could not reach while it was out is looked at anew: its first word must be no old accusation.
--- a/crates/members/src/core/tests.rs
+++ b/crates/members/src/core/tests.rs
@@ -13,7 +13,7 @@
 }
 
 fn fact(name: &str, boot: u64, count: u32) -> Fact {
-    Fact { name: Name::from(name), address: address(boot as u8), boot, count }
+    Fact { name: Name::from(name), address: address(boot as u8), zone: 0, serves: None, boot, count }
 }
 
 fn facts() -> impl Strategy<Value = Vec<Fact>> {
@@ -171,6 +171,8 @@
     Own {
         name: Name::from(name),
         address: address(at),
+        zone: 0,
+        serves: None,
         boot: u64::from(at) << 8,
         seeds: seeds.iter().map(|seed| address(*seed)).collect(),
         observers: 8,
@@ -218,8 +220,8 @@
 #[test]
 fn a_name_that_lives_elsewhere_is_told_and_not_taken() {
     let mut second = Members::new(own("a", 9, &[1]), 0);
-    let elsewhere = Fact { name: Name::from("a"), address: address(5), boot: 5, count: 1 };
-    let seed = Fact { name: Name::from("s"), address: address(1), boot: 1, count: 1 };
+    let elsewhere = Fact { name: Name::from("a"), address: address(5), boot: 5, ..fact("a", 5, 1) };
+    let seed = Fact { name: Name::from("s"), address: address(1), boot: 1, ..fact("s", 1, 1) };
     let mut out = Vec::new();
     let say = |sequence, body| {
         let name = Name::from("s");
@@ -251,7 +253,7 @@
 fn a_fleet_that_started_anew_as_a_whole_comes_together() {
     // It knows the others by their starts before; they answer by their starts of now, and have not joined either.
     let mut joins = Members::new(own("b", 9, &[1]), 0);
-    let before = Fact { name: Name::from("s"), address: address(1), boot: 1, count: 1 };
+    let before = Fact { name: Name::from("s"), address: address(1), boot: 1, ..fact("s", 1, 1) };
     let mut sequence = 0;
     let mut say = |body| {
         sequence += 1;
--- a/crates/members/src/core/view.rs
+++ b/crates/members/src/core/view.rs
@@ -33,6 +33,10 @@
     pub name: Name,
     /// Where it listens for other fronts.
     pub address: SocketAddr,
+    /// Where it stands: what fails together is in one zone.
+    pub zone: u32,
+    /// Where players reach it, if it takes any.
+    pub serves: Option<SocketAddr>,
     /// Which start of its process: drawn anew at each.
     pub boot: u64,
     /// How often it came and went: odd is in, even is out.
--- a/crates/members/src/edge.rs
+++ b/crates/members/src/edge.rs
@@ -49,6 +49,12 @@
     pub address: SocketAddr,
     /// It is in the view.
     pub here: bool,
+    /// Its zone.
+    pub zone: u32,
+    /// Where players reach it, if it takes any.
+    pub serves: Option<SocketAddr>,
+    /// Which start of its process.
+    pub boot: u64,
 }
 
 /// What wants to hear of views.
@@ -84,6 +90,8 @@
         let own = Own {
             name: Name::clone(&settings.name),
             address: settings.advertise,
+            zone: settings.zone,
+            serves: settings.serves,
             boot,
             seeds: settings.seeds.clone(),
             observers: settings.observers,
@@ -228,7 +236,10 @@
     fn known(&self) -> Vec<Known> {
         let view = self.members.view();
         let known =
-            |here| move |fact: &Fact| Known { name: Name::clone(&fact.name), address: fact.address, here };
+            |here| move |fact: &Fact| {
+            let Fact { address, zone, serves, boot, .. } = *fact;
+            Known { name: Name::clone(&fact.name), address, here, zone, serves, boot }
+        };
         view.members().map(known(true)).chain(view.out().map(known(false))).collect()
     }
 
--- a/crates/members/src/settings.rs
+++ b/crates/members/src/settings.rs
@@ -22,6 +22,10 @@
     pub bind: SocketAddr,
     /// Where others reach it; where it listens, if nothing else is said.
     pub advertise: SocketAddr,
+    /// Its zone, as `front` has it.
+    pub zone: u32,
+    /// Where players reach it, as `front` has it.
+    pub serves: Option<SocketAddr>,
     /// Where others may be found.
     pub seeds: Vec<SocketAddr>,
     /// Keys.
@@ -70,7 +74,9 @@
             return Err(front.bad(format!("a member's name has 1 to {LONGEST_NAME} bytes")));
         }
         let block = node.children();
-        let settings = read(&name, &block)?;
+        let about = front.children();
+        let listen = about.one("listen")?.map(|node| address(&node, &node.argument::<String>()?)).transpose()?;
+        let settings = Settings { zone: about.or("zone", 0)?, serves: listen, ..read(&name, &block)? };
         block.done()?;
         node.done()?;
         check(&node, &block, &settings)?;
@@ -131,6 +137,8 @@
         name: Arc::from(name),
         bind,
         advertise,
+        zone: 0,
+        serves: None,
         seeds,
         keys,
         observers: block.or("observers", 8)?,
--- a/crates/trial/src/virt.rs
+++ b/crates/trial/src/virt.rs
@@ -153,6 +153,8 @@
                 let own = Own {
                     name: Name::from(plan::name(front)),
                     address: address(front),
+                    zone: 0,
+                    serves: None,
                     boot,
                     seeds: (0..self.trial.seeds).map(address).collect(),
                     observers: self.trial.observers,
