Promises are copied and taken over: a machine lost with its disk loses no session

Need: two fronts over the same boxes, one lost with its folder: the other found 0 of 100 sessions. Change: the ledger has a paid set-up's intent at enough copies before it leaves and an answer 'plays' before it is told; owed releases, moves and rungs follow. An heir agreed on by the voters gathers, asks each box for all of a life (PUT /lives/ID, by an epoch that fences earlier ones) and holds boxes against copies; a replaced front drops what is another's and lives anew. Viewers are told which front has their session (-32007) or to ask again (-32008). Off without 'copies'.

--- a/crates/accord/src/core/history.rs
+++ b/crates/accord/src/core/history.rs
@@ -195,7 +195,8 @@
         for change in changes {
             heirs.take(change, self.latest);
         }
-        self.versions.insert(self.latest, Version { by: "succession".into(), at: 0, rules, only_heirs: true });
+        self.versions
+            .insert(self.latest, Version { by: "succession".into(), at: 0, rules, only_heirs: true });
     }
 
     /// Whether a proposal made from this version is made from what holds: a version that only names heirs changes no rule.
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -97,9 +97,7 @@
     pub fn carries(&self) -> bool {
         match self {
             Body::Consensus(_, message) => matches!(message.as_ref(), Message::SequencePaxos(_)),
-            Body::Grant(..) | Body::Steps(..) | Body::Whole(_) | Body::Propose(_) | Body::Succeed(_) => {
-                true
-            }
+            Body::Grant(..) | Body::Steps(..) | Body::Whole(_) | Body::Propose(_) | Body::Succeed(_) => true,
             Body::Marks(_)
             | Body::Hello(_)
             | Body::Here(..)
--- a/crates/accord/src/core/tests.rs
+++ b/crates/accord/src/core/tests.rs
@@ -451,7 +451,14 @@
 }
 
 fn takes(life: &str, epoch: u64, by: &str) -> Succession {
-    let heir = Heir { epoch, name: by.into(), life: format!("{by}-1").into(), serves: None, version: 0, settled: false };
+    let heir = Heir {
+        epoch,
+        name: by.into(),
+        life: format!("{by}-1").into(),
+        serves: None,
+        version: 0,
+        settled: false,
+    };
     Succession::Takes(life.into(), heir)
 }
 
@@ -462,7 +469,11 @@
     history.take(&Entry::Begin(1));
     history.take(&Entry::Succeed(vec![takes("a-1", 1, "b")]));
     history.take(&Entry::Succeed(vec![takes("a-1", 1, "c")]));
-    assert_eq!((history.latest, history.heirs.of["a-1"].name.as_ref()), (2, "b"), "one version, the first one's");
+    assert_eq!(
+        (history.latest, history.heirs.of["a-1"].name.as_ref()),
+        (2, "b"),
+        "one version, the first one's"
+    );
     let epoch = |history: &History, own| history.heirs.epoch("a-1", own, history.begun);
     assert_eq!((epoch(&history, "b-1"), epoch(&history, "c-1")), (None, None), "not before it has begun");
     history.take(&Entry::Begin(2));
--- a/crates/copies/src/core/mod.rs
+++ b/crates/copies/src/core/mod.rs
@@ -439,7 +439,8 @@
                     holds: self.loads.get(&peer.name).copied().unwrap_or(0),
                 })
                 .collect();
-            let holders = before.iter().filter(|name| self.owner.holders.contains_key(*name)).cloned().collect();
+            let holders =
+                before.iter().filter(|name| self.owner.holders.contains_key(*name)).cloned().collect();
             if let Some(name) = place::next(&self.own.name, self.own.zone, &holders, &all) {
                 self.owner.begin(now, Name::clone(&name));
                 self.silent.insert(name, now);
@@ -468,7 +469,8 @@
                     self.flush(out);
                 } else {
                     // It holds what is no more anybody's here.
-                    let stands = self.heirs.retired(&life) || life.starts_with(&format!("{}-", self.own.name));
+                    let stands =
+                        self.heirs.retired(&life) || life.starts_with(&format!("{}-", self.own.name));
                     if !stands {
                         out.push(Output::Send(from, Body::Drop(life)));
                     }
@@ -492,7 +494,9 @@
             Body::Part(life, have, which, changes) => self.part(&from, &life, have, which, &changes),
             Body::Drop(life) => self.drop_of(&from, &life),
             Body::Gather(life, epoch) => self.gather(&from, life, epoch, out),
-            Body::Gathered(life, head, changes, last) => self.gathered(&from, &life, head, &changes, last, out),
+            Body::Gathered(life, head, changes, last) => {
+                self.gathered(&from, &life, head, &changes, last, out)
+            }
         }
     }
 
@@ -509,9 +513,11 @@
         out: &mut Vec<Output>,
     ) {
         // Danger: an owner that was replaced goes on as if it were not, and is told that its promises count.
-        let fenced = self.heirs.retired(&life) || self.shelves.get(&life).is_some_and(|held| held.shelf.head.epoch > 0);
+        let fenced = self.heirs.retired(&life)
+            || self.shelves.get(&life).is_some_and(|held| held.shelf.head.epoch > 0);
         let known = self.shelves.contains_key(&life);
-        let full = !known && self.holds() >= self.own.most || self.holds() + changes.len() > 2 * self.own.most;
+        let full =
+            !known && self.holds() >= self.own.most || self.holds() + changes.len() > 2 * self.own.most;
         if fenced || full || life == self.own.life {
             out.push(Output::Send(Name::clone(from), Body::No(life)));
             return;
@@ -524,7 +530,8 @@
         }
         let before = held.shelf.head.clone();
         (held.shelf.head.group, held.shelf.head.boot) = (group, boot);
-        let gone: Vec<Key> = changes.iter().filter(|c| c.body.is_none()).map(|c| Key::clone(&c.key)).collect();
+        let gone: Vec<Key> =
+            changes.iter().filter(|c| c.body.is_none()).map(|c| Key::clone(&c.key)).collect();
         let beat = after == 0 && to == 0 && changes.is_empty() && held.shelf.head.have > 0;
         let took = !beat && held.shelf.put(after, to, whole, changes);
         if took {
@@ -541,7 +548,8 @@
         }
         if let Some(theirs) = digests.filter(|_| took && held.shelf.head.have == to) {
             let ours = held.shelf.digests();
-            let differ: Vec<u8> = (0..PARTS as u8).filter(|at| ours[*at as usize] != theirs[*at as usize]).collect();
+            let differ: Vec<u8> =
+                (0..PARTS as u8).filter(|at| ours[*at as usize] != theirs[*at as usize]).collect();
             if !differ.is_empty() {
                 out.push(Output::Send(Name::clone(from), Body::Differs(Life::clone(&life), to, differ)));
             }
@@ -564,9 +572,8 @@
         let gone = held.shelf.repair(usize::from(which), changes);
         let entry = |key: Key, entry| Write::Entry(Life::clone(life), key, entry);
         self.journal.extend(gone.into_iter().map(|key| entry(key, None)));
-        self.journal.extend(
-            changes.iter().map(|c| entry(Key::clone(&c.key), Some((c.number, c.body.clone())))),
-        );
+        self.journal
+            .extend(changes.iter().map(|c| entry(Key::clone(&c.key), Some((c.number, c.body.clone())))));
     }
 
     fn drop_of(&mut self, from: &Name, life: &Life) {
@@ -659,6 +666,13 @@
     }
 
     fn heirs(&mut self, heirs: Arc<Heirs>, begun: u64, out: &mut Vec<Output>) {
+        for (life, held) in &mut self.shelves {
+            let (old, new) = (self.heirs.of.get(life), heirs.of.get(life));
+            let begins = new.is_some_and(|heir| heir.version <= begun && heir.version > self.begun);
+            if begins || old.map(|heir| heir.epoch) != new.map(|heir| heir.epoch) {
+                held.heir = Some(self.now);
+            }
+        }
         (self.heirs, self.begun) = (heirs, begun);
         if self.lives && self.heirs.retired(&self.own.life) {
             self.lives = false;
@@ -671,9 +685,7 @@
         let gone: Vec<Life> = self
             .gathers
             .iter()
-            .filter(|(life, gather)| {
-                self.heirs.of.get(*life).is_none_or(|heir| heir.epoch != gather.epoch)
-            })
+            .filter(|(life, gather)| self.heirs.of.get(*life).is_none_or(|heir| heir.epoch != gather.epoch))
             .map(|(life, _)| Life::clone(life))
             .collect();
         for life in gone {
@@ -779,7 +791,8 @@
                 }
                 continue;
             }
-            let forsaken = held.heir.unwrap_or(self.here_since) + FORSAKEN <= now;
+            let begun = heir.is_some_and(|heir| heir.version <= self.begun);
+            let forsaken = begun && held.heir.is_some_and(|heard| heard + FORSAKEN <= now);
             let gone = match heir {
                 Some(heir) => {
                     heir.life != self.own.life
--- a/crates/copies/src/core/owner.rs
+++ b/crates/copies/src/core/owner.rs
@@ -224,19 +224,19 @@
     pub fn part(&self, which: usize) -> Vec<Change> {
         let there = self.entries.iter().filter(|(key, (_, body))| part(key) == which && body.is_some());
         there
-            .map(|(key, (number, body))| Change {
-                key: Key::clone(key),
-                number: *number,
-                body: body.clone(),
-            })
+            .map(|(key, (number, body))| Change { key: Key::clone(key), number: *number, body: body.clone() })
             .collect()
     }
 
     /// Its promises as a shelf that is whole.
     pub fn shelf(&self, name: &Name, boot: u64) -> Shelf {
         let mut shelf = Shelf::new(name, boot);
-        shelf.entries =
-            self.entries.iter().filter(|(_, (_, body))| body.is_some()).map(|(k, v)| (k.clone(), v.clone())).collect();
+        shelf.entries = self
+            .entries
+            .iter()
+            .filter(|(_, (_, body))| body.is_some())
+            .map(|(k, v)| (k.clone(), v.clone()))
+            .collect();
         (shelf.head.have, shelf.head.whole) = (self.number, true);
         shelf.head.group = self.group();
         shelf
--- a/crates/copies/src/core/place.rs
+++ b/crates/copies/src/core/place.rs
@@ -41,8 +41,6 @@
         weight / -draw(owner, &one.name).ln()
     };
     let rank = |one: &Candidate| (one.zone != zone, !taken.contains(&one.zone));
-    free.max_by(|a, b| {
-        rank(a).cmp(&rank(b)).then(score(a).total_cmp(&score(b))).then(b.name.cmp(&a.name))
-    })
-    .map(|one| Name::clone(&one.name))
+    free.max_by(|a, b| rank(a).cmp(&rank(b)).then(score(a).total_cmp(&score(b))).then(b.name.cmp(&a.name)))
+        .map(|one| Name::clone(&one.name))
 }
--- a/crates/copies/src/edge.rs
+++ b/crates/copies/src/edge.rs
@@ -158,7 +158,9 @@
                 tracing::error!(%why, at = %at.display(), "copies: a damaged store was set aside; this is a new disk now");
             }
             Found::Copied => {
-                tracing::warn!("copies: the store is not where it was first written: it counts as a new disk");
+                tracing::warn!(
+                    "copies: the store is not where it was first written: it counts as a new disk"
+                );
             }
         }
         let open = |path: &std::path::PathBuf| File::options().create(true).append(true).open(path);
@@ -315,9 +317,7 @@
         }
         self.show_at = now() + SHOWN;
         let owner = self.copies.owner();
-        let holder = |(name, holder): (&Name, &crate::core::owner::Holder)| {
-            json!({"front": &**name, "has": holder.acked, "filled": holder.filled})
-        };
+        let holder = |(name, holder): (&Name, &crate::core::owner::Holder)| json!({"front": &**name, "has": holder.acked, "filled": holder.filled});
         let shelf = |(life, shelf): (&Life, &crate::core::shelf::Shelf)| {
             json!({"life": &**life, "owner": &*shelf.head.owner, "promises": shelf.stands(), "has": shelf.head.have,
                 "whole": shelf.head.whole, "epoch": shelf.head.epoch})
--- a/crates/copies/src/store.rs
+++ b/crates/copies/src/store.rs
@@ -121,7 +121,8 @@
     }
 
     fn decoded<T: serde::de::DeserializeOwned>(&self, bytes: &[u8]) -> Result<T, StoreError> {
-        let damaged = |error: postcard::Error| StoreError::Damaged(self.path.display().to_string(), error.to_string());
+        let damaged =
+            |error: postcard::Error| StoreError::Damaged(self.path.display().to_string(), error.to_string());
         postcard::from_bytes(bytes).map_err(damaged)
     }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -9,11 +9,14 @@
 
 use clap::{Parser, ValueEnum};
 use miette::Report;
+use salttally_accord::core::stand::Stand;
 use salttally_accord::edge as accord;
 use salttally_accord::settings::Settings as Accord;
+use salttally_copies::edge as copies;
+use salttally_copies::settings::Settings as Copies;
 use salttally_front::settings::{room, Settings};
 use salttally_front::Front;
-use salttally_members::edge::{Listener, Running};
+use salttally_members::edge::{Known, Listener, Running};
 use salttally_members::settings::Settings as Members;
 use salttally_platform::config::ConfigError;
 use salttally_platform::node;
@@ -84,14 +87,15 @@
         Ok(signals) => signals,
         Err(error) => return fail(&format!("no signals: {error}")),
     };
-    let front = match Front::start(settings) {
+    let line = among.copies.is_some().then(copies::Line::default);
+    let front = match Front::start_kept(settings, line.as_ref().map(copies::Line::teller)) {
         Ok(front) => front,
         Err(error) => return fail(&error.to_string()),
     };
     tracing::info!(address = %front.address(), seed = front.seed(), "front listens");
     // Whoever started the process may wait for this line.
     println!("listening {}", front.address());
-    let others = match among.start(Some(Box::new(front.stands()))) {
+    let others = match among.start(Some(&front), line) {
         Ok(others) => others,
         Err(reason) => return fail(&reason),
     };
@@ -102,8 +106,10 @@
         others.new_keys(config);
     }
     tracing::info!("front ends");
+    // While it releases what plays, the others go on to have its promises and its leases hold.
+    let counts = front.shut_down(Duration::from_millis(arguments.end_within));
     others.leave();
-    match front.shut_down(Duration::from_millis(arguments.end_within)) {
+    match counts {
         Some(counts) => {
             tracing::info!(?counts, "front has ended");
             ExitCode::SUCCESS
@@ -116,6 +122,7 @@
 struct Among {
     members: Option<Members>,
     accord: Option<Accord>,
+    copies: Option<Copies>,
 }
 
 impl Among {
@@ -123,19 +130,52 @@
         let document = Document::load(config)?;
         let members = Members::read(&document)?;
         let accord = Accord::read(&document, members.as_ref())?;
-        Ok(Among { members, accord })
+        let copies = Copies::read(&document, members.as_ref(), accord.as_ref())?;
+        Ok(Among { members, accord, copies })
     }
 
-    fn start(&self, stands: Option<accord::Listener>) -> Result<Others, String> {
-        let start = |settings: &Accord| accord::Running::start(settings, stands);
+    /// Starts what the settings have, each told of by the one before: members, accord, copies, the front.
+    fn start(&self, front: Option<&Front>, line: Option<copies::Line>) -> Result<Others, String> {
+        let teller = line.as_ref().map(copies::Line::teller);
+        let stands = front.map(|front| {
+            let (stands, copies) = (front.stands(), teller.clone());
+            Box::new(move |stand: Stand| {
+                if let Some(copies) = &copies {
+                    copies.stands(&stand);
+                }
+                stands(stand);
+            }) as accord::Listener
+        });
+        let beside = teller.clone().map(|copies| {
+            let shows = copies.clone();
+            let passed = Box::new(move |from, bytes| copies.passed(from, bytes));
+            accord::Beside { passed, shows: Box::new(move || shows.shown()) }
+        });
+        let start = |settings: &Accord| accord::Running::start_beside(settings, stands, beside);
         let accord = self.accord.as_ref().map(start).transpose().map_err(|e| e.to_string())?;
+        let copies = match (line, front, &accord, &self.copies) {
+            (Some(line), Some(front), Some(accord), Some(settings)) => {
+                let started = line.start(settings, front.life(), accord.teller(), Box::new(front.kept()));
+                Some(started.map_err(|e| e.to_string())?)
+            }
+            _ => None,
+        };
+        let others = front.map(Front::others);
         let listener = accord.as_ref().map(|running| {
-            let teller = running.teller();
-            Box::new(move |known| teller.known(known)) as Listener
+            let running = running.teller();
+            Box::new(move |known: Vec<Known>| {
+                if let Some(copies) = &teller {
+                    copies.known(known.clone());
+                }
+                if let Some(others) = &others {
+                    others(&known);
+                }
+                running.known(known);
+            }) as Listener
         });
         let start = |members: &Members| Running::start_heard(members, listener);
         let members = self.members.as_ref().map(start).transpose().map_err(|e| e.to_string())?;
-        Ok(Others { members, accord })
+        Ok(Others { members, accord, copies })
     }
 }
 
@@ -143,6 +183,7 @@
 struct Others {
     members: Option<Running>,
     accord: Option<accord::Running>,
+    copies: Option<copies::Running>,
 }
 
 impl Others {
@@ -162,7 +203,11 @@
         }
     }
 
+    /// First of all nothing more is promised, last of all the others hear that this front leaves.
     fn leave(self) {
+        if let Some(copies) = self.copies {
+            copies.leave();
+        }
         if let Some(accord) = self.accord {
             accord.end();
         }
@@ -192,7 +237,7 @@
     };
     // Off, unless a file of that name lies beside the configuration.
     let beside = path.with_extension("members.kdl");
-    let off = Among { members: None, accord: None };
+    let off = Among { members: None, accord: None, copies: None };
     let among = match if beside.exists() { Among::read(&beside) } else { Ok(off) } {
         Ok(among) => among,
         Err(error) => {
@@ -201,7 +246,7 @@
         }
     };
     // What the fronts agree on does not reach a front node's decisions: see docs/operate/rules.md.
-    let others = match among.start(None) {
+    let others = match among.start(None, None) {
         Ok(others) => others,
         Err(reason) => return fail(&reason),
     };
--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -554,6 +554,8 @@
                 }
             }
             Output::FollowList | Output::Log(..) | Output::Finished => {}
+            // Nothing is copied here.
+            Output::Keep(..) | Output::Forget(_) | Output::Lives(_) => {}
         }
     }
 
@@ -1266,7 +1268,10 @@
                     held.1 = rung;
                 }
             }
-            BoxRequest::Release { .. } | BoxRequest::SetRung { .. } | BoxRequest::Probe => {}
+            BoxRequest::Release { .. }
+            | BoxRequest::SetRung { .. }
+            | BoxRequest::Claim { .. }
+            | BoxRequest::Probe => {}
         }
         if let Some(exchange) = self.fronts[front as usize].exchanges.get_mut(&conn) {
             exchange.2 = Flight::Answered(said);
--- a/crates/front/src/boxes/link.rs
+++ b/crates/front/src/boxes/link.rs
@@ -5,13 +5,13 @@
 use std::sync::Arc;
 
 use crossbeam_channel::{Receiver, Sender};
-use salttally::interface::{Micros, ServerId};
+use salttally::interface::ServerId;
 use socket2::SockRef;
 
 use super::core::Meter;
 use super::{http, wire};
 use crate::clock::Clock;
-use crate::core::{BoxRequest, ConnId, DialError, ExchangeEnd, Input, StreamNews};
+use crate::core::{BoxRequest, ConnId, DialError, ExchangeEnd, Input, StreamNews, Writ};
 use crate::inside::follow::follow;
 use crate::inside::messages::Msg;
 use crate::inside::socket::Socket;
@@ -40,15 +40,15 @@
 
 impl Exchanger {
     /// Connects, then carries requests until it is hung up.
-    pub fn run(self, requests: &Receiver<(BoxRequest, Option<Micros>)>) {
+    pub fn run(self, requests: &Receiver<(BoxRequest, Writ)>) {
         let stream = self.socket.connect(self.address, &self.settings);
         let result = stream.as_ref().map(|_| ()).map_err(|error| *error);
         if self.engine.send(Msg::Core(Input::Dialed(self.id, result))).is_err() {
             return;
         }
         let Ok(mut stream) = stream else { return };
-        while let Ok((request, until)) = requests.recv() {
-            let end = self.exchange(&mut stream, &request, until);
+        while let Ok((request, writ)) = requests.recv() {
+            let end = self.exchange(&mut stream, &request, writ);
             tracing::trace!(server = self.server.0, conn = self.id.0, ?end, "exchange");
             if self.engine.send(Msg::Core(Input::Exchanged(self.id, end))).is_err() {
                 return;
@@ -56,13 +56,13 @@
         }
     }
 
-    fn exchange(&self, stream: &mut TcpStream, request: &BoxRequest, until: Option<Micros>) -> ExchangeEnd {
+    fn exchange(&self, stream: &mut TcpStream, request: &BoxRequest, writ: Writ) -> ExchangeEnd {
         if !still_open(stream) {
             return ExchangeEnd::Stale;
         }
-        let bytes = wire::request(request, &self.settings);
+        let bytes = wire::request(request, writ.epoch, &self.settings);
         // Danger: the process was stopped since this was decided, and its lease has run out.
-        if until.is_some_and(|until| salttally_accord::edge::now() >= until) {
+        if writ.until.is_some_and(|until| salttally_accord::edge::now() >= until) {
             return ExchangeEnd::Unwritten;
         }
         // All of it or an incomplete request, which the box must not run (RFC 9112 section 8).
--- a/crates/front/src/boxes/mod.rs
+++ b/crates/front/src/boxes/mod.rs
@@ -15,10 +15,10 @@
 use std::sync::Arc;
 
 use crossbeam_channel::Sender;
-use salttally::interface::{Micros, ServerId};
+use salttally::interface::ServerId;
 
 use crate::clock::Clock;
-use crate::core::{BoxRequest, ConnId};
+use crate::core::{BoxRequest, ConnId, Writ};
 use crate::inside::messages::Msg;
 use crate::inside::socket::{spawn, Socket};
 use crate::settings::Settings;
@@ -34,7 +34,7 @@
 
 struct Conn {
     socket: Arc<Socket>,
-    requests: Sender<(BoxRequest, Option<Micros>)>,
+    requests: Sender<(BoxRequest, Writ)>,
 }
 
 impl Boxes {
@@ -70,12 +70,11 @@
         });
     }
 
-    /// Sends a request on a connection that stands; a set-up only until then, by the clock of leases, if that is said.
-    pub fn exchange(&mut self, id: ConnId, request: &BoxRequest, until: Option<Micros>) {
-        let until = until.filter(|_| matches!(request, BoxRequest::SetUp { .. }));
+    /// Sends a request on a connection that stands, by this right.
+    pub fn exchange(&mut self, id: ConnId, request: &BoxRequest, writ: Writ) {
         if let Some(conn) = self.conns.get(&id) {
             // A thread that has ended has told so.
-            let _ = conn.requests.send((request.clone(), until));
+            let _ = conn.requests.send((request.clone(), writ));
         }
     }
 
--- a/crates/front/src/boxes/wire.rs
+++ b/crates/front/src/boxes/wire.rs
@@ -24,7 +24,10 @@
 }
 
 /// Writes a request as bytes.
-pub fn request(request: &BoxRequest, settings: &Settings) -> Vec<u8> {
+pub fn request(request: &BoxRequest, epoch: Option<u64>, settings: &Settings) -> Vec<u8> {
+    let write = |method: &str, path: &str, settings: &Settings, body: Option<&Value>| {
+        write(method, path, epoch, settings, body)
+    };
     match request {
         BoxRequest::SetUp { session, attempt, rung, opening, time_out } => {
             let class = settings.classes.get(opening.class).map_or("", String::as_str);
@@ -53,15 +56,19 @@
         BoxRequest::Release { session, attempt } => {
             write("DELETE", &format!("/sessions/{}/{attempt}", session.0), settings, None)
         }
+        BoxRequest::Claim { life, epoch } => {
+            write("PUT", &format!("/lives/{life}"), settings, Some(&json!({"epoch": epoch})))
+        }
         BoxRequest::Probe => write("GET", "/load", settings, None),
     }
 }
 
-fn write(method: &str, path: &str, settings: &Settings, body: Option<&Value>) -> Vec<u8> {
+fn write(method: &str, path: &str, epoch: Option<u64>, settings: &Settings, body: Option<&Value>) -> Vec<u8> {
     let body = body.map_or(String::new(), Value::to_string);
     let name = &settings.name;
+    let epoch = epoch.map_or(String::new(), |epoch| format!("Epoch: {epoch}\r\n"));
     format!(
-        "{method} {path} HTTP/1.1\r\nHost: box\r\nFront: {name}\r\nContent-Type: application/json\r\n\
+        "{method} {path} HTTP/1.1\r\nHost: box\r\nFront: {name}\r\n{epoch}Content-Type: application/json\r\n\
          Content-Length: {}\r\n\r\n{body}",
         body.len()
     )
@@ -76,6 +83,8 @@
     attempt: Option<u32>,
     #[serde(default)]
     load: Value,
+    #[serde(default)]
+    sessions: Value,
 }
 
 /// What a response to this request says.
@@ -91,6 +100,14 @@
         Ok(report) => report,
         Err(reason) => return malformed(reason),
     };
+    if let (BoxRequest::Claim { .. }, 200) = (request, response.status) {
+        let held: Vec<HeldBody> = match serde_json::from_value(body.sessions) {
+            Ok(held) => held,
+            Err(error) => return malformed(format!("sessions of a life that cannot be read: {error}")),
+        };
+        let held = held.into_iter().map(|held| self::held(held, settings)).collect();
+        return ExchangeEnd::Claimed { held, keep: response.keep };
+    }
     let answer = match (request, response.status) {
         (BoxRequest::SetUp { session, attempt, .. }, 201) => {
             let told = body.session.as_deref().zip(body.attempt);
@@ -101,6 +118,8 @@
         }
         (BoxRequest::SetUp { .. }, 503) => BoxAnswer::Full,
         (BoxRequest::SetUp { .. }, _) => BoxAnswer::Error,
+        (BoxRequest::Claim { .. }, status) if status != 409 => BoxAnswer::Error,
+        (_, 409) => BoxAnswer::Replaced,
         (_, 200) => BoxAnswer::Done,
         (_, 404) => BoxAnswer::Unknown,
         _ => BoxAnswer::Error,
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -12,8 +12,10 @@
 //! - [`streams`]: the event stream from each box: when a box counts as lost, when to try again.
 //! - [`room`]: what of the process's files and threads is whose.
 //! - [`terms`]: rules that fronts agree on.
+//! - [`keeping`]: promises in the form in which other fronts keep copies of them.
 //! - [`timers`]: one queue of all that is due.
 
+pub mod keeping;
 mod ledger;
 pub mod pool;
 pub mod room;
@@ -22,12 +24,13 @@
 pub mod terms;
 pub mod timers;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use salttally::brain::Brain;
 use salttally::interface::*;
 use salttally_accord::core::stand::Stand;
+use salttally_copies::core::{Bytes, Key, Life, Name};
 
 pub use ledger::{Counts, Ledger};
 
@@ -165,6 +168,16 @@
     ShutDown,
     /// What this front stands on, by rules that are agreed on.
     Stand(Box<Stand>),
+    /// A promise counts, or does not.
+    Kept(Key, bool),
+    /// This front goes on with what another promised, by this epoch.
+    Adopt(Life, u64, Vec<(Key, Bytes)>),
+    /// Another front goes on with this one's own life.
+    Replaced(Life),
+    /// Another front goes on with a life that this one went on with.
+    Gone(Life),
+    /// Which other fronts there are, or were.
+    Others(BTreeMap<Name, keeping::Other>),
     /// The process was not running for a while, and runs again.
     Woke,
     /// Something may be due.
@@ -200,6 +213,13 @@
         /// The connection stays open.
         keep: bool,
     },
+    /// What a box holds of a life: all of it, and nothing of it is taken by earlier epochs any more.
+    Claimed {
+        /// What plays there.
+        held: Vec<Held>,
+        /// The connection stays open.
+        keep: bool,
+    },
 }
 
 /// What a box answers.
@@ -211,6 +231,8 @@
     Full,
     /// The box knows no such session, or has ended it.
     Unknown,
+    /// Another front goes on with the session: this one has no say any more.
+    Replaced,
     /// An error; it may have run.
     Error,
 }
@@ -270,10 +292,26 @@
         /// Which attempt.
         attempt: u32,
     },
+    /// What is held of a life that this front goes on with; nothing of it is to be taken by earlier epochs any more.
+    Claim {
+        /// Which life.
+        life: Life,
+        /// By which epoch.
+        epoch: u64,
+    },
     /// A probe: the box tells its load.
     Probe,
 }
 
+/// By what right a request is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Writ {
+    /// Not after this, by the clock of leases.
+    pub until: Option<Micros>,
+    /// By this epoch; the box is told.
+    pub epoch: Option<u64>,
+}
+
 /// Why a session could not be played.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FailReason {
@@ -325,6 +363,10 @@
     },
     /// No session or open call of that name is this client's.
     Unknown,
+    /// The session is at this front, where players reach it so.
+    Elsewhere(Name, Option<SocketAddr>),
+    /// The session is between two fronts: ask again after this long.
+    Wait(Micros),
     /// The open is not accepted: there are as many sessions as there may be.
     Over(usize, HeldBy),
     /// The open is not accepted: the front is full, and this is no return to a session. Ask again after this long.
@@ -362,6 +404,8 @@
     ShuttingDown,
     /// By rules that are agreed on.
     Rules,
+    /// It goes on at another front.
+    Elsewhere,
 }
 
 /// What the edge is to do.
@@ -385,6 +429,12 @@
     StopListening(ServerId, u64),
     /// Follow the box list.
     FollowList,
+    /// Have this promise copied; whether [`Input::Kept`] is awaited.
+    Keep(Key, Vec<u8>, bool),
+    /// It is no more.
+    Forget(Key),
+    /// Sessions' ids begin with this from now on.
+    Lives(Life),
     /// A line for the operators' log.
     Log(Level, String),
     /// All that was owed at a shut-down is done.
--- a/crates/front/src/core/pool.rs
+++ b/crates/front/src/core/pool.rs
@@ -146,7 +146,7 @@
         let conn = self.conns.get_mut(&id)?;
         let (server, address) = (conn.server, conn.address);
         let State::Busy(job) = std::mem::replace(&mut conn.state, State::Dialing(None)) else { return None };
-        if let ExchangeEnd::Answered { keep: true, .. } = end {
+        if let ExchangeEnd::Answered { keep: true, .. } | ExchangeEnd::Claimed { keep: true, .. } = end {
             self.free(now, id, idle_kept, timers, out);
             return Some((server, job.request, End::Exchange(end)));
         }
--- a/crates/front/src/core/terms.rs
+++ b/crates/front/src/core/terms.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use salttally::interface::{ServerEntry, ServerId, ServerState, TitleId, ViewerId};
+use salttally_accord::core::heirs::Heirs;
 use salttally_accord::core::rules::{Limit, Order, Refusal, Rules, Who};
 use salttally_accord::core::stand::Stand;
 
@@ -127,6 +128,21 @@
         self.stand.as_ref().map_or(0, |stand| if self.now < stand.until { stand.until } else { stand.alone })
     }
 
+    /// What rules name, as the settings have it.
+    pub fn names(&self) -> Arc<Names> {
+        Arc::clone(&self.names)
+    }
+
+    /// The epoch by which a front that lives `own` may act for a life now; nothing if it may not.
+    pub fn epoch(&self, own: &str, life: &str) -> Option<u64> {
+        self.stand.as_ref()?.epoch(self.now, own, life)
+    }
+
+    /// Who goes on with whose promises.
+    pub fn heirs(&self) -> Arc<Heirs> {
+        self.stand.as_ref().map(|stand| Arc::clone(&stand.heirs)).unwrap_or_default()
+    }
+
     fn in_force(&self) -> Result<&Fitted, Refusal> {
         match &self.stand {
             Some(stand) if self.now < stand.until => Ok(&self.agreed),
--- a/crates/front/src/core/tests.rs
+++ b/crates/front/src/core/tests.rs
@@ -204,6 +204,7 @@
             }
             Output::Finished => self.finished = true,
             Output::Reply(..) | Output::Tell(..) | Output::FollowList | Output::Log(..) => {}
+            Output::Keep(..) | Output::Forget(_) | Output::Lives(_) => {}
         }
     }
 
@@ -353,7 +354,7 @@
                     self.held.retain(|(_, of, number), _| of != session || number != attempt);
                 }
             }
-            BoxRequest::SetRung { .. } | BoxRequest::Probe => {}
+            BoxRequest::SetRung { .. } | BoxRequest::Claim { .. } | BoxRequest::Probe => {}
         }
         self.give(Input::Exchanged(conn, end));
     }
--- a/crates/front/src/core/tests/terms.rs
+++ b/crates/front/src/core/tests/terms.rs
@@ -19,7 +19,15 @@
 fn stand(rules: Rules, until: Micros, alone: Micros) -> Input {
     let rules = std::sync::Arc::new(rules.normal());
     let (agreed, meet) = (std::sync::Arc::clone(&rules), rules);
-    Input::Stand(Box::new(Stand { begun: 1, latest: 1, until, alone, agreed, meet, heirs: std::sync::Arc::default() }))
+    Input::Stand(Box::new(Stand {
+        begun: 1,
+        latest: 1,
+        until,
+        alone,
+        agreed,
+        meet,
+        heirs: std::sync::Arc::default(),
+    }))
 }
 
 const LEASE: Micros = 1_000_000 * MS;
--- a/crates/front/src/core/timers.rs
+++ b/crates/front/src/core/timers.rs
@@ -4,6 +4,8 @@
 
 use salttally::interface::{Micros, ServerId, SessionId};
 
+use salttally_copies::core::Life;
+
 use super::ConnId;
 
 /// What may be due.
@@ -25,6 +27,10 @@
     Silent(ServerId, u64),
     /// A release is to be tried again.
     Release(ServerId, SessionId, u32),
+    /// A box is to be asked again what it holds of a life.
+    AskLife(ServerId, Life),
+    /// Nobody has taken over a life of which a box named this session.
+    Stray(ServerId, SessionId, u32),
     /// A request to a box has taken as long as it may.
     Slow(u64),
     /// An idle connection may have been kept long enough.
--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -8,6 +8,7 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TryRecvError};
 use salttally::brain::Brain;
 use salttally::interface::Micros;
+use salttally_copies::edge::Teller as Copies;
 use salttally_members::core::pauses::Pauses;
 
 use crate::box_list::Follower;
@@ -46,6 +47,8 @@
     pub out: Vec<Output>,
     /// Likewise: clients of which something was heard or said.
     pub touched: BTreeSet<ClientId>,
+    /// Where copies of promises are kept, if they are.
+    pub copies: Option<Copies>,
     /// Time during which this process was not running.
     pub pauses: Pauses,
 }
@@ -189,13 +192,28 @@
                 Output::Tell(client, news) => self.tell(*client, news),
                 Output::Dial(conn, server, address) => self.boxes.dial(*conn, *server, *address),
                 Output::Exchange(conn, request) => {
-                    let until = self.ledger.write_until();
-                    self.boxes.exchange(*conn, request, until);
+                    let writ = self.ledger.writ(request);
+                    self.boxes.exchange(*conn, request, writ);
                 }
                 Output::Hang(conn) => self.boxes.hang(*conn),
                 Output::Listen(server, number, address) => self.boxes.listen(*server, *number, *address),
                 Output::StopListening(_, number) => self.boxes.stop_listening(*number),
                 Output::FollowList => self.list.follow(),
+                Output::Keep(key, body, waits) => {
+                    if let Some(copies) = &self.copies {
+                        copies.keep(Arc::clone(key), body.clone(), *waits);
+                    }
+                }
+                Output::Forget(key) => {
+                    if let Some(copies) = &self.copies {
+                        copies.end(Arc::clone(key));
+                    }
+                }
+                Output::Lives(life) => {
+                    if let Some(copies) = &self.copies {
+                        copies.lives(Arc::clone(life));
+                    }
+                }
                 Output::Log(Level::Debug, text) => tracing::debug!("{text}"),
                 Output::Log(Level::Info, text) => tracing::info!("{text}"),
                 Output::Log(Level::Warn, text) => tracing::warn!("{text}"),
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -12,12 +12,16 @@
 use salttally::brain::Brain;
 use salttally::interface::{ListKind, Micros, SessionId};
 use salttally_accord::core::stand::Stand;
+use salttally_copies::core::Life;
+use salttally_copies::edge::{Teller as Copies, Told};
 use salttally_members::core::pauses::Pauses;
+use salttally_members::edge::Known;
 use thiserror::Error;
 
 use crate::box_list::Follower;
 use crate::boxes::Boxes;
 use crate::clock::Clock;
+use crate::core::keeping::Other;
 use crate::core::terms::{Names, Terms};
 use crate::core::{Answer, ClientId, Counts, Input, Ledger, News, Opening, Reply, Ticket};
 use crate::engine::Engine;
@@ -92,6 +96,7 @@
     thread: Option<thread::JoinHandle<()>>,
     recorder: Option<Recorder>,
     seed: u64,
+    life: Life,
 }
 
 impl Front {
@@ -100,6 +105,14 @@
     /// # Errors
     /// The players' address cannot be bound, the record cannot be written, or there is no thread to be had.
     pub fn start(settings: Settings) -> Result<Front, StartError> {
+        Front::start_kept(settings, None)
+    }
+
+    /// The same with its promises copied, where the settings have `copies`.
+    ///
+    /// # Errors
+    /// As [`Front::start`].
+    pub fn start_kept(settings: Settings, copies: Option<Copies>) -> Result<Front, StartError> {
         let clock = Clock::start();
         let started = clock.now();
         let settings = Arc::new(settings);
@@ -122,7 +135,11 @@
             let titles = settings.titles.iter().map(|(name, title)| (title.id, name.clone())).collect();
             let names = Names { classes: settings.classes.clone(), titles, viewer: Some(viewer) };
             ledger = ledger.under(Terms::new(names));
+            if copies.is_some() {
+                ledger = ledger.keeping();
+            }
         }
+        let life = ledger.life();
         if let Some(recorder) = &recorder {
             ledger = ledger.tapped(Box::new(recorder.tap()));
         }
@@ -144,6 +161,7 @@
             clients: BTreeMap::new(),
             out: Vec::new(),
             touched: BTreeSet::new(),
+            copies,
             pauses: Pauses::new(),
         };
         // The first thing that the module is told, before any player: it answers by following the list.
@@ -159,7 +177,7 @@
                 let _ = engine.send(Msg::Die);
                 StartError::Listen(settings.listen, error)
             })?;
-        Ok(Front { settings, engine, clients, server, thread: Some(thread), recorder, seed })
+        Ok(Front { settings, engine, clients, server, thread: Some(thread), recorder, seed, life })
     }
 
     /// Whom to tell what this front stands on, where its settings have `accord`.
@@ -170,6 +188,34 @@
         }
     }
 
+    /// What ids of its sessions begin with, from its start on.
+    pub fn life(&self) -> Life {
+        Life::clone(&self.life)
+    }
+
+    /// Whom to tell of copies and of what other fronts promised, where its settings have `copies`.
+    pub fn kept(&self) -> impl Fn(Told) + Send + 'static {
+        let engine = self.engine.clone();
+        move |told| {
+            let input = match told {
+                Told::Kept(key, kept) => Input::Kept(key, kept),
+                Told::Adopt(life, epoch, promises) => Input::Adopt(life, epoch, promises),
+                Told::Replaced(life, _) => Input::Replaced(life),
+                Told::Gone(life) => Input::Gone(life),
+            };
+            let _ = engine.send(Msg::Core(input));
+        }
+    }
+
+    /// Whom to tell of other fronts, as membership knows them.
+    pub fn others(&self) -> impl Fn(&[Known]) + Send + 'static {
+        let engine = self.engine.clone();
+        move |known| {
+            let other = |one: &Known| (Arc::clone(&one.name), Other { here: one.here, serves: one.serves });
+            let _ = engine.send(Msg::Core(Input::Others(known.iter().map(other).collect())));
+        }
+    }
+
     /// Where players connect.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
--- a/crates/front/src/session_api/rpc.rs
+++ b/crates/front/src/session_api/rpc.rs
@@ -29,6 +29,10 @@
 pub const TOO_MANY_SESSIONS: i64 = -32005;
 /// The front is full: only viewers that come back for a session are let in.
 pub const FULL: i64 = -32006;
+/// The session is at another front.
+pub const ELSEWHERE: i64 = -32007;
+/// The session is between two fronts: one is gone, and another is about to go on.
+pub const BETWEEN: i64 = -32008;
 
 /// A method, its parameters and whether each must be there.
 pub type MethodTable = [(&'static str, &'static [(&'static str, bool)])];
@@ -391,6 +395,14 @@
         Reply::OnlyBack(hold_off) => {
             error(id, &RpcError::later(FULL, "full but for viewers that come back", *hold_off))
         }
+        Reply::Elsewhere(front, address) => {
+            let address = address.map(|address| address.to_string());
+            let data = json!({"front": &**front, "address": address});
+            failure(id, ELSEWHERE, "the session is at another front", data)
+        }
+        Reply::Wait(hold_off) => {
+            error(id, &RpcError::later(BETWEEN, "the session is between two fronts", *hold_off))
+        }
         Reply::Unknown => {
             let text = "no such session or open call on this connection";
             error(id, &RpcError::new(UNKNOWN_SESSION, text))
@@ -411,6 +423,7 @@
                 EndReason::Lost => "lost",
                 EndReason::ShuttingDown => "shutting-down",
                 EndReason::Rules => "rules",
+                EndReason::Elsewhere => "elsewhere",
             };
             ("session.ended", json!({"session": &*session.0, "reason": reason}))
         }
--- a/crates/front/src/settings/read.rs
+++ b/crates/front/src/settings/read.rs
@@ -60,6 +60,7 @@
     let (limits, edges) = limits(root)?;
     // Who else is there is read and checked by a package of its own.
     root.all("members");
+    root.all("copies");
     let accord = !root.all("accord").is_empty();
     root.done()?;
     Ok(Settings {
--- a/crates/members/src/edge.rs
+++ b/crates/members/src/edge.rs
@@ -235,10 +235,11 @@
 
     fn known(&self) -> Vec<Known> {
         let view = self.members.view();
-        let known =
-            |here| move |fact: &Fact| {
-            let Fact { address, zone, serves, boot, .. } = *fact;
-            Known { name: Name::clone(&fact.name), address, here, zone, serves, boot }
+        let known = |here| {
+            move |fact: &Fact| {
+                let Fact { address, zone, serves, boot, .. } = *fact;
+                Known { name: Name::clone(&fact.name), address, here, zone, serves, boot }
+            }
         };
         view.members().map(known(true)).chain(view.out().map(known(false))).collect()
     }
--- a/crates/members/src/settings.rs
+++ b/crates/members/src/settings.rs
@@ -75,7 +75,8 @@
         }
         let block = node.children();
         let about = front.children();
-        let listen = about.one("listen")?.map(|node| address(&node, &node.argument::<String>()?)).transpose()?;
+        let listen =
+            about.one("listen")?.map(|node| address(&node, &node.argument::<String>()?)).transpose()?;
         let settings = Settings { zone: about.or("zone", 0)?, serves: listen, ..read(&name, &block)? };
         block.done()?;
         node.done()?;
--- a/crates/standin/src/boxes.rs
+++ b/crates/standin/src/boxes.rs
@@ -281,6 +281,16 @@
         let body: Value = serde_json::from_slice(&request.body).unwrap_or(Value::Null);
         let (status, mut answer) = match (request.method.as_str(), parts.as_slice()) {
             ("GET", ["load"]) => (200, json!({})),
+            ("PUT", ["lives", life]) => {
+                let epoch = body["epoch"].as_u64().unwrap_or(0);
+                match hold(&self.0.fleet).claim(id, life, epoch, &request.front) {
+                    Some(held) => (200, held),
+                    None => (409, json!({"error": "a later epoch has it"})),
+                }
+            }
+            (_, ["sessions", session, ..]) if hold(&self.0.fleet).replaced(id, session, request.epoch) => {
+                (409, json!({"error": "a later epoch has it"}))
+            }
             ("PUT", ["sessions", session, attempt, "rung"]) => {
                 let key = (session.to_string(), attempt.parse().unwrap_or(u32::MAX));
                 let rung = body["rung"].as_u64().unwrap_or(0) as usize;
@@ -326,6 +336,11 @@
             title: text("title"),
             rung,
         });
+        if hold(&self.0.fleet).replaced(id, &key.0, request.epoch) {
+            self.ended(id, &key, SetUpEnd::Full);
+            let answer = json!({"session": key.0, "attempt": key.1, "error": "a later epoch has it"});
+            return http::write(stream, &http::response(409, &answer)).is_ok();
+        }
         while self.unreachable(id, &request.front) {
             if closed_within(stream, Duration::from_millis(5)) {
                 self.ended(id, &key, SetUpEnd::Closed);
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -89,6 +89,8 @@
     /// Sessions by id and attempt.
     pub plays: BTreeMap<(String, u32), Play>,
     barred: BTreeMap<(String, u32), u64>,
+    /// Lives of fronts that others go on with, and by which epoch.
+    lives: BTreeMap<String, u64>,
     recent: VecDeque<u64>,
     report: (u64, [f64; 3]),
     told_share: f64,
@@ -134,6 +136,7 @@
             slower: 1.0,
             plays: BTreeMap::new(),
             barred: BTreeMap::new(),
+            lives: BTreeMap::new(),
             recent: VecDeque::new(),
             report: (0, [0.0; 3]),
             told_share: 1.0,
@@ -275,6 +278,38 @@
         }
     }
 
+    /// A front goes on with a life by this epoch: what is held of it is that front's now, and told; nothing where a later
+    /// epoch was here.
+    pub fn claim(&mut self, id: u32, life: &str, epoch: u64, front: &str) -> Option<Value> {
+        let state = self.boxes.get_mut(&id)?;
+        let there = state.lives.entry(life.to_owned()).or_insert(0);
+        if *there > epoch {
+            return None;
+        }
+        let later = *there < epoch;
+        *there = epoch;
+        let of = |session: &str| session.rsplit_once('-').is_some_and(|(of, _)| of == life);
+        if later {
+            // What is being set up for an earlier epoch does not begin any more.
+            state.plays.retain(|(session, _), play| play.begun || !of(session));
+        }
+        let mut sessions = Vec::new();
+        for ((session, attempt), play) in &mut state.plays {
+            if of(session) && play.begun {
+                play.front = front.to_owned();
+                sessions.push(json!({"session": session, "attempt": attempt, "rung": play.rung, "context": play.context}));
+            }
+        }
+        Some(json!({"sessions": sessions}))
+    }
+
+    /// Whether a later epoch has this session than whoever asks.
+    pub fn replaced(&self, id: u32, session: &str, epoch: Option<u64>) -> bool {
+        let life = session.rsplit_once('-').map_or(session, |(life, _)| life);
+        let there = self.boxes.get(&id).and_then(|state| state.lives.get(life)).copied();
+        there.is_some_and(|there| epoch.unwrap_or(0) < there)
+    }
+
     /// What a box holds for a front.
     pub fn held(&self, id: u32, front: &str) -> Value {
         let Some(state) = self.boxes.get(&id) else { return json!({"sessions": []}) };
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -13,6 +13,8 @@
     pub path: String,
     /// The front's name.
     pub front: String,
+    /// The epoch by which the front asks, if it tells one.
+    pub epoch: Option<u64>,
     /// Body.
     pub body: Vec<u8>,
 }
@@ -50,6 +52,7 @@
         method: head.method.unwrap_or("").to_owned(),
         path: head.path.unwrap_or("").to_owned(),
         front: field("front").to_owned(),
+        epoch: field("epoch").parse().ok(),
         body: body.to_vec(),
     };
     Ok(Some((request, size + length)))
