--- a/crates/copies/src/core/mod.rs
+++ b/crates/copies/src/core/mod.rs
@@ -148,7 +148,7 @@
 #[derive(Clone, Debug)]
 pub enum Input {
     /// A message, from whom.
-    Heard(Name, Body),
+    Heard(Name, Box<Body>),
     /// Something may be due.
     Tick,
     /// A promise; whether somebody waits until it counts.
@@ -302,7 +302,7 @@
         self.now = self.now.max(now);
         let mut then = Vec::new();
         match input {
-            Input::Heard(from, body) => self.heard(from, body, &mut then),
+            Input::Heard(from, body) => self.heard(from, *body, &mut then),
             Input::Tick => self.tick(&mut then),
             Input::Keep(key, body, waits) => self.keep(key, body, waits, &mut then),
             Input::End(key) => self.change(key, None),
--- a/crates/copies/src/edge.rs
+++ b/crates/copies/src/edge.rs
@@ -255,7 +255,7 @@
         match word {
             Word::Core(input) => self.copies.handle(now(), input, out),
             Word::Passed(from, bytes) => match postcard::from_bytes::<Body>(&bytes) {
-                Ok(body) => self.copies.handle(now(), Input::Heard(from, body), out),
+                Ok(body) => self.copies.handle(now(), Input::Heard(from, Box::new(body)), out),
                 Err(error) => tracing::warn!(%from, %error, "copies: a message is not used"),
             },
             Word::Known(known) => {
