Whole fronts in virtual time with a judge of promises; lives taken over go along with their heir

Need: what was seen as processes is a handful of schedules; the copies' rules are to be tried by thousands. Found by it and mended: what an heir had taken over itself was nobody's after the heir's own loss (places held for ever); a front awake without a lease answered 'unknown' and 'closed' for what was another's.

--- a/crates/accord/src/core/heirs.rs
+++ b/crates/accord/src/core/heirs.rs
@@ -39,7 +39,8 @@
 /// A change of heirs.
 #[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
 pub enum Succession {
-    /// A front takes a life over, as the heir after all before; its version is filled in here.
+    /// A front takes a life over, as the heir after all before, and with it all that this life had taken over; its version
+    /// is filled in here.
     Takes(Life, Heir),
     /// The heir of this epoch has it all.
     Settled(Life, u64),
@@ -81,6 +82,11 @@
         }
         match change {
             Succession::Takes(life, heir) => {
+                // Danger: what this life had taken over itself is nobody's, found by the trial: it goes along.
+                for along in self.of.values_mut().filter(|before| before.life == *life) {
+                    let (epoch, settled) = (along.epoch + 1, along.settled);
+                    *along = Heir { epoch, version, settled, ..heir.clone() };
+                }
                 self.of.insert(Life::clone(life), Heir { version, settled: false, ..heir.clone() });
             }
             Succession::Settled(life, _) => {
@@ -101,17 +107,9 @@
         true
     }
 
-    /// Who has what a life promised, through heirs that have heirs themselves; nothing while the life is its own.
+    /// Who has what a life promised; nothing while the life is its own.
     pub fn last(&self, life: &str) -> Option<&Heir> {
-        let mut found = self.of.get(life)?;
-        // A chain is no longer than the heirs are many, whatever it says.
-        for _ in 0..self.of.len() {
-            match self.of.get(&found.life) {
-                Some(next) => found = next,
-                None => break,
-            }
-        }
-        Some(found)
+        self.of.get(life)
     }
 
     /// Whether this life is over for the front that lived it.
--- a/crates/copies/src/core/heir.rs
+++ b/crates/copies/src/core/heir.rs
@@ -63,6 +63,11 @@
         gather
     }
 
+    /// Of a life that goes along with another one, whose promises are among that one's.
+    pub fn along(epoch: u64, now: Micros) -> Gather {
+        Gather { settled: true, ..Gather::new(epoch, now, BTreeSet::new(), None) }
+    }
+
     /// Whom it has still to hear.
     pub fn waits(&self) -> &BTreeSet<Name> {
         &self.waits
--- a/crates/copies/src/core/mod.rs
+++ b/crates/copies/src/core/mod.rs
@@ -204,6 +204,31 @@
     pub shelves: Shelves,
 }
 
+impl Image {
+    /// One write takes place.
+    pub fn write(&mut self, write: &Write) {
+        match write {
+            Write::Head(life, head) => match self.shelves.get_mut(life) {
+                Some(shelf) => shelf.head = head.clone(),
+                None => {
+                    let shelf = Shelf { head: head.clone(), entries: BTreeMap::new() };
+                    self.shelves.insert(Life::clone(life), shelf);
+                }
+            },
+            Write::Entry(life, key, entry) => {
+                // An entry comes ahead of the first word about its shelf where both are new.
+                let blank = || Shelf::new(&Name::from(""), 0);
+                let shelf = self.shelves.entry(Life::clone(life)).or_insert_with(blank);
+                match entry {
+                    Some(entry) => shelf.entries.insert(Key::clone(key), entry.clone()),
+                    None => shelf.entries.remove(key),
+                };
+            }
+            Write::Drop(life) => drop(self.shelves.remove(life)),
+        }
+    }
+}
+
 /// A shelf and what is known of its owner.
 #[derive(Clone, Debug)]
 struct Held {
@@ -662,7 +687,19 @@
         for (key, body) in &fresh {
             self.change(Key::clone(key), Some(Bytes::clone(body)));
         }
-        out.push(Output::Adopt(Life::clone(life), epoch, fresh));
+        // What this life had taken over is among its promises, and has epochs of its own.
+        let mut parts: BTreeMap<Life, (u64, Vec<(Key, Bytes)>)> = [(Life::clone(life), (epoch, Vec::new()))].into();
+        for (key, body) in fresh {
+            let of = life_of(&key).and_then(|of| self.gathers.get_key_value(of));
+            let Some((of, gather)) = of else { continue };
+            parts.entry(Life::clone(of)).or_insert_with(|| (gather.epoch, Vec::new())).1.push((key, body));
+        }
+        for (life, (epoch, promises)) in parts {
+            if let Some(gather) = self.gathers.get_mut(&life) {
+                gather.handed = true;
+            }
+            out.push(Output::Adopt(life, epoch, promises));
+        }
     }
 
     fn heirs(&mut self, heirs: Arc<Heirs>, begun: u64, out: &mut Vec<Output>) {
@@ -697,16 +734,21 @@
                 out.push(Output::Gone(life));
             }
         }
-        let begin: Vec<(Life, u64)> = self
+        let begin: Vec<(Life, u64, bool)> = self
             .heirs
             .of
             .iter()
             .filter(|(life, heir)| {
                 heir.life == self.own.life && heir.version <= begun && !self.gathers.contains_key(*life)
             })
-            .map(|(life, heir)| (Life::clone(life), heir.epoch))
+            .map(|(life, heir)| (Life::clone(life), heir.epoch, heir.settled))
             .collect();
-        for (life, epoch) in begin.into_iter().filter(|_| self.lives) {
+        for (life, epoch, along) in begin.into_iter().filter(|_| self.lives) {
+            if along {
+                self.rest.insert(Life::clone(&life), self.now);
+                self.gathers.insert(life, Gather::along(epoch, self.now));
+                continue;
+            }
             let whom: BTreeSet<Name> = self.peers.keys().cloned().collect();
             let shelf = self.shelves.get_mut(&life).map(|held| {
                 held.shelf.head.epoch = epoch;
@@ -726,11 +768,20 @@
         let lives: Vec<Life> = self.gathers.keys().cloned().collect();
         let filled = self.owner.holders.len().min(self.own.copies) >= self.enough();
         let (level, now) = (filled && self.owner.waits() == 0 && self.level(), self.now);
+        let unheard = self.gathers.values().any(|gather| !gather.settled && !gather.handed);
         for life in lives {
             let due = self.asked.get(&life).is_none_or(|at| *at <= now);
             let Some(gather) = self.gathers.get_mut(&life) else { continue };
             gather.only(&here);
             let epoch = gather.epoch;
+            if gather.settled && !gather.handed {
+                // Nothing of it was among the other's promises; boxes are asked all the same.
+                if !unheard {
+                    gather.handed = true;
+                    out.push(Output::Adopt(life, epoch, Vec::new()));
+                }
+                continue;
+            }
             if !gather.handed {
                 if due {
                     for name in gather.waits() {
--- a/crates/front/src/core/ledger/clients.rs
+++ b/crates/front/src/core/ledger/clients.rs
@@ -96,6 +96,11 @@
     pub(super) fn close(&mut self, client: ClientId, ticket: Ticket, id: &SessionId, out: &mut Vec<Output>) {
         let own = self.by_client.get(&client).is_some_and(|own| own.contains(id));
         let plays = self.sessions.get(id).is_some_and(|s| s.playing().is_some());
+        if own && plays && !self.ours(id) {
+            // It would play on where nobody may end it.
+            out.push(Output::Reply(client, ticket, Reply::Wait(kept::ASK_AGAIN)));
+            return;
+        }
         if !(own && plays) {
             out.push(Output::Reply(client, ticket, Reply::Unknown));
             return;
--- a/crates/front/src/core/ledger/kept.rs
+++ b/crates/front/src/core/ledger/kept.rs
@@ -10,7 +10,7 @@
 /// A box that is in no list is asked so often.
 const CLAIMS: u32 = 6;
 /// A viewer whose session is between two fronts asks again after this.
-const ASK_AGAIN: Micros = 500_000;
+pub(super) const ASK_AGAIN: Micros = 500_000;
 
 impl<D: Decider> Ledger<D> {
     /// Has its promises copied, and goes on with others'. Wants rules that are agreed on: see [`Ledger::under`].
@@ -514,6 +514,10 @@
                 (true, false) => wait,
             };
         }
+        if terms.epoch(&keeping.own, &keeping.own).is_none() {
+            // Danger: a front that was stopped answers for what is another's; found by the trial. It cannot know.
+            return wait;
+        }
         if heirs.over.contains_key(life) || *life == *keeping.own {
             return Reply::Unknown;
         }
--- a/crates/front/src/core/ledger/mod.rs
+++ b/crates/front/src/core/ledger/mod.rs
@@ -301,6 +301,11 @@
             .cloned()
     }
 
+    /// The box that a connection goes to.
+    pub fn box_of(&self, conn: ConnId) -> Option<ServerId> {
+        self.pool.box_of(conn)
+    }
+
     /// Connections: being made, busy, idle; and requests that wait for one.
     pub fn connections(&self) -> [usize; 4] {
         self.pool.count()
--- a/crates/front/src/core/pool.rs
+++ b/crates/front/src/core/pool.rs
@@ -226,6 +226,11 @@
         }
     }
 
+    /// The box that a connection goes to.
+    pub fn box_of(&self, id: ConnId) -> Option<ServerId> {
+        self.conns.get(&id).map(|conn| conn.server)
+    }
+
     /// Number of connections: being made, busy, idle; and requests that wait for one.
     pub fn count(&self) -> [usize; 4] {
         let mut count = [0; 4];
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 pub mod accord;
+pub mod copies;
 pub mod members;
 pub mod record;
 mod rules;
--- a/crates/trial/src/describe.rs
+++ b/crates/trial/src/describe.rs
@@ -29,10 +29,31 @@
     pub link: Quality,
     /// Versions that the fronts are to agree on; nothing where only membership is tried.
     pub versions: Option<Versions>,
+    /// Sessions whose promises are copied; nothing where only what is below them is tried.
+    pub promises: Option<Promises>,
     /// Faults.
     pub faults: Vec<Fault>,
 }
 
+/// Viewers, boxes and copies of a trial of whole fronts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Promises {
+    /// The first so many fronts vote.
+    pub voters: usize,
+    /// Viewers, each of whom watches again and again.
+    pub viewers: usize,
+    /// Boxes.
+    pub boxes: u32,
+    /// Zones, in which fronts and boxes stand by turns.
+    pub zones: u32,
+    /// A session is watched from so long to so long, us.
+    pub watch: (Micros, Micros),
+    /// Fronts that hold a copy, and how many make a promise count.
+    pub copies: (usize, usize),
+    /// A place at a box is free so long after its session's end at most, us.
+    pub freed: Micros,
+}
+
 /// What is proposed in a trial, and by whom it is agreed on.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Versions {
@@ -185,6 +206,7 @@
         None => [3_000_000, 10_000_000, 600_000],
     };
     let versions = block.one("versions")?.map(|node| versions(&node, fronts)).transpose()?;
+    let promises = block.one("promises")?.map(|node| promises(&node, fronts)).transpose()?;
     let lasts = ms(block.value("lasts-ms")?);
     let mut faults = Vec::new();
     for node in block.all("fault") {
@@ -205,10 +227,34 @@
         stated,
         link,
         versions,
+        promises,
         faults,
     })
 }
 
+fn promises(node: &Node<'_>, fronts: usize) -> Read<Promises> {
+    let promises = Promises {
+        voters: node.or("voters", 3)?,
+        viewers: node.or("viewers", 30)?,
+        boxes: node.or("boxes", 6)?,
+        zones: node.or("zones", 3u32)?.max(1),
+        watch: (ms(node.or("watch-from-ms", 5_000.0)?), ms(node.or("watch-to-ms", 40_000.0)?)),
+        copies: (node.or("copies", 2)?, node.or("enough", 1)?),
+        freed: ms(node.or("freed-ms", 30_000.0)?),
+    };
+    node.done()?;
+    if ![3, 5, 7].contains(&promises.voters) || promises.voters > fronts {
+        return Err(node.bad("`voters` is 3, 5 or 7, and not more than there are fronts"));
+    }
+    if promises.boxes == 0 || promises.watch.0 == 0 || promises.watch.1 < promises.watch.0 {
+        return Err(node.bad("there is a box at least, and `watch-to-ms` is not under `watch-from-ms`"));
+    }
+    if promises.copies.1 > promises.copies.0 {
+        return Err(node.bad("`enough` is more than `copies`"));
+    }
+    Ok(promises)
+}
+
 fn versions(node: &Node<'_>, fronts: usize) -> Read<Versions> {
     let usual = Times::default();
     let span = |name: &str, usual: Micros| -> Read<Micros> { Ok(node.maybe(name)?.map_or(usual, ms)) };
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod skew;
 pub mod versions;
 pub mod virt;
+pub mod whole;
 
 /// Microseconds.
 pub type Micros = u64;
--- a/crates/trial/src/versions.rs
+++ b/crates/trial/src/versions.rs
@@ -46,15 +46,18 @@
     Propose,
 }
 
-/// A disk: what is flushed stays, what is only written may be lost with the process.
+/// A disk of accord: what is flushed stays, what is only written may be lost with the process.
 #[derive(Clone, Default)]
-struct Disk {
-    flushed: Image,
-    pending: Vec<Write>,
+pub(crate) struct Disk {
+    /// What is there after a crash.
+    pub flushed: Image,
+    /// What is only written.
+    pub pending: Vec<Write>,
 }
 
 impl Disk {
-    fn write(&mut self, writes: Vec<Write>) {
+    /// Writes, and flushes if anything of it promises.
+    pub fn write(&mut self, writes: Vec<Write>) {
         let flush = writes.iter().any(Write::promises);
         self.pending.extend(writes);
         if flush {
--- a/crates/trial/src/virt.rs
+++ b/crates/trial/src/virt.rs
@@ -72,7 +72,7 @@
     SocketAddr::from((Ipv4Addr::new(127, 1, (front / 250) as u8, (front % 250) as u8 + 1), 7301))
 }
 
-fn front_at(address: SocketAddr) -> Option<usize> {
+pub(crate) fn front_at(address: SocketAddr) -> Option<usize> {
     let SocketAddr::V4(v4) = address else { return None };
     let octets = v4.ip().octets();
     (octets[1] == 1).then(|| usize::from(octets[2]) * 250 + usize::from(octets[3]) - 1)
