Without a lease a front gives away, takes back and answers for no session

Change: claims, closes and ends of connections wait for a lease; withheld releases are tried again without counting.

--- a/crates/front/src/core/ledger/clients.rs
+++ b/crates/front/src/core/ledger/clients.rs
@@ -118,6 +118,12 @@
         out: &mut Vec<Output>,
     ) {
         let mut reply = if self.sessions.contains_key(id) { Reply::Unknown } else { self.elsewhere(id) };
+        if self.sessions.get(id).is_some_and(|session| session.client.is_none()) && !self.ours(id) {
+            // Danger: a front that was stopped gives away what is another's, and takes it back as that player goes; found
+            // by the trial.
+            out.push(Output::Reply(client, ticket, Reply::Wait(kept::ASK_AGAIN)));
+            return;
+        }
         if let Some(session) = self.sessions.get_mut(id) {
             if session.client.is_none() && viewer == Some(session.opening.viewer) {
                 // Found at a box after a restart of this front, or left without a word: its viewer is back for it.
@@ -139,6 +145,9 @@
 
     /// Danger: a session that plays for nobody, or an answer written to a connection that is gone.
     pub(super) fn client_gone(&mut self, client: ClientId, out: &mut Vec<Output>) {
+        if self.keeping.is_some() {
+            self.keep_unsure(client);
+        }
         for id in self.by_client.remove(&client).unwrap_or_default() {
             let Some(session) = self.sessions.get_mut(&id) else { continue };
             session.client = None;
@@ -156,11 +165,22 @@
     /// titles last; or, ended at once, a viewer whose line was down for a moment would lose what it paid for. So they
     /// wait a while for their viewer. What was not answered yet is given up: its answer can reach nobody.
     pub(super) fn client_lost(&mut self, client: ClientId, out: &mut Vec<Output>) {
+        self.keep_for_viewer(client, |_, _| true);
+        self.client_gone(client, out);
+    }
+
+    /// Without a lease nobody can tell whose these are: whoever has them waits for their viewers.
+    fn keep_unsure(&mut self, client: ClientId) {
+        self.keep_for_viewer(client, |ledger, id| !ledger.ours(id));
+    }
+
+    fn keep_for_viewer(&mut self, client: ClientId, which: impl Fn(&Self, &SessionId) -> bool) {
         let until = self.now + self.limits.silent_kept;
         let own = self.by_client.get(&client).cloned().unwrap_or_default();
         for id in own {
+            let kept = which(self, &id);
             let Some(session) = self.sessions.get_mut(&id) else { continue };
-            if session.playing().is_some() {
+            if kept && session.playing().is_some() {
                 (session.client, session.claim_by) = (None, Some(until));
                 self.timers.set(until, Due::Claim(id.clone()));
                 if let Some(own) = self.by_client.get_mut(&client) {
@@ -168,7 +188,6 @@
                 }
             }
         }
-        self.client_gone(client, out);
     }
 
     /// Gives the one answer, if it is still owed; returns whether it was.
--- a/crates/front/src/core/ledger/kept.rs
+++ b/crates/front/src/core/ledger/kept.rs
@@ -509,9 +509,9 @@
             let here = heir.name.as_ref() == self.name.as_str();
             return match (here, keeping.epochs.contains_key(life)) {
                 (false, _) => Reply::Elsewhere(Name::clone(&heir.name), heir.serves),
-                // It was here, and is over.
-                (true, true) => Reply::Unknown,
-                (true, false) => wait,
+                // It was here, and is over; without a lease it may be at the next heir's.
+                (true, true) if terms.epoch(&keeping.own, life).is_some() => Reply::Unknown,
+                (true, _) => wait,
             };
         }
         if terms.epoch(&keeping.own, &keeping.own).is_none() {
--- a/crates/front/src/core/ledger/mod.rs
+++ b/crates/front/src/core/ledger/mod.rs
@@ -30,6 +30,8 @@
 const RELEASES: u32 = 4;
 /// Releases under way at one box, of sessions that it names and nobody knows.
 const RELEASES_AT_ONCE: usize = 32;
+/// One that may not be written is tried again after this.
+const WITHHELD: Micros = 300_000;
 /// Pause before the second of them; it doubles.
 const RELEASE_PAUSE: Micros = 100_000;
 /// Changes of rung in a row that may fail before the module is told the rung in force.
--- a/crates/front/src/core/ledger/releases.rs
+++ b/crates/front/src/core/ledger/releases.rs
@@ -80,6 +80,11 @@
     /// what it holds, sent whenever its stream is made, shows what plays for nobody.
     pub(super) fn release_ended(&mut self, server: ServerId, id: SessionId, wire: u32, done: bool) {
         let key = (server, id.clone(), wire);
+        if !done && !self.ours(&id) && self.releases.contains_key(&key) {
+            // Danger: without a lease nothing is written, the tries are used up, and it plays on for nobody; found by the
+            // trial. It waits until this front may act again, or another has the life.
+            return self.timers.set(self.now + WITHHELD, Due::Release(server, id, wire));
+        }
         let Some(tries) = self.releases.get_mut(&key) else { return };
         *tries += 1;
         if done || *tries >= RELEASES {
