--- a/crates/front/src/core/keeping.rs
+++ b/crates/front/src/core/keeping.rs
@@ -94,6 +94,8 @@
     pub claims: BTreeMap<(Life, ServerId), u32>,
     /// When this front last had a lease.
     pub leased: Micros,
+    /// When what is known of other fronts last changed.
+    pub moved_at: Micros,
     /// Other fronts.
     pub others: BTreeMap<Name, Other>,
 }
@@ -110,6 +112,7 @@
             fates: BTreeMap::new(),
             claims: BTreeMap::new(),
             leased: 0,
+            moved_at: 0,
             others: BTreeMap::new(),
         }
     }
--- a/crates/front/src/core/ledger/kept.rs
+++ b/crates/front/src/core/ledger/kept.rs
@@ -14,6 +14,8 @@
 /// A front without a lease for so long sends its players to look elsewhere. Danger: it is cut off, its players hear it all
 /// the same, and whoever goes on with their sessions waits for them in vain; found by the trial.
 const UNLEASED: Micros = 5_000_000;
+/// What is known of other fronts is in motion for so long after a change.
+const SETTLES: Micros = 10_000_000;
 /// It looks at its lease this often.
 const LOOK: Micros = 1_000_000;
 
@@ -562,6 +564,8 @@
         match keeping.others.get(name) {
             Some(Other { here: true, serves }) => Reply::Elsewhere(Name::from(name), *serves),
             Some(_) => wait,
+            // Two views that come together after a split know each other's fronts only after a moment.
+            None if keeping.moved_at + SETTLES > self.now => wait,
             None => Reply::Unknown,
         }
     }
--- a/crates/front/src/core/ledger/mod.rs
+++ b/crates/front/src/core/ledger/mod.rs
@@ -348,8 +348,8 @@
             Input::Replaced(life) => self.replaced(&life, out),
             Input::Gone(life) => self.give_up(&life, out),
             Input::Others(others) => {
-                if let Some(keeping) = &mut self.keeping {
-                    keeping.others = others;
+                if let Some(keeping) = self.keeping.as_mut().filter(|keeping| keeping.others != others) {
+                    (keeping.others, keeping.moved_at) = (others, self.now);
                 }
             }
             Input::Woke => {
