--- a/crates/accord/src/core/heirs.rs
+++ b/crates/accord/src/core/heirs.rs
@@ -65,7 +65,11 @@
             Succession::Takes(life, heir) => {
                 let room = self.of.contains_key(life) || self.of.len() < MOST;
                 let loops = *life == heir.life || self.chain(&heir.life).any(|one| one.life == *life);
-                heir.epoch == self.reached(life) + 1 && !loops && room && !self.over.contains_key(life)
+                // Danger, both found by the trial: what is settled lies with its heir alone, and goes along with that one only;
+                // and a proposal that was long on its way names an heir that has one itself by now.
+                let settled = self.of.get(life).is_some_and(|heir| heir.settled);
+                let fits = heir.epoch == self.reached(life) + 1 && !loops && !settled;
+                fits && room && !self.over.contains_key(life) && !self.retired(&heir.life)
             }
             Succession::Settled(life, epoch) => {
                 self.of.get(life).is_some_and(|heir| heir.epoch == *epoch && !heir.settled)
--- a/crates/accord/src/core/tests.rs
+++ b/crates/accord/src/core/tests.rs
@@ -508,3 +508,17 @@
     assert_eq!(stand.epoch(99, "a-1", "a-1"), None, "it is another's now");
     assert_eq!((stand.epoch(100, "b-1", "a-1"), stand.epoch(100, "b-1", "b-1")), (None, None));
 }
+
+#[test]
+fn a_settled_life_goes_along_with_its_heir_alone_and_no_heir_is_itself_replaced() {
+    let mut history = History::default();
+    history.take(&Entry::Succeed(vec![takes("a-1", 1, "b")]));
+    history.take(&Entry::Succeed(vec![Succession::Settled("a-1".into(), 1)]));
+    history.take(&Entry::Succeed(vec![takes("a-1", 2, "c")]));
+    assert_eq!(history.heirs.last("a-1").unwrap().name.as_ref(), "b", "nobody else has what it promised");
+    history.take(&Entry::Succeed(vec![takes("b-1", 1, "c")]));
+    assert_eq!(history.heirs.last("a-1").unwrap().name.as_ref(), "c");
+    // A word of the front in its old life that was long on its way.
+    history.take(&Entry::Succeed(vec![takes("d-1", 1, "b")]));
+    assert!(history.heirs.last("d-1").is_none());
+}
--- a/crates/copies/src/core/mod.rs
+++ b/crates/copies/src/core/mod.rs
@@ -687,7 +687,8 @@
             self.change(Key::clone(key), Some(Bytes::clone(body)));
         }
         // What this life had taken over is among its promises, and has epochs of its own.
-        let mut parts: BTreeMap<Life, (u64, Vec<(Key, Bytes)>)> = [(Life::clone(life), (epoch, Vec::new()))].into();
+        let mut parts: BTreeMap<Life, (u64, Vec<(Key, Bytes)>)> =
+            [(Life::clone(life), (epoch, Vec::new()))].into();
         for (key, body) in fresh {
             let of = life_of(&key).and_then(|of| self.gathers.get_key_value(of));
             let Some((of, gather)) = of else { continue };
--- a/crates/judge/src/copies.rs
+++ b/crates/judge/src/copies.rs
@@ -146,7 +146,8 @@
             }
         }
         holders.extend(owners);
-        let lost = |front: &&str| self.disks.iter().any(|(when, of)| of == front && (*told..=at).contains(when));
+        let lost =
+            |front: &&str| self.disks.iter().any(|(when, of)| of == front && (*told..=at).contains(when));
         holders.iter().all(lost)
     }
 
@@ -183,7 +184,11 @@
             for session in held.iter().filter_map(Value::as_str) {
                 self.decided(Property::Freed);
                 // What nobody was told to play, or whose viewer is done, plays for nobody.
-                let since = self.ended.get(session).copied().or_else(|| (!self.told.contains_key(session)).then_some(0));
+                let since = self
+                    .ended
+                    .get(session)
+                    .copied()
+                    .or_else(|| (!self.told.contains_key(session)).then_some(0));
                 if since.is_some_and(|since| since.saturating_add(freed) < at) {
                     self.broken(Property::Freed, format!("{session} is still held at the end"));
                 }
@@ -199,7 +204,9 @@
         self.decided(Property::OneOwner);
         let taken = || self.owners.get(life(session)).into_iter().flatten();
         // What is done as it is handed over is done by the heir.
-        if taken().any(|(since, of, heir)| *since == at && *heir == front && epoch.is_none_or(|epoch| epoch >= *of)) {
+        if taken()
+            .any(|(since, of, heir)| *since == at && *heir == front && epoch.is_none_or(|epoch| epoch >= *of))
+        {
             return;
         }
         let latest = taken().filter(|(since, ..)| *since < at).max_by_key(|(_, epoch, _)| *epoch);
@@ -212,7 +219,8 @@
             }
         };
         if let Some(why) = wrong {
-            let text = format!("{front}: {what} of {session} by epoch {epoch:?} at {} ms, though {why}", at / 1000);
+            let text =
+                format!("{front}: {what} of {session} by epoch {epoch:?} at {} ms, though {why}", at / 1000);
             self.broken(Property::OneOwner, text);
         }
     }
--- a/crates/trial/src/whole.rs
+++ b/crates/trial/src/whole.rs
@@ -16,8 +16,8 @@
 use salttally_front::core::keeping::Other;
 use salttally_front::core::terms::{Names, Terms};
 use salttally_front::core::{
-    Answer, BoxAnswer, BoxRequest, ClientId, ConnId, DialError, EndReason, ExchangeEnd, Held, Input, Ledger, Listed,
-    News, Opening, Output, Reply, StreamNews, Ticket,
+    Answer, BoxAnswer, BoxRequest, ClientId, ConnId, DialError, EndReason, ExchangeEnd, Held, Input, Ledger,
+    Listed, News, Opening, Output, Reply, StreamNews, Ticket,
 };
 use salttally_front::settings::Settings;
 use salttally_members::core as members;
@@ -83,11 +83,39 @@
     Act(Act),
     Tick(usize, u64, Which),
     Comes(usize, u64, In),
-    Asked { server: u32, front: usize, start: u64, conn: ConnId, request: Box<BoxRequest>, epoch: Option<u64> },
-    Begins { server: u32, key: (SessionId, u32), front: usize, start: u64, conn: ConnId },
-    Hung { server: u32, front: usize, start: u64, conn: Option<ConnId> },
-    Listens { server: u32, front: usize, start: u64, number: u64 },
-    Beats { server: u32, front: usize, start: u64, number: u64 },
+    Asked {
+        server: u32,
+        front: usize,
+        start: u64,
+        conn: ConnId,
+        request: Box<BoxRequest>,
+        epoch: Option<u64>,
+    },
+    Begins {
+        server: u32,
+        key: (SessionId, u32),
+        front: usize,
+        start: u64,
+        conn: ConnId,
+    },
+    Hung {
+        server: u32,
+        front: usize,
+        start: u64,
+        conn: Option<ConnId>,
+    },
+    Listens {
+        server: u32,
+        front: usize,
+        start: u64,
+        number: u64,
+    },
+    Beats {
+        server: u32,
+        front: usize,
+        start: u64,
+        number: u64,
+    },
     Viewer(usize, u64, Step),
 }
 
@@ -191,10 +219,7 @@
         .collect();
     let queue = Queue::new(trial, plan, Event::Act);
     let calm = queue.end().saturating_sub(trial.quiet);
-    let text = format!(
-        "front \"f0\" {{ listen \"127.0.0.1:7001\"; fronts {}; }}\n{SETTINGS}",
-        trial.fronts
-    );
+    let text = format!("front \"f0\" {{ listen \"127.0.0.1:7001\"; fronts {}; }}\n{SETTINGS}", trial.fronts);
     let settings = match Settings::parse("trial.kdl", &text) {
         Ok(settings) => settings,
         Err(error) => unreachable!("the trial's own settings hold: {error}"),
@@ -277,7 +302,9 @@
                 }
                 // Only the latest that it asked for counts, or each would ask for one more.
                 match &mut node.alive {
-                    Some(alive) if alive.due[which as usize] == self.now => alive.due[which as usize] = Micros::MAX,
+                    Some(alive) if alive.due[which as usize] == self.now => {
+                        alive.due[which as usize] = Micros::MAX
+                    }
                     _ => return,
                 }
                 self.tick(front, which);
@@ -298,7 +325,9 @@
             Event::Asked { server, front, start, conn, request, epoch } => {
                 self.asked(server, (front, start, conn), *request, epoch);
             }
-            Event::Begins { server, key, front, start, conn } => self.begins(server, &key, (front, start, conn)),
+            Event::Begins { server, key, front, start, conn } => {
+                self.begins(server, &key, (front, start, conn))
+            }
             Event::Hung { server, front, start, conn } => {
                 // A set-up whose connection is closed before its answer does not begin.
                 let of = |by: &(usize, u64, ConnId)| {
@@ -362,7 +391,8 @@
                 node.waiting.clear();
                 node.accord_disk.pending.clear();
                 if matches!(act, Act::Lose(_)) {
-                    (node.accord_disk, node.copies_disk, node.disk) = (Disk::default(), copies::Image::default(), 0);
+                    (node.accord_disk, node.copies_disk, node.disk) =
+                        (Disk::default(), copies::Image::default(), 0);
                 }
                 for server in 0..self.promises.boxes {
                     self.queue.push(self.now + NEAR, Event::Hung { server, front, start, conn: None });
@@ -500,7 +530,9 @@
             match output {
                 members::Output::Send(to, envelope) => {
                     self.out.datagrams += 1;
-                    let Some(other) = front_at(to).filter(|other| *other < self.trial.fronts) else { continue };
+                    let Some(other) = front_at(to).filter(|other| *other < self.trial.fronts) else {
+                        continue;
+                    };
                     let start = self.nodes[other].starts;
                     for delay in self.net.fate(self.now, front, other, &mut self.rng) {
                         let what = In::Datagram(address(front), envelope.clone());
@@ -524,7 +556,8 @@
             .map(|fact| copies::Peer { name: Name::clone(&fact.name), zone: fact.zone, boot: fact.boot })
             .collect();
         let others = view.members().map(|fact| (fact, true)).chain(view.out().map(|fact| (fact, false)));
-        let others = others.map(|(fact, here)| (Name::clone(&fact.name), Other { here, serves: fact.serves }));
+        let others =
+            others.map(|(fact, here)| (Name::clone(&fact.name), Other { here, serves: fact.serves }));
         let others: BTreeMap<Name, Other> = others.collect();
         let peers: BTreeSet<Name> = here.iter().map(|peer| Name::clone(&peer.name)).collect();
         self.copies(front, copies::Input::View(here, own));
@@ -628,7 +661,8 @@
                 Output::Reply(client, ticket, reply) => self.replied(client, ticket, &reply),
                 Output::Tell(client, news) => self.told(client, &news),
                 Output::Dial(conn, server, _) => {
-                    let result = if server.0 < self.promises.boxes { Ok(()) } else { Err(DialError::Refused) };
+                    let result =
+                        if server.0 < self.promises.boxes { Ok(()) } else { Err(DialError::Refused) };
                     self.to_front(front, start, Input::Dialed(conn, result));
                 }
                 Output::Exchange(conn, request) => {
@@ -733,27 +767,35 @@
                 self.line(line);
                 answer
             }
-            BoxRequest::SetRung { session, attempt, rung, .. } => Some(match replaced(&session, &there.lives) {
-                true => BoxAnswer::Replaced,
-                false => match there.plays.get_mut(&(session, attempt)) {
-                    Some(plays) => {
-                        plays.rung = rung;
-                        BoxAnswer::Done
-                    }
-                    None => BoxAnswer::Unknown,
-                },
-            }),
-            BoxRequest::Release { session, attempt } => Some(match replaced(&session, &there.lives) {
-                true => BoxAnswer::Replaced,
-                false => {
-                    there.barred.insert((session.clone(), attempt), now + BARRED);
-                    let played = there.plays.remove(&(session.clone(), attempt));
-                    if played.as_ref().is_some_and(|plays| plays.begun) {
-                        self.line(json!({"at": now, "box": server, "ends": &*session.0, "by": plan::name(front)}));
+            BoxRequest::SetRung { session, attempt, rung, .. } => {
+                Some(match replaced(&session, &there.lives) {
+                    true => BoxAnswer::Replaced,
+                    false => match there.plays.get_mut(&(session, attempt)) {
+                        Some(plays) => {
+                            plays.rung = rung;
+                            BoxAnswer::Done
+                        }
+                        None => BoxAnswer::Unknown,
+                    },
+                })
+            }
+            BoxRequest::Release { session, attempt } => {
+                Some(match replaced(&session, &there.lives) {
+                    true => BoxAnswer::Replaced,
+                    false => {
+                        there.barred.insert((session.clone(), attempt), now + BARRED);
+                        let played = there.plays.remove(&(session.clone(), attempt));
+                        if played.as_ref().is_some_and(|plays| plays.begun) {
+                            self.line(json!({"at": now, "box": server, "ends": &*session.0, "by": plan::name(front)}));
+                        }
+                        if played.is_some() {
+                            BoxAnswer::Done
+                        } else {
+                            BoxAnswer::Unknown
+                        }
                     }
-                    if played.is_some() { BoxAnswer::Done } else { BoxAnswer::Unknown }
-                }
-            }),
+                })
+            }
             BoxRequest::Claim { life, epoch } => {
                 let known = there.lives.entry(life.to_string()).or_insert(0);
                 if *known > epoch {
@@ -890,7 +932,9 @@
             }
             (Step::Looks, Stands::Looks(session, since)) => {
                 if since + LOOKS <= self.now {
-                    self.line(json!({"at": self.now, "viewer": number, "lost": &*session.0, "why": "not found"}));
+                    self.line(
+                        json!({"at": self.now, "viewer": number, "lost": &*session.0, "why": "not found"}),
+                    );
                     self.viewers[number].stands = Stands::Idle;
                     return self.then(number, 1_000 * MS, Step::Opens);
                 }
