Sessions taken over wait 30 s for their viewers: longer than a stopped front keeps them waiting

Observed (): players stay connected to a front that is stopped for 19 s, and what another had taken over was released after 15 s. Change: 'adopted-kept-ms', 30,000 by default.

--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -403,6 +403,7 @@
     lost_after: 700 * MS,
     claim_within: 1_500 * MS,
     silent_kept: 1_500 * MS,
+    adopted_kept: 1_500 * MS,
     per_connection: 64,
     per_viewer: 64,
     moved_kept: 5_000 * MS,
--- a/crates/front/src/core/ledger/kept.rs
+++ b/crates/front/src/core/ledger/kept.rs
@@ -281,7 +281,7 @@
         let mut session = Session::new(None, opening, effect, rung, self.now);
         let (number, wire, now) = (0, place.attempt, self.now);
         session.plays_already(Attempt { number, wire, server, address, sent: now, expires: now, rung });
-        let until = now + self.limits.claim_within.max(self.limits.silent_kept);
+        let until = now + self.limits.adopted_kept;
         session.claim_by = Some(until);
         self.insert(id.clone(), session);
         self.timers.set(until, Due::Claim(id.clone()));
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -465,6 +465,9 @@
     pub claim_within: Micros,
     /// A session of a player that is gone without a word waits so long for its viewer.
     pub silent_kept: Micros,
+    /// A session that another front promised waits so long for its viewer here: longer than that front may have been
+    /// stopped with its players connected to it.
+    pub adopted_kept: Micros,
     /// Sessions of one connection at most, those that wait for an answer counted.
     pub per_connection: usize,
     /// Sessions of one viewer at most, likewise.
--- a/crates/front/src/settings/read.rs
+++ b/crates/front/src/settings/read.rs
@@ -263,6 +263,7 @@
         lost_after: ms("lost-after-ms", 3_000.0)?,
         claim_within: ms("claim-within-ms", 5_000.0)?,
         silent_kept: ms("silent-kept-ms", 15_000.0)?,
+        adopted_kept: ms("adopted-kept-ms", 30_000.0)?,
         per_connection: block.or("sessions-per-connection", 20_000)?,
         per_viewer: block.or("sessions-per-viewer", 64)?,
         moved_kept: ms("moved-kept-ms", 30_000.0)?,
