--- a/crates/copies/src/core/owner.rs
+++ b/crates/copies/src/core/owner.rs
@@ -68,6 +68,11 @@
         self.digests
     }
 
+    #[cfg(test)]
+    pub(crate) fn entries_for_tests(&self) -> BTreeMap<Key, (u64, Option<Bytes>)> {
+        self.entries.clone()
+    }
+
     /// What stands under a key.
     pub fn get(&self, key: &str) -> Option<&Bytes> {
         self.entries.get(key).and_then(|(_, body)| body.as_ref())
--- a/crates/copies/src/core/tests.rs
+++ b/crates/copies/src/core/tests.rs
@@ -1,1 +1,365 @@
+//! What single parts must hold. Fleets of whole fronts are tried in `crates/trial/tests/promises.rs`.
 
+use proptest::prelude::*;
+
+use super::shelf::merge;
+use super::*;
+
+fn name(at: usize) -> Name {
+    Name::from(format!("f{at}"))
+}
+
+fn key(at: u64) -> Key {
+    Key::from(format!("f0-00000001-{at:010}"))
+}
+
+fn bytes(text: &str) -> Bytes {
+    Bytes::from(text.as_bytes())
+}
+
+fn own(at: usize) -> Own {
+    Own {
+        name: name(at),
+        life: Life::from(format!("f{at}-00000001")),
+        zone: at as u32 % 3,
+        serves: None,
+        disk: 70 + at as u64,
+        copies: 2,
+        enough: 1,
+        too_few: TooFew::GoOn,
+        within: 400_000,
+        most: 1_000,
+    }
+}
+
+/// Fronts that hear each other at once, but for those that are deaf.
+struct Fleet {
+    fronts: Vec<Copies>,
+    now: Micros,
+    deaf: BTreeSet<usize>,
+    told: Vec<(usize, Output)>,
+}
+
+impl Fleet {
+    fn new(fronts: Vec<Own>) -> Fleet {
+        let fronts: Vec<Copies> =
+            fronts.into_iter().map(|own| Copies::new(own, Image::default(), 0)).collect();
+        let mut fleet = Fleet { fronts, now: 0, deaf: BTreeSet::new(), told: Vec::new() };
+        fleet.views(|_| true);
+        fleet.run(1_000_000);
+        fleet
+    }
+
+    fn views(&mut self, here: impl Fn(usize) -> bool) {
+        let peer = |at: usize| Peer { name: name(at), zone: at as u32 % 3, boot: 5 };
+        for at in 0..self.fronts.len() {
+            let peers =
+                (0..self.fronts.len()).filter(|other| *other != at && here(*other)).map(peer).collect();
+            self.hand(at, Input::View(peers, Some(5)));
+        }
+    }
+
+    fn hand(&mut self, at: usize, input: Input) {
+        let mut out = Vec::new();
+        self.fronts[at].handle(self.now, input, &mut out);
+        for output in out {
+            if let Output::Send(to, body) = output {
+                let to: usize = to[1..].parse().unwrap();
+                if !self.deaf.contains(&to) && !self.deaf.contains(&at) {
+                    self.hand(to, Input::Heard(name(at), Box::new(body)));
+                }
+            } else {
+                self.told.push((at, output));
+            }
+        }
+    }
+
+    fn run(&mut self, span: Micros) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now += 20_000;
+            (0..self.fronts.len())
+                .filter(|at| !self.deaf.contains(at))
+                .collect::<Vec<_>>()
+                .into_iter()
+                .for_each(|at| self.hand(at, Input::Tick));
+        }
+    }
+
+    fn keep(&mut self, at: u64) {
+        self.hand(0, Input::Keep(key(at), bytes("plays"), true));
+        self.hand(0, Input::Tick);
+    }
+
+    fn kept(&self, at: u64) -> Option<bool> {
+        let of = |(_, output): &(usize, Output)| match output {
+            Output::Kept(of, kept) if *of == key(at) => Some(*kept),
+            _ => None,
+        };
+        self.told.iter().find_map(of)
+    }
+
+    /// All fronts learn of an heir whose version has begun.
+    fn heir(&mut self, life: &str, by: usize) {
+        let heir = Heir {
+            epoch: 1,
+            name: name(by),
+            life: Life::from(format!("f{by}-00000001")),
+            serves: None,
+            version: 1,
+            settled: false,
+        };
+        let heirs = Arc::new(Heirs { of: [(Life::from(life), heir)].into(), over: BTreeMap::new() });
+        (0..self.fronts.len()).filter(|at| !self.deaf.contains(at)).collect::<Vec<_>>().into_iter().for_each(
+            |at| {
+                self.hand(at, Input::Heirs(Arc::clone(&heirs), 1));
+            },
+        );
+    }
+
+    fn adopted(&self, by: usize) -> BTreeSet<Key> {
+        let of = |(at, output): &(usize, Output)| match output {
+            Output::Adopt(_, 1, promises) if *at == by => {
+                Some(promises.iter().map(|(key, _)| Key::clone(key)).collect::<Vec<_>>())
+            }
+            _ => None,
+        };
+        self.told.iter().filter_map(of).flatten().collect()
+    }
+}
+
+#[test]
+fn a_promise_counts_only_when_so_many_have_it_as_the_settings_say() {
+    for enough in [0, 1, 2] {
+        let mut fleet = Fleet::new((0..4).map(|at| Own { enough, ..own(at) }).collect());
+        let holders = fleet.fronts[0].owner().group();
+        assert_eq!(holders.len(), 2);
+        for (deaf, holder) in holders.iter().enumerate() {
+            fleet.keep(deaf as u64);
+            assert_eq!(fleet.kept(deaf as u64), Some(true), "{enough} of {}", 2 - deaf);
+            fleet.deaf.insert(holder[1..].parse().unwrap());
+            fleet.keep(10 + deaf as u64);
+            let left = 1 - deaf;
+            assert_eq!(fleet.kept(10 + deaf as u64), (left >= enough).then_some(true), "{enough} of {left}");
+            if left < enough {
+                // Given up soon, and then nobody has it.
+                fleet.run(500_000);
+                assert_eq!(fleet.kept(10 + deaf as u64), Some(false));
+                assert_eq!(fleet.fronts[0].owner().get(&key(10 + deaf as u64)), None);
+                break;
+            }
+        }
+    }
+}
+
+#[test]
+fn with_too_few_fronts_it_goes_on_or_refuses_as_the_settings_say() {
+    for (too_few, kept) in [(TooFew::GoOn, true), (TooFew::Refuse, false)] {
+        let mut fleet = Fleet::new((0..2).map(|at| Own { enough: 2, too_few, ..own(at) }).collect());
+        fleet.keep(1);
+        fleet.run(500_000);
+        assert_eq!(fleet.kept(1), Some(kept), "{too_few:?}");
+    }
+}
+
+#[test]
+fn copies_go_to_other_zones_and_a_loss_moves_no_copy_that_is_still_there() {
+    let all: Vec<place::Candidate> =
+        (0..30).map(|at| place::Candidate { name: name(at), zone: at as u32 % 3, holds: 0 }).collect();
+    let mut moved = 0;
+    for owner in 0..30 {
+        let group = |all: &[place::Candidate]| {
+            let mut group = BTreeSet::new();
+            while group.len() < 2 {
+                group.insert(place::next(&name(owner), owner as u32 % 3, &group, all).unwrap());
+            }
+            group
+        };
+        let before = group(&all);
+        let zones: BTreeSet<usize> =
+            before.iter().map(|name| name[1..].parse::<usize>().unwrap() % 3).collect();
+        assert!(zones.len() == 2 && !zones.contains(&(owner % 3)), "{before:?}");
+        let fewer: Vec<place::Candidate> = all.iter().filter(|one| &*one.name != "f7").cloned().collect();
+        if owner != 7 {
+            moved += before.difference(&group(&fewer)).count();
+        }
+    }
+    assert!(moved <= 8, "{moved} of 58 copies moved when one front of thirty went");
+    let loaded: Vec<place::Candidate> = all
+        .iter()
+        .map(|one| place::Candidate {
+            holds: if one.zone == 1 && &*one.name != "f1" { 900 } else { 0 },
+            ..one.clone()
+        })
+        .collect();
+    let to_f1 = |all: &[place::Candidate]| {
+        (0..30)
+            .filter(|owner| {
+                let holders = [name(2)].into();
+                place::next(&Name::from(format!("x{owner}")), 0, &holders, all) == Some(name(1))
+            })
+            .count()
+    };
+    assert!(to_f1(&loaded) > to_f1(&all), "whoever holds much already is chosen less often");
+}
+
+#[test]
+fn a_copy_that_acknowledged_and_has_lost_its_disk_since_counts_no_more_and_is_filled_anew() {
+    let mut fleet = Fleet::new((0..3).map(own).collect());
+    (0..20).for_each(|at| fleet.keep(at));
+    let lost = 1;
+    fleet.fronts[lost] = Copies::new(Own { disk: 99, ..own(lost) }, Image::default(), fleet.now);
+    fleet.views(|_| true);
+    fleet.hand(lost, Input::Tick);
+    fleet.run(2_000_000);
+    let shelf = |at: usize| fleet.fronts[at].shelves.get("f0-00000001").map(|held| held.shelf.stands());
+    assert_eq!((shelf(1), shelf(2)), (Some(20), Some(20)));
+    let holder = &fleet.fronts[0].owner().holders[&name(lost)];
+    assert_eq!((holder.disk, holder.acked), (99, 20));
+}
+
+#[test]
+fn a_copy_that_has_rotted_is_found_by_its_digest_and_repaired() {
+    let mut fleet = Fleet::new((0..3).map(own).collect());
+    (0..30).for_each(|at| fleet.keep(at));
+    let life = Life::from("f0-00000001");
+    let held = fleet.fronts[1].shelves.get_mut(&life).unwrap();
+    held.shelf.entries.remove(&key(3));
+    held.shelf.entries.insert(key(4), (5, Some(bytes("something else"))));
+    held.shelf.entries.insert(key(99), (6, Some(bytes("nobody promised this"))));
+    fleet.run(1_500_000);
+    let (one, two) = (&fleet.fronts[1].shelves[&life].shelf, &fleet.fronts[2].shelves[&life].shelf);
+    assert_eq!(one.entries, two.entries);
+}
+
+#[test]
+fn ended_promises_leave_nothing_behind_at_owner_and_copies() {
+    let mut fleet = Fleet::new((0..3).map(own).collect());
+    (0..50).for_each(|at| fleet.keep(at));
+    (0..50).for_each(|at| fleet.hand(0, Input::End(key(at))));
+    fleet.run(1_500_000);
+    assert_eq!((fleet.fronts[0].owner().stands(), fleet.fronts[0].owner().keys().count()), (0, 0));
+    assert!((1..3).all(|at| fleet.fronts[at].holds() == 0));
+    let kept = format!("{:?}", fleet.fronts[0].owner());
+    assert!(kept.len() < 1_000, "{kept}");
+}
+
+#[test]
+fn an_owner_that_was_replaced_is_told_that_nothing_of_it_counts() {
+    let mut fleet = Fleet::new((0..3).map(|at| Own { enough: 2, ..own(at) }).collect());
+    fleet.keep(1);
+    // Cut off from the word of it, not from its copies.
+    let holder: usize = fleet.fronts[0].owner().group()[0][1..].parse().unwrap();
+    fleet.hand(holder, Input::Heard(name(2), Box::new(Body::Gather(Life::from("f0-00000001"), 1))));
+    fleet.keep(2);
+    assert_eq!(fleet.kept(2), None, "a copy that an heir has asked takes nothing of it any more");
+    fleet.run(500_000);
+    let word = fleet.told.iter().any(|(at, output)| {
+        *at == 0 && matches!(output, Output::Group(names) if !names.contains(&name(holder)))
+    });
+    assert!(word, "it looks for another holder");
+}
+
+#[test]
+fn an_heir_has_all_that_counted_though_one_copy_was_behind_and_one_comes_late() {
+    let mut fleet = Fleet::new((0..5).map(|at| Own { enough: 1, ..own(at) }).collect());
+    let group: Vec<usize> =
+        fleet.fronts[0].owner().group().iter().map(|name| name[1..].parse().unwrap()).collect();
+    (0..10).for_each(|at| fleet.keep(at));
+    // One holder misses what comes, and an end.
+    fleet.deaf.insert(group[0]);
+    (10..20).for_each(|at| fleet.keep(at));
+    fleet.hand(0, Input::End(key(3)));
+    fleet.hand(0, Input::Tick);
+    assert!((0..20).all(|at| fleet.kept(at) == Some(true)));
+    // The owner is lost; the one that has all is away while the heir gathers.
+    fleet.deaf = [0, group[1]].into();
+    fleet.views(|at| at != 0);
+    let heir = (1..5).find(|at| !group.contains(at)).unwrap();
+    fleet.heir("f0-00000001", heir);
+    fleet.run(2_000_000);
+    assert_eq!(fleet.adopted(heir).len(), 10, "what the one that answers has");
+    fleet.deaf = [0].into();
+    fleet.heir("f0-00000001", heir);
+    fleet.hand(heir, Input::Tick);
+    let late = Body::Gather(Life::from("f0-00000001"), 1);
+    fleet.hand(group[1], Input::Heard(name(heir), Box::new(late)));
+    let all = fleet.adopted(heir);
+    assert!((10..20).all(|at| all.contains(&key(at))), "{all:?}");
+}
+
+#[test]
+fn a_front_full_of_copies_says_so_and_another_is_chosen() {
+    let mut fleet =
+        Fleet::new((0..4).map(|at| Own { most: if at == 0 { 1_000 } else { 5 }, ..own(at) }).collect());
+    (0..40).for_each(|at| fleet.keep(at));
+    fleet.run(3_000_000);
+    for at in 1..4 {
+        assert!(fleet.fronts[at].holds() <= 10, "{}", fleet.fronts[at].holds());
+    }
+    // Whoever is full is avoided for a while; the front goes on with as many as there are.
+    fleet.hand(0, Input::Keep(key(99), bytes("plays"), true));
+    fleet.run(500_000);
+    assert!(fleet.kept(99).is_some(), "nobody waits for ever");
+}
+
+proptest! {
+    /// Whatever is promised and ended, and whichever messages are lost: what counted and has not ended is found again from
+    /// any holder that had acknowledged it, and what had ended by then is not.
+    #[test]
+    fn what_counted_is_found_again_from_any_copy_that_acknowledged_it(
+        steps in proptest::collection::vec((0..6u8, 0..12u64), 1..120)
+    ) {
+        let mut owner = Owner::default();
+        let mut shelves = [Shelf::new(&name(0), 1), Shelf::new(&name(0), 1)];
+        for at in 1..3 {
+            owner.begin(0, name(at));
+        }
+        let mut ended_at: BTreeMap<Key, u64> = BTreeMap::new();
+        for (now, (what, at)) in (0u64..).zip(steps) {
+            let which = (at % 2) as usize;
+            match what {
+                0 | 1 => {
+                    owner.change(key(at), Some(bytes(&now.to_string())));
+                    ended_at.remove(&key(at));
+                }
+                2 => {
+                    if let Some(change) = owner.change(key(at), None) {
+                        ended_at.insert(change.key, change.number);
+                    }
+                }
+                // A batch comes, or is lost; its acknowledgement too.
+                3 | 4 => {
+                    if let Some(batch) = owner.batch(now, &name(which + 1)) {
+                        if what == 3 {
+                            shelves[which].put(batch.from, batch.to, batch.whole, &batch.changes);
+                        }
+                        owner.acked(now, &name(which + 1), shelves[which].head.have, 7);
+                    }
+                }
+                _ => owner.again(now + RESEND * now),
+            }
+            for which in 0..2 {
+                let acked = owner.holders[&name(which + 1)].acked;
+                let found = merge(&shelves[which..=which]);
+                for (key, (number, body)) in &owner.entries_for_tests() {
+                    if *number <= acked {
+                        let there = found.get(key).map(|(_, body)| body.clone());
+                        prop_assert_eq!(&there, body, "{} at {} of {}", key, number, acked);
+                    }
+                }
+                for (key, number) in &ended_at {
+                    if *number <= acked {
+                        prop_assert!(!found.contains_key(key));
+                    }
+                }
+            }
+            // Together they know no less than each, and nothing that the further one knows to be over.
+            let both = merge(&shelves);
+            let further = shelves.iter().filter(|s| s.head.whole).map(|s| s.head.have).max().unwrap_or(0);
+            for (key, number) in &ended_at {
+                prop_assert!(*number > further || !both.contains_key(key));
+            }
+        }
+    }
+}
--- a/crates/front/src/core/keeping.rs
+++ b/crates/front/src/core/keeping.rs
@@ -38,7 +38,8 @@
     viewer: u64,
     firm: Option<u64>,
     title: String,
-    class: String,
+    /// Name of its class.
+    pub class: String,
     cells: (u32, u32),
     top_rung: u32,
     patience: Micros,
--- a/crates/front/src/core/ledger/kept.rs
+++ b/crates/front/src/core/ledger/kept.rs
@@ -29,6 +29,11 @@
         self
     }
 
+    #[cfg(test)]
+    pub(crate) fn keeping_for_tests(&self) -> &Keeping {
+        self.keeping.as_ref().expect("its promises are copied")
+    }
+
     /// What its own sessions' ids begin with.
     pub fn life(&self) -> Life {
         Life::from(format!("{}-{:08x}", self.name, self.boot))
@@ -374,14 +379,20 @@
         };
         let lost: Vec<SessionId> =
             self.sessions.iter().filter(|(id, s)| missing(id, s)).map(|(id, _)| id.clone()).collect();
-        for id in lost {
+        for id in &lost {
             if let Some(keeping) = &mut self.keeping {
-                keeping.unsure.remove(&id);
+                keeping.unsure.remove(id);
             }
-            self.ended_by_itself(&id, EndReason::Lost, Outcome::Broken, out);
+            self.ended_by_itself(id, EndReason::Lost, Outcome::Broken, out);
         }
+        let address = self.boxes.get(&server).copied().or_else(|| self.streams.address(server));
         for one in held {
-            self.held_of(server, life, one, out);
+            match address {
+                Some(to) if lost.contains(&one.session) => {
+                    self.release_unknown((server, to), one.session, one.attempt, out);
+                }
+                _ => self.held_of(server, life, one, out),
+            }
         }
         let Some(keeping) = &mut self.keeping else { return };
         let open: Vec<SessionId> = keeping
--- a/crates/front/src/core/tests.rs
+++ b/crates/front/src/core/tests.rs
@@ -12,6 +12,7 @@
 use crate::settings::tests::settings;
 
 mod doors;
+mod kept;
 mod terms;
 
 const CLIP: usize = 0;
