--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! salttally: the operators' command line.
 
+mod copies;
 mod explore;
 mod fronts;
 mod growth;
@@ -75,6 +76,7 @@
     /// Exit 0 if the front answered, 2 if not.
     Members(members::Members),
     Rules(rules::Rules),
+    Copies(copies::Copies),
     /// Play a trial: a fleet of fronts under faults between them
     ///
     /// As processes of salttallyd on this machine, or as the same cores in virtual time. Exit 0 if every property
@@ -136,6 +138,7 @@
         Command::Open(open) => open.run(),
         Command::Members(members) => members.run(),
         Command::Rules(rules) => rules.run(),
+        Command::Copies(copies) => copies.run(),
         Command::Trial(trial) => trial.run(),
     };
     done.unwrap_or_else(|error| {
--- a/crates/copies/src/core/tests.rs
+++ b/crates/copies/src/core/tests.rs
@@ -363,3 +363,33 @@
         }
     }
 }
+
+#[test]
+fn a_copy_that_is_being_filled_ends_nothing_by_what_it_lacks_yet() {
+    let mut owner = Owner::default();
+    let large = Bytes::from(vec![7; BATCH / 3]);
+    (1..=4).for_each(|at| drop(owner.change(key(at), Some(Bytes::clone(&large)))));
+    let mut before = Shelf::new(&name(0), 1);
+    owner.begin(0, name(1));
+    while let Some(batch) = owner.batch(0, &name(1)) {
+        assert!(before.put(batch.from, batch.to, batch.whole, &batch.changes));
+        owner.acked(0, &name(1), before.head.have, 7);
+    }
+    assert!(before.head.whole && before.stands() == 4);
+    // What stood first changes, so that it comes last to whoever is filled now; and then both fronts are lost.
+    (5..=9).for_each(|at| drop(owner.change(key(at), Some(Bytes::clone(&large)))));
+    owner.change(key(1), Some(Bytes::clone(&large)));
+    owner.begin(0, name(2));
+    let mut filling = Shelf::new(&name(0), 1);
+    while filling.head.have < before.head.have {
+        let part = owner.batch(0, &name(2)).expect("a part");
+        assert!(filling.put(part.from, part.to, part.whole, &part.changes));
+        owner.acked(0, &name(2), filling.head.have, 8);
+    }
+    assert!(
+        filling.head.have >= before.head.have && !filling.entries.contains_key(&key(1)),
+        "{:?}",
+        filling.head
+    );
+    assert!(merge(&[before, filling]).contains_key(&key(1)));
+}
--- a/crates/copies/src/edge.rs
+++ b/crates/copies/src/edge.rs
@@ -320,11 +320,11 @@
         let holder = |(name, holder): (&Name, &crate::core::owner::Holder)| json!({"front": &**name, "has": holder.acked, "filled": holder.filled});
         let shelf = |(life, shelf): (&Life, &crate::core::shelf::Shelf)| {
             json!({"life": &**life, "owner": &*shelf.head.owner, "promises": shelf.stands(), "has": shelf.head.have,
-                "whole": shelf.head.whole, "epoch": shelf.head.epoch})
+                "whole": shelf.head.whole, "epoch": shelf.head.epoch, "digest": digest(&shelf.digests())})
         };
         let taken = |(life, epoch, settled): (&Life, u64, bool)| json!({"life": &**life, "epoch": epoch, "settled": settled});
         let shown = json!({"front": &*self.name, "life": &**self.copies.life(), "promises": owner.stands(),
-            "changes": owner.number(), "waits": owner.waits(), "disk": self.store.is_some(),
+            "changes": owner.number(), "waits": owner.waits(), "digest": digest(&owner.digests()), "disk": self.store.is_some(),
             "holders": owner.holders.iter().map(holder).collect::<Vec<_>>(),
             "holds": self.copies.shelves().map(shelf).collect::<Vec<_>>(),
             "taken_over": self.copies.taken().map(taken).collect::<Vec<_>>()});
@@ -332,6 +332,12 @@
     }
 }
 
+/// One word for all parts.
+fn digest(parts: &[u64]) -> String {
+    let all = parts.iter().fold(0u64, |all, part| all.rotate_left(7) ^ part);
+    format!("{all:016x}")
+}
+
 fn unix() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as u64)
 }
