One crash and one stop at every step of a promise; what nobody has a copy of is taken over by name

Observed (deploy/trials/promises-small.kdl): a front killed with its disk as its set-up began left a place taken for ever: back again, it may not release what is of its earlier life. Change: it takes that life over itself, where nobody has; what is over it releases.

--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -58,7 +58,7 @@
     /// Draw schedules of faults anew for so long, and shorten the first that breaks a property
     #[arg(long, value_name = "MINUTES")]
     hunt: Option<f64>,
-    /// Of a trial of versions: place one crash and one loss at every message that carries something, so many apart
+    /// Of a trial of promises: place one crash and one stop at every step of a promise, so many apart. Of versions: place one crash and one loss at every message that carries something, so many apart
     #[arg(long, value_name = "APART")]
     placements: Option<u64>,
     /// Write all histories and the truth here, as JSON lines
@@ -147,6 +147,25 @@
         if let Some(minutes) = self.hunt {
             return Ok(self.hunted(&description, minutes));
         }
+        if let (Some(apart), Some(described)) = (self.placements, &description.promises) {
+            let placed = whole::placements(&description, described, self.seed, apart);
+            let [all, taken] = placed.schedules;
+            println!(
+                "{} steps of promises; {all} schedules of one crash and one stop, {apart} steps apart; a life was taken over in \
+                 {taken}",
+                placed.steps
+            );
+            return Ok(match placed.broken {
+                None => {
+                    println!("nothing broken");
+                    ExitCode::SUCCESS
+                }
+                Some((struck, text)) => {
+                    println!("{struck:?}: {text}");
+                    ExitCode::FAILURE
+                }
+            });
+        }
         if let (Some(apart), Some(described)) = (self.placements, &description.versions) {
             let placed = versions::placements(&description, described, self.seed, apart);
             println!(
--- a/crates/copies/src/core/mod.rs
+++ b/crates/copies/src/core/mod.rs
@@ -159,6 +159,8 @@
     View(Vec<Peer>, Option<u64>),
     /// Who goes on with whose promises, and the version that has begun.
     Heirs(Arc<Heirs>, u64),
+    /// Boxes hold something of an earlier life of this front, and nobody has taken it over.
+    Found(Life),
     /// This front lives anew.
     Lives(Life),
     /// It ends in order, with nothing promised.
@@ -193,6 +195,8 @@
     Replaced(Life, Heir),
     /// Another one goes on with a life that this front had taken over.
     Gone(Life),
+    /// Nothing is left of a life that this front had taken over.
+    Over(Life),
     /// Who holds copies has changed.
     Group(Vec<Name>),
 }
@@ -333,6 +337,7 @@
             Input::End(key) => self.change(key, None),
             Input::View(peers, boot) => self.view(peers, boot),
             Input::Heirs(heirs, begun) => self.heirs(heirs, begun, &mut then),
+            Input::Found(life) => self.found(life, &mut then),
             Input::Lives(life) => (self.own.life, self.lives, self.owner) = (life, true, Owner::default()),
             Input::Leave => self.leave(&mut then),
         }
@@ -733,9 +738,7 @@
             let over = self.heirs.over.contains_key(&life);
             let ours: Vec<Key> = self.owner.keys().filter(|key| of_life(key, &life)).cloned().collect();
             ours.into_iter().for_each(|key| self.change(key, None));
-            if !over {
-                out.push(Output::Gone(life));
-            }
+            out.push(if over { Output::Over(life) } else { Output::Gone(life) });
         }
         let begin: Vec<(Life, u64, bool)> = self
             .heirs
@@ -827,6 +830,25 @@
         level >= self.enough()
     }
 
+    fn takes(&self, life: &Life) -> Succession {
+        let heir = Heir {
+            epoch: self.heirs.reached(life) + 1,
+            name: Name::clone(&self.own.name),
+            life: Life::clone(&self.own.life),
+            serves: self.own.serves,
+            version: 0,
+            settled: false,
+        };
+        Succession::Takes(Life::clone(life), heir)
+    }
+
+    /// Nobody has a copy: this front takes its own earlier life over, with what boxes hold of it.
+    fn found(&mut self, life: Life, out: &mut Vec<Output>) {
+        if self.lives && !self.heirs.retired(&life) {
+            out.push(Output::Succeed(vec![self.takes(&life)]));
+        }
+    }
+
     /// Lives whose owners are gone: proposed, offered or dropped.
     fn orphans(&mut self, out: &mut Vec<Output>) {
         let now = self.now;
@@ -879,22 +901,13 @@
                 }
                 continue;
             }
-            let epoch = self.heirs.reached(life) + 1;
-            let heir = Heir {
-                epoch,
-                name: Name::clone(&self.own.name),
-                life: Life::clone(&self.own.life),
-                serves: self.own.serves,
-                version: 0,
-                settled: false,
-            };
-            wants.push(Succession::Takes(Life::clone(life), heir));
+            wants.push(Life::clone(life));
             self.asked.insert(Life::clone(life), now + AGAIN);
         }
         drops.iter().for_each(|life| self.drop_shelf(life));
         offers.iter().for_each(|(to, life)| self.offer(to, life, out));
         if !wants.is_empty() {
-            out.push(Output::Succeed(wants));
+            out.push(Output::Succeed(wants.iter().map(|life| self.takes(life)).collect()));
         }
     }
 
--- a/crates/copies/src/edge.rs
+++ b/crates/copies/src/edge.rs
@@ -94,6 +94,11 @@
         self.tell(Word::Core(Input::End(key)));
     }
 
+    /// Boxes hold something of an earlier life of the front that nobody has taken over.
+    pub fn found(&self, life: Life) {
+        self.tell(Word::Core(Input::Found(life)));
+    }
+
     /// The front lives anew.
     pub fn lives(&self, life: Life) {
         self.tell(Word::Core(Input::Lives(life)));
@@ -304,7 +309,7 @@
                     tracing::error!(%life, by = %heir.name, "copies: another front goes on with this one's sessions");
                     (self.listener)(Told::Replaced(life, heir));
                 }
-                Output::Gone(life) => (self.listener)(Told::Gone(life)),
+                Output::Gone(life) | Output::Over(life) => (self.listener)(Told::Gone(life)),
                 Output::Group(names) => tracing::info!(?names, "copies: held there"),
             }
         }
--- a/crates/copies/src/lines.rs
+++ b/crates/copies/src/lines.rs
@@ -15,6 +15,7 @@
             json!({"at": at, "front": front, "replaced": &**life, "by": &*heir.name, "epoch": heir.epoch})
         }
         Output::Gone(life) => json!({"at": at, "front": front, "gave_up": &**life}),
+        Output::Over(life) => json!({"at": at, "front": front, "over": &**life}),
         Output::Group(names) => {
             let names: Vec<&str> = names.iter().map(|name| &**name).collect();
             json!({"at": at, "front": front, "copies_at": names})
--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -556,7 +556,7 @@
             }
             Output::FollowList | Output::Log(..) | Output::Finished => {}
             // Nothing is copied here.
-            Output::Keep(..) | Output::Forget(_) | Output::Lives(_) => {}
+            Output::Keep(..) | Output::Forget(_) | Output::Lives(_) | Output::Found(_) => {}
         }
     }
 
--- a/crates/front/src/core/ledger/kept.rs
+++ b/crates/front/src/core/ledger/kept.rs
@@ -61,7 +61,12 @@
     /// Whether an act for this session may be written now. Without copies, always.
     pub(super) fn ours(&self, id: &SessionId) -> bool {
         let (Some(keeping), Some(terms)) = (&self.keeping, &self.terms) else { return true };
-        life_of(&id.0).is_some_and(|life| terms.epoch(&keeping.own, life).is_some())
+        let Some(life) = life_of(&id.0) else { return false };
+        // Of a life of its own that is over nobody else has anything.
+        let leased = terms.epoch(&keeping.own, &keeping.own).is_some();
+        let left = life.rsplit_once('-').is_some_and(|(name, _)| name == self.name)
+            && terms.heirs().over.contains_key(life);
+        terms.epoch(&keeping.own, life).is_some() || leased && left
     }
 
     pub(super) fn promise(&mut self, key: Key, promise: &Promise, waits: bool) {
@@ -582,20 +587,26 @@
     }
 
     /// A box names a session of an earlier life of this front. Whoever takes that over sees to it; where nobody does though
-    /// the fronts agree, nothing was promised, and it plays for nobody.
+    /// the fronts agree, nobody has a promise of it, and this front takes it over itself: boxes are asked, and what they
+    /// hold waits for its viewers. Danger: it plays for nobody for ever, found by placing a crash at every step.
     pub(super) fn stray(&mut self, server: ServerId, id: SessionId, wire: u32, out: &mut Vec<Output>) {
         let (Some(keeping), Some(terms), Some(life)) = (&self.keeping, &self.terms, life_of(&id.0)) else {
             return;
         };
-        if terms.heirs().of.contains_key(life) || keeping.epochs.contains_key(life) {
+        let heirs = terms.heirs();
+        if heirs.of.contains_key(life) || keeping.epochs.contains_key(life) {
             return;
         }
-        if terms.epoch(&keeping.own, &keeping.own).is_none() {
-            let until = self.now + self.limits.claim_within;
-            return self.timers.set(until, Due::Stray(server, id, wire));
+        if heirs.over.contains_key(life) {
+            if let Some(address) = self.streams.address(server) {
+                self.release_unknown((server, address), id, wire, out);
+            }
+            return;
         }
-        if let Some(address) = self.streams.address(server) {
-            self.release_unknown((server, address), id, wire, out);
+        if terms.epoch(&keeping.own, &keeping.own).is_some() {
+            self.notes.push(Output::Found(Life::from(life)));
         }
+        let until = self.now + self.limits.claim_within;
+        self.timers.set(until, Due::Stray(server, id, wire));
     }
 }
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -433,6 +433,8 @@
     Keep(Key, Vec<u8>, bool),
     /// It is no more.
     Forget(Key),
+    /// A box holds sessions of this earlier life of the front, and nobody has taken it over.
+    Found(Life),
     /// Sessions' ids begin with this from now on.
     Lives(Life),
     /// A line for the operators' log.
--- a/crates/front/src/core/tests.rs
+++ b/crates/front/src/core/tests.rs
@@ -205,7 +205,7 @@
             }
             Output::Finished => self.finished = true,
             Output::Reply(..) | Output::Tell(..) | Output::FollowList | Output::Log(..) => {}
-            Output::Keep(..) | Output::Forget(_) | Output::Lives(_) => {}
+            Output::Keep(..) | Output::Forget(_) | Output::Lives(_) | Output::Found(_) => {}
         }
     }
 
--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -209,6 +209,11 @@
                         copies.end(Arc::clone(key));
                     }
                 }
+                Output::Found(life) => {
+                    if let Some(copies) = &self.copies {
+                        copies.found(Arc::clone(life));
+                    }
+                }
                 Output::Lives(life) => {
                     if let Some(copies) = &self.copies {
                         copies.lives(Arc::clone(life));
--- a/crates/judge/src/copies.rs
+++ b/crates/judge/src/copies.rs
@@ -3,7 +3,7 @@
 //! Lines are JSON with `at`, us. Of viewers: `plays` (told so, with `front`), `found`, `closed`, `moved`, `lost` (with
 //! `why`). Of boxes: `set_up` (with `attempt`, `paid`, `took`), `begins`, `ends`, and at the end `holds`. Of fronts: `acts`
 //! (a request written for a session, with `epoch` and `what`), `answers` (told to play), `adopts` (a life, with `epoch`),
-//! `copies_at`. Of the trial: `disk_lost`, `calm`. A session's id begins with the life of the front that opened it.
+//! `over` (nothing is left of a life), `copies_at`. Of the trial: `disk_lost`, `calm`. A session's id begins with the life of the front that opened it.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -74,6 +74,8 @@
     disks: Vec<(u64, &'a str)>,
     /// By life: from when on which epoch is whose.
     owners: BTreeMap<&'a str, Vec<(u64, u64, &'a str)>>,
+    /// Lives of which nothing is left, and since when.
+    over: BTreeMap<&'a str, u64>,
     paid: BTreeMap<&'a str, Vec<u64>>,
     verdict: Verdict,
 }
@@ -119,6 +121,9 @@
             let names = names.iter().filter_map(Value::as_str).collect();
             self.groups.entry(front).or_default().push((at, names));
         }
+        if let Some(life) = text(line, "over") {
+            self.over.entry(life).or_insert(at);
+        }
         if line["truth"] == "disk_lost" {
             self.disks.push((at, front));
         }
@@ -209,6 +214,10 @@
         {
             return;
         }
+        // What boxes still hold of a life that is over is released by the front that lived it.
+        if self.over.get(life(session)).is_some_and(|since| *since <= at) && owner(session) == front {
+            return;
+        }
         let latest = taken().filter(|(since, ..)| *since < at).max_by_key(|(_, epoch, _)| *epoch);
         let wrong = match latest {
             None => (owner(session) != front).then(|| "nobody had taken it over".to_owned()),
--- a/crates/trial/src/whole.rs
+++ b/crates/trial/src/whole.rs
@@ -184,6 +184,52 @@
     closing: bool,
 }
 
+/// One crash and one stop, each at a step of a promise: a message of copies that carries a change or its acknowledgement,
+/// a request written for a session, or an answer that it plays, counted from the first of the trial.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Struck {
+    /// Whoever is about to take this step is killed before it, with its disk or without, and starts again 3 s later.
+    pub kill: Option<(u64, bool)>,
+    /// As this step is taken this front is stopped, for so long, us.
+    pub stop: Option<(u64, usize, Micros)>,
+}
+
+/// What placing one crash and one stop everywhere came to.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Placed {
+    /// Steps in the trial as it is.
+    pub steps: u64,
+    /// Schedules played, and those in which a life was taken over.
+    pub schedules: [u64; 2],
+    /// The first schedule that broke something, and what.
+    pub broken: Option<(Struck, String)>,
+}
+
+/// Plays a trial once for each place of one crash, with the disk and without, and beside it for each place of one stop of
+/// each front, `apart` steps apart.
+pub fn placements(trial: &Trial, promises: &Promises, seed: u64, apart: u64) -> Placed {
+    let plan = plan::plan(trial, seed);
+    let steps = play_struck(trial, promises, &plan, seed, Struck::default()).carried;
+    let mut placed = Placed { steps, ..Placed::default() };
+    let at = || (1..=steps).step_by(apart.max(1) as usize);
+    let stops = at().flat_map(|step| (0..trial.fronts).map(move |front| Some((step, front, 5_000 * MS))));
+    let stops: Vec<Option<(u64, usize, Micros)>> = std::iter::once(None).chain(stops).collect();
+    for kill in at().flat_map(|step| [Some((step, false)), Some((step, true))]) {
+        for stop in &stops {
+            let struck = Struck { kill, stop: *stop };
+            let verdict =
+                salttally_judge::copies::judge(&play_struck(trial, promises, &plan, seed, struck).lines);
+            placed.schedules[0] += 1;
+            placed.schedules[1] += u64::from(verdict.counts[1] > 0);
+            if let Some((of, text)) = verdict.broken.into_iter().next() {
+                placed.broken = Some((struck, format!("{}: {text}", of.words())));
+                return placed;
+            }
+        }
+    }
+    placed
+}
+
 struct World<'a> {
     trial: &'a Trial,
     promises: &'a Promises,
@@ -199,11 +245,19 @@
     arrived: BTreeMap<(usize, usize), Micros>,
     now: Micros,
     calm: Micros,
+    struck: Struck,
+    /// What fronts last acknowledged to each other.
+    said: BTreeMap<(usize, usize, copies::Life), u64>,
     out: Outcome,
 }
 
 /// Plays a trial that describes promises.
 pub fn play(trial: &Trial, promises: &Promises, plan: &Plan, seed: u64) -> Outcome {
+    play_struck(trial, promises, plan, seed, Struck::default())
+}
+
+/// The same with one crash and one stop at steps of promises.
+pub fn play_struck(trial: &Trial, promises: &Promises, plan: &Plan, seed: u64, struck: Struck) -> Outcome {
     let mut rng = Pcg32::seed_from_u64(seed);
     let nodes: Vec<Node> = (0..trial.fronts)
         .map(|_| Node {
@@ -251,6 +305,8 @@
         arrived: BTreeMap::new(),
         now: 0,
         calm,
+        struck,
+        said: BTreeMap::new(),
         out: Outcome::default(),
     };
     let mut opening = plan::opening(trial);
@@ -629,6 +685,19 @@
                 }
                 copies::Output::Send(to, body) => {
                     let Some(other) = self.names.get(&to).copied() else { continue };
+                    let carries = match &body {
+                        copies::Body::Put { changes, .. } => !changes.is_empty(),
+                        // What is said again does not count.
+                        copies::Body::Ack(life, have, ..) => {
+                            let said = self.said.entry((front, other, Arc::clone(life))).or_default();
+                            std::mem::replace(said, *have) != *have
+                        }
+                        copies::Body::Gather(..) | copies::Body::Gathered(..) => true,
+                        _ => false,
+                    };
+                    if carries && self.step(front) {
+                        return;
+                    }
                     self.streamed(front, other, In::Passed(Name::from(plan::name(front)), Box::new(body)));
                 }
                 copies::Output::Kept(key, kept) => self.ledger(front, Input::Kept(key, kept)),
@@ -637,7 +706,9 @@
                     self.ledger(front, Input::Adopt(life, epoch, promises));
                 }
                 copies::Output::Replaced(life, _) => self.ledger(front, Input::Replaced(life)),
-                copies::Output::Gone(life) => self.ledger(front, Input::Gone(life)),
+                copies::Output::Gone(life) | copies::Output::Over(life) => {
+                    self.ledger(front, Input::Gone(life))
+                }
                 copies::Output::Group(_) => {}
             }
         }
@@ -657,7 +728,12 @@
         let mut notes = Vec::new();
         for output in out {
             match output {
-                Output::Answer(client, ticket, answer) => self.answered(front, client, ticket, &answer),
+                Output::Answer(client, ticket, answer) => {
+                    if matches!(answer, Answer::Plays { .. }) && self.step(front) {
+                        return;
+                    }
+                    self.answered(front, client, ticket, &answer);
+                }
                 Output::Reply(client, ticket, reply) => self.replied(client, ticket, &reply),
                 Output::Tell(client, news) => self.told(client, &news),
                 Output::Dial(conn, server, _) => {
@@ -675,6 +751,9 @@
                         BoxRequest::Release { session, .. } => Some(("release", session)),
                         BoxRequest::Claim { .. } | BoxRequest::Probe => None,
                     };
+                    if session.is_some() && self.step(front) {
+                        return;
+                    }
                     if let Some((what, session)) = session {
                         let line = json!({"at": self.now, "front": plan::name(front), "acts": &*session.0,
                             "epoch": writ.epoch, "what": what});
@@ -722,6 +801,7 @@
                     notes.push(copies::Input::Keep(key, copies::Bytes::from(body), waits));
                 }
                 Output::Forget(key) => notes.push(copies::Input::End(key)),
+                Output::Found(life) => notes.push(copies::Input::Found(life)),
                 Output::Lives(life) => notes.push(copies::Input::Lives(life)),
                 Output::Log(..) | Output::Finished => {}
             }
@@ -732,6 +812,23 @@
         }
     }
 
+    /// A step of a promise is about to be taken; returns whether whoever takes it is killed before it.
+    fn step(&mut self, front: usize) -> bool {
+        if self.now < plan::SETTLED - 1_500 * MS {
+            return false;
+        }
+        self.out.carried += 1;
+        let here = self.out.carried;
+        if let Some((_, front, span)) = self.struck.stop.filter(|(at, ..)| *at == here) {
+            self.queue.push(self.now, Event::Act(Act::Stop(front)));
+            self.queue.push(self.now + span, Event::Act(Act::Run(front)));
+        }
+        let Some((_, disk)) = self.struck.kill.filter(|(at, _)| *at == here) else { return false };
+        self.act(if disk { Act::Lose(front) } else { Act::Kill(front) });
+        self.queue.push(self.now + 3_000 * MS, Event::Act(Act::Start(front)));
+        true
+    }
+
     fn to_front(&mut self, front: usize, start: u64, input: Input) {
         self.queue.push(self.now + NEAR, Event::Comes(front, start, In::Ledger(Box::new(input))));
     }
