--- a/crates/accord/src/core/heirs.rs
+++ b/crates/accord/src/core/heirs.rs
@@ -53,9 +53,9 @@
 pub struct Heirs {
     /// Lives that have one.
     pub of: BTreeMap<Life, Heir>,
-    /// Lives of which nothing is left, by the version that said so. Danger: a front that comes back with an old disk
-    /// finds promises on it that were kept long ago.
-    pub over: BTreeMap<Life, u64>,
+    /// Lives of which nothing is left: the version that said so, and the epoch that each had come to. Danger: a front that
+    /// comes back with an old disk finds promises on it that were kept long ago.
+    pub over: BTreeMap<Life, (u64, u64)>,
 }
 
 impl Heirs {
@@ -98,10 +98,11 @@
                 }
             }
             Succession::Over(life, _) => {
+                let reached = self.reached(life);
                 self.of.remove(life);
-                self.over.insert(Life::clone(life), version);
+                self.over.insert(Life::clone(life), (version, reached));
                 if self.over.len() > MOST {
-                    let oldest = self.over.iter().min_by_key(|(_, version)| **version);
+                    let oldest = self.over.iter().min_by_key(|(_, over)| **over);
                     let oldest = oldest.map(|(life, _)| Life::clone(life));
                     oldest.and_then(|life| self.over.remove(&life));
                 }
--- a/crates/front/src/core/ledger/kept.rs
+++ b/crates/front/src/core/ledger/kept.rs
@@ -51,7 +51,11 @@
         let epoch = match request {
             BoxRequest::SetUp { session, .. }
             | BoxRequest::SetRung { session, .. }
-            | BoxRequest::Release { session, .. } => keeping.epoch(session),
+            | BoxRequest::Release { session, .. } => keeping.epoch(session).or_else(|| {
+                // What is left at a box of a life that is over: no earlier epoch ends it there.
+                let heirs = self.terms.as_ref()?.heirs();
+                heirs.over.get(life_of(&session.0)?).map(|(_, epoch)| *epoch)
+            }),
             BoxRequest::Claim { epoch, .. } => Some(*epoch),
             BoxRequest::Probe => None,
         };
@@ -262,8 +266,10 @@
                 }
             },
             Promise::Intends(place, wish) => {
-                // Never sent again by anyone: its box knows whether it ran.
-                if let Some(opening) = keeping.opening(&wish) {
+                // Never sent again by anyone: its box knows whether it ran. Danger: told twice, by two copies of two lives, it
+                // is forgotten though it plays; found by placing a crash and a stop at every step.
+                if self.sessions.contains_key(&id) {
+                } else if let Some(opening) = keeping.opening(&wish) {
                     keeping.fates.insert(id, (place, opening));
                 } else {
                     self.forget(keeping::key(&id));
