--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -164,7 +164,8 @@
                     println!("{struck:?}: {text}");
                     if let Some(path) = &self.history {
                         let plan = plan::plan(&description, self.seed);
-                        let lines = whole::play_struck(&description, described, &plan, self.seed, struck).lines;
+                        let lines =
+                            whole::play_struck(&description, described, &plan, self.seed, struck).lines;
                         fs::write(path, lines.iter().map(|line| format!("{line}\n")).collect::<String>())?;
                     }
                     ExitCode::FAILURE
--- a/crates/copies/src/core/tests.rs
+++ b/crates/copies/src/core/tests.rs
@@ -393,3 +393,36 @@
     );
     assert!(merge(&[before, filling]).contains_key(&key(1)));
 }
+
+#[test]
+fn an_heir_waits_for_all_that_may_have_more_before_it_hands_over() {
+    let mut fleet = Fleet::new((0..4).map(own).collect());
+    let life = Life::from("f0-00000001");
+    fleet.deaf = (0..4).collect();
+    let heir = Heir {
+        epoch: 1,
+        name: name(3),
+        life: Life::from("f3-00000001"),
+        serves: None,
+        version: 1,
+        settled: false,
+    };
+    let heirs = Heirs { of: [(Life::clone(&life), heir)].into(), over: BTreeMap::new() };
+    fleet.hand(3, Input::Heirs(Arc::new(heirs), 1));
+    let answer = |at: u64| {
+        let mut shelf = Shelf::new(&name(0), 5);
+        let changes: Vec<Change> =
+            (1..=at).map(|n| Change { key: key(n), number: n, body: Some(bytes("plays")) }).collect();
+        assert!(shelf.put(0, at, true, &changes));
+        Box::new(Body::Gathered(Life::clone(&life), shelf.head, changes, true))
+    };
+    fleet.hand(3, Input::Heard(name(1), answer(2)));
+    fleet.hand(3, Input::Heard(name(0), answer(0)));
+    fleet.now += 60_000;
+    fleet.hand(3, Input::Tick);
+    assert!(fleet.adopted(3).is_empty(), "one has not answered yet");
+    fleet.hand(3, Input::Heard(name(2), answer(5)));
+    fleet.now += 60_000;
+    fleet.hand(3, Input::Tick);
+    assert_eq!(fleet.adopted(3).len(), 5);
+}
--- a/crates/trial/tests/promises.rs
+++ b/crates/trial/tests/promises.rs
@@ -126,3 +126,14 @@
     assert_eq!(broken(held), [], "it plays");
     assert_eq!(broken(&format!("{}\n{held}", r#"{"at":7,"viewer":1,"closed":"f0-1-1"}"#)), [Property::Freed]);
 }
+
+#[test]
+fn one_crash_and_one_stop_at_steps_of_a_promise_break_nothing() {
+    let trial = trial(
+        "trial \"small\" { fronts 3; lasts-ms 2000; quiet-ms 90000; fault \"link\" from=\"0\" to=\"1\"
+            promises viewers=2 boxes=2 watch-from-ms=9000 watch-to-ms=9001 }",
+    );
+    let placed = whole::placements(&trial, &trial.promises.clone().unwrap(), 1, 16);
+    assert_eq!(placed.broken, None);
+    assert!(placed.steps > 20 && placed.schedules[0] >= 60 && placed.schedules[1] > 20, "{placed:?}");
+}
