--- a/crates/trial/src/whole.rs
+++ b/crates/trial/src/whole.rs
@@ -285,7 +285,7 @@
         at: 0,
         client: ClientId(number as u64),
         until: 0,
-        paid: number % 3 != 0,
+        paid: !number.is_multiple_of(3),
         moved: None,
         hint: None,
         closing: false,
@@ -398,13 +398,13 @@
             Event::Listens { server, front, start, number } => {
                 self.servers[server as usize].streams.insert((front, start), number);
                 let held = self.servers[server as usize].held(|plays, _| plays.front == front);
-                self.to_front(front, start, Input::Stream(ServerId(server), number, StreamNews::Up(held)));
+                self.hears(front, start, Input::Stream(ServerId(server), number, StreamNews::Up(held)));
                 self.queue.push(self.now + BEAT, Event::Beats { server, front, start, number });
             }
             Event::Beats { server, front, start, number } => {
                 let stands = self.servers[server as usize].streams.get(&(front, start)) == Some(&number);
                 if stands && self.nodes[front].starts == start {
-                    self.to_front(front, start, Input::Stream(ServerId(server), number, StreamNews::Beat));
+                    self.hears(front, start, Input::Stream(ServerId(server), number, StreamNews::Beat));
                     self.queue.push(self.now + BEAT, Event::Beats { server, front, start, number });
                 }
             }
@@ -739,7 +739,7 @@
                 Output::Dial(conn, server, _) => {
                     let result =
                         if server.0 < self.promises.boxes { Ok(()) } else { Err(DialError::Refused) };
-                    self.to_front(front, start, Input::Dialed(conn, result));
+                    self.hears(front, start, Input::Dialed(conn, result));
                 }
                 Output::Exchange(conn, request) => {
                     let Some(alive) = &self.nodes[front].alive else { return };
@@ -773,7 +773,7 @@
                         self.queue.push(near, Event::Listens { server, front, start, number });
                     } else {
                         let news = StreamNews::NoConnection(DialError::Refused);
-                        self.to_front(front, start, Input::Stream(ServerId(server), number, news));
+                        self.hears(front, start, Input::Stream(ServerId(server), number, news));
                     }
                 }
                 Output::StopListening(server, number) => {
@@ -795,7 +795,7 @@
                         address: server_address(server),
                     });
                     let lines = lines.collect();
-                    self.to_front(front, start, Input::List(ListKind::Whole, lines));
+                    self.hears(front, start, Input::List(ListKind::Whole, lines));
                 }
                 Output::Keep(key, body, waits) => {
                     notes.push(copies::Input::Keep(key, copies::Bytes::from(body), waits));
@@ -829,7 +829,7 @@
         true
     }
 
-    fn to_front(&mut self, front: usize, start: u64, input: Input) {
+    fn hears(&mut self, front: usize, start: u64, input: Input) {
         self.queue.push(self.now + NEAR, Event::Comes(front, start, In::Ledger(Box::new(input))));
     }
 
@@ -910,14 +910,14 @@
                     }
                     let held = there.held(|_, session| life_of(session) == &*life);
                     let end = ExchangeEnd::Claimed { held, keep: true };
-                    return self.to_front(front, start, Input::Exchanged(conn, end));
+                    return self.hears(front, start, Input::Exchanged(conn, end));
                 }
             }
             BoxRequest::Probe => Some(BoxAnswer::Done),
         };
         if let Some(answer) = answer {
             let end = ExchangeEnd::Answered { answer, report: Vec::new(), keep: true };
-            self.to_front(front, start, Input::Exchanged(conn, end));
+            self.hears(front, start, Input::Exchanged(conn, end));
         }
     }
 
@@ -937,7 +937,7 @@
         }
         let answer = if begun { BoxAnswer::Done } else { BoxAnswer::Error };
         let end = ExchangeEnd::Answered { answer, report: Vec::new(), keep: true };
-        self.to_front(front, start, Input::Exchanged(conn, end));
+        self.hears(front, start, Input::Exchanged(conn, end));
     }
 
     // ---- Viewers ----
@@ -970,7 +970,7 @@
         let viewer = &mut self.viewers[number];
         viewer.ticket += 1;
         let (front, input) = (viewer.at, input(viewer.client, Ticket(viewer.ticket)));
-        self.to_front(front, self.nodes[front].starts, input);
+        self.hears(front, self.nodes[front].starts, input);
     }
 
     fn viewer(&mut self, number: usize, step: Step) {
@@ -1052,7 +1052,7 @@
     /// The viewer's connection ends.
     fn leave(&mut self, number: usize) {
         let (front, client) = (self.viewers[number].at, self.viewers[number].client);
-        self.to_front(front, self.nodes[front].starts, Input::ClientGone(client));
+        self.hears(front, self.nodes[front].starts, Input::ClientGone(client));
     }
 
     fn looks_for(&mut self, number: usize, session: SessionId, closing: bool) {
