--- a/crates/daemon/tests/copies.rs
+++ b/crates/daemon/tests/copies.rs
@@ -37,6 +37,7 @@
         for child in self.children.iter_mut().flatten() {
             let _ = (child.kill(), child.wait());
         }
+        self.day.stop();
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
@@ -83,16 +84,20 @@
             (0..self.children.len()).map(|seed| format!("\"{}:7301\"", self.at(seed))).collect();
         let disk = self.disk(front);
         fs::create_dir_all(&disk).unwrap();
+        let copies = match self.more.as_str() {
+            "off" => String::new(),
+            more => {
+                format!("copies {{ store {:?}; {more} }}\n", disk.join("copies.redb").display().to_string())
+            }
+        };
         let text = format!(
             "{}\nmembers {{ bind \"{}:7301\"; seeds {}; key \"{}\"; }}\n\
-             accord {{ voters \"f0\" \"f1\" \"f2\"; store {:?}; }}\ncopies {{ store {:?}; {} }}\n",
+             accord {{ voters \"f0\" \"f1\" \"f2\"; store {:?}; }}\n{copies}",
             self.day.settings(front),
             self.at(front),
             seeds.join(" "),
             "6c".repeat(32),
             disk.join("accord.redb").display().to_string(),
-            disk.join("copies.redb").display().to_string(),
-            self.more,
         );
         fs::write(self.config(front), text).unwrap();
         let log = self.folder.join(format!("f{front}.log"));
@@ -117,7 +122,9 @@
             let text = ask(&settings, question).unwrap_or_default();
             serde_json::from_str::<Value>(&text).unwrap_or_default()
         };
-        let want = 2.min(self.children.len() - 1);
+        let stated = self.more.strip_prefix("copies ").and_then(|rest| rest.split(';').next()?.parse().ok());
+        let want = if self.more == "off" { 0 } else { stated.unwrap_or(2) };
+        let want = want.min(self.children.len() - 1);
         let holders = |shown: &Value| {
             let filled = |holder: &&Value| holder["filled"] == true;
             shown["holders"].as_array().map_or(0, |all| all.iter().filter(filled).count())
@@ -366,17 +373,16 @@
 #[test]
 #[ignore = "a measurement: minutes, in release"]
 fn measured() {
-    for (copies, enough, flush) in [
-        (0, 0, "never"),
-        (0, 0, "each"),
-        (1, 1, "never"),
-        (1, 1, "each"),
-        (2, 1, "each"),
-        (2, 2, "never"),
-        (2, 2, "each"),
-    ] {
-        let more = format!("copies {copies}; enough {enough}; flush \"{flush}\";");
-        let fleet = Fleet::start(&format!("cost-{copies}-{enough}-{flush}"), 4, &more);
+    let ways = [
+        "off",
+        "copies 0; enough 0;",
+        "copies 1; enough 1;",
+        "copies 2; enough 1;",
+        "copies 2; enough 2;",
+        "copies 2; enough 2; flush \"never\";",
+    ];
+    for (number, more) in ways.iter().enumerate() {
+        let fleet = Fleet::start(&format!("cost-{number}"), 4, more);
         let mut line = fleet.line(0);
         for class in ["clip", "paid"] {
             let mut took: Vec<u128> = (0..400)
@@ -389,7 +395,7 @@
                 })
                 .collect();
             println!(
-                "copies {copies}, enough {enough}, flush {flush}, {class}: answer p50 {} us, p99 {} us of {}",
+                "{more} {class}: answer p50 {} us, p99 {} us of {}",
                 quantile(&mut took, 0.5),
                 quantile(&mut took, 0.99),
                 took.len()
