Processes cut off by lossy links: sessions go on elsewhere, players are sent to look

A front of four is cut off both ways, or heard by none, over a relay that loses 5%, while boxes and players reach it: its 20 sessions are taken over, its players told 'elsewhere', all found and closed, no place left, no set-up twice; after the cut it lives anew.

--- a/crates/daemon/tests/copies.rs
+++ b/crates/daemon/tests/copies.rs
@@ -6,7 +6,7 @@
 
 use std::fs;
 use std::io::{BufRead, BufReader};
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -20,6 +20,9 @@
 use salttally_judge::{judge, Rule};
 use salttally_standin::day::Day;
 use salttally_standin::players::Line;
+use salttally_trial::net::{Net, Quality};
+use salttally_trial::processes::Clock;
+use salttally_trial::relay::Relay;
 use serde_json::{json, Value};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -30,6 +33,8 @@
     folder: PathBuf,
     children: Vec<Option<Child>>,
     more: String,
+    /// All that fronts say to each other goes by it, where there is one.
+    relay: Option<Relay>,
 }
 
 impl Drop for Fleet {
@@ -51,6 +56,11 @@
 
 impl Fleet {
     fn start(name: &str, fronts: u32, more: &str) -> Fleet {
+        Fleet::linked(name, fronts, more, None)
+    }
+
+    /// The same with links like this between the fronts; those to boxes and players are whole.
+    fn linked(name: &str, fronts: u32, more: &str, links: Option<Quality>) -> Fleet {
         let head = format!(
             "day seconds=5 sessions=1\nfronts {fronts}\nlist-lag-ms 20\ntitles 4 holders=6\n\
              viewers \"clip\" share=1 length-s=1 patience-ms=2000\n\
@@ -61,7 +71,14 @@
         let folder = std::env::temp_dir().join(format!("salttally-copies-{name}-{}", std::process::id()));
         fs::create_dir_all(&folder).unwrap();
         let children = (0..fronts).map(|_| None).collect();
-        let mut fleet = Fleet { day, folder, children, more: more.to_owned() };
+        let addresses: Vec<SocketAddrV4> = (0..fronts)
+            .filter_map(|front| match day.front_address(front).ip() {
+                IpAddr::V4(ip) => Some(SocketAddrV4::new(ip, 7301)),
+                IpAddr::V6(_) => None,
+            })
+            .collect();
+        let relay = links.map(|like| Relay::start(Net::new(like), &addresses, 7, Clock::start()).unwrap());
+        let mut fleet = Fleet { day, folder, children, more: more.to_owned(), relay };
         (0..fronts as usize).for_each(|front| fleet.up(front));
         (0..fronts as usize).for_each(|front| fleet.ready(front));
         fleet
@@ -90,9 +107,11 @@
                 format!("copies {{ store {:?}; {more} }}\n", disk.join("copies.redb").display().to_string())
             }
         };
+        let by =
+            self.relay.as_ref().map_or(String::new(), |relay| format!("trial relay=\"{}\";", relay.address));
         let text = format!(
-            "{}\nmembers {{ bind \"{}:7301\"; seeds {}; key \"{}\"; }}\n\
-             accord {{ voters \"f0\" \"f1\" \"f2\"; store {:?}; }}\n{copies}",
+            "{}\nmembers {{ bind \"{}:7301\"; seeds {}; key \"{}\"; {by} }}\n\
+             accord {{ voters \"f0\" \"f1\" \"f2\"; store {:?}; {by} }}\n{copies}",
             self.day.settings(front),
             self.at(front),
             seeds.join(" "),
@@ -111,6 +130,17 @@
         self.children[front] = Some(child);
     }
 
+    /// Cuts what goes from one front to all others, and back unless it is one-sided, or heals it.
+    fn cut(&self, front: usize, one_sided: bool, on: bool) {
+        let mut net = self.relay.as_ref().expect("links go by a relay").net();
+        for other in (0..self.children.len()).filter(|other| *other != front) {
+            net.cut(front, other, on);
+            if !one_sided {
+                net.cut(other, front, on);
+            }
+        }
+    }
+
     fn log(&self, front: usize) -> String {
         fs::read_to_string(self.folder.join(format!("f{front}.log"))).unwrap_or_default()
     }
@@ -123,8 +153,8 @@
             serde_json::from_str::<Value>(&text).unwrap_or_default()
         };
         let stated = self.more.strip_prefix("copies ").and_then(|rest| rest.split(';').next()?.parse().ok());
-        let want = if self.more == "off" { 0 } else { stated.unwrap_or(2) };
-        let want = want.min(self.children.len() - 1);
+        let stated = if self.more == "off" { Some(0) } else { stated };
+        let want = stated.unwrap_or(2).min(self.children.len() - 1);
         let holders = |shown: &Value| {
             let filled = |holder: &&Value| holder["filled"] == true;
             shown["holders"].as_array().map_or(0, |all| all.iter().filter(filled).count())
@@ -274,7 +304,7 @@
     // A set-up is asked for just as it is stopped.
     let params =
         json!({"viewer": "late", "title": "title-0", "class": "paid", "top_rung": 2, "patience_ms": 2000});
-    let open = line.call("session.open", &params).unwrap();
+    let late = line.call("session.open", &params).unwrap();
     fleet.signal(0, Signal::STOP);
     let stopped = Instant::now();
     let mut lines = Vec::new();
@@ -288,7 +318,7 @@
     let until = Instant::now() + 5 * SECOND;
     while told.len() < held.len() + 1 {
         match line.next(until) {
-            Ok(message) if message["id"] == open || message["method"] == "session.ended" => {
+            Ok(message) if message["id"] == late || message["method"] == "session.ended" => {
                 told.push(message)
             }
             Ok(_) => {}
@@ -297,12 +327,12 @@
     }
     let elsewhere = told.iter().filter(|message| message["params"]["reason"] == "elsewhere").count();
     assert_eq!(elsewhere, held.len(), "{told:?}");
-    let answers: Vec<&Value> = told.iter().filter(|message| message["id"] == open).collect();
+    let answers: Vec<&Value> = told.iter().filter(|message| message["id"] == late).collect();
     assert!(answers.len() == 1 && answers[0]["result"].is_null(), "{answers:?}");
     wait(
         10 * SECOND,
         || {
-            open_any(&mut line, "anew")
+            open(&mut line, "anew", "paid")
                 .is_some_and(|one| one.session.starts_with("f0-") && close(&mut line, &one))
         },
         || fleet.log(0),
@@ -315,8 +345,51 @@
     fleet.judged();
 }
 
-fn open_any(line: &mut Line, viewer: &str) -> Option<Held> {
-    open(line, viewer, "paid")
+/// A front is cut off from the others by losing links, while boxes and its players are there: its sessions go on elsewhere,
+/// its players are sent to look, nobody has two owners, and once the cut ends it lives anew.
+fn cut_off(name: &str, one_sided: bool) {
+    let links = Quality { loss: 0.05, ..Quality::default() };
+    let fleet = Fleet::linked(name, 4, "", Some(links));
+    let mut line = fleet.line(3);
+    let held = fleet.play(3, &mut line, 20);
+    fleet.cut(3, one_sided, true);
+    let until = Instant::now() + 25 * SECOND;
+    let mut told = 0;
+    while told < held.len() {
+        match line.next(until) {
+            Ok(message) if message["method"] == "session.ended" => {
+                assert_eq!(message["params"]["reason"], "elsewhere", "{message}");
+                told += 1;
+            }
+            Ok(_) => {}
+            Err(silence) => panic!("{silence:?}, {told} told: {}", fleet.log(3)),
+        }
+    }
+    let mut lines = Vec::new();
+    for one in &held {
+        let found = fleet.find(one, 0, until);
+        lines.push(found.unwrap_or_else(|| panic!("{one:?} is lost\n{}\n{}", fleet.log(0), fleet.log(1))).0);
+    }
+    fleet.cut(3, one_sided, false);
+    let anew = |line: &mut Line| open(line, "anew", "paid").is_some_and(|one| close(line, &one));
+    wait(15 * SECOND, || anew(&mut line), || fleet.log(3));
+    for (line, one) in lines.iter_mut().zip(&held) {
+        assert_eq!(fleet.boxes_of(&one.session), 1, "{one:?}");
+        assert!(close(line, one), "{one:?}");
+    }
+    let free = || held.iter().all(|one| fleet.boxes_of(&one.session) == 0);
+    wait(10 * SECOND, free, || "places stay taken".to_owned());
+    fleet.judged();
+}
+
+#[test]
+fn a_front_cut_off_from_all_others_hands_its_sessions_over_and_sends_its_players_to_look() {
+    cut_off("cut", false);
+}
+
+#[test]
+fn a_front_that_hears_all_others_and_is_heard_by_none_does_too() {
+    cut_off("deaf", true);
 }
 
 #[test]
--- a/crates/front/src/core/ledger/kept.rs
+++ b/crates/front/src/core/ledger/kept.rs
@@ -265,17 +265,17 @@
                     self.release(to, &id, place.attempt, out);
                 }
             },
-            Promise::Intends(place, wish) => {
-                // Never sent again by anyone: its box knows whether it ran. Danger: told twice, by two copies of two lives, it
-                // is forgotten though it plays; found by placing a crash and a stop at every step.
-                if self.sessions.contains_key(&id) {
-                } else if let Some(opening) = keeping.opening(&wish) {
-                    keeping.fates.insert(id, (place, opening));
-                } else {
+            // Danger: told twice, by copies of two lives, it is forgotten though it plays; found by placing a crash and a stop
+            // at every step.
+            Promise::Intends(..) if self.sessions.contains_key(&id) => {}
+            // Never sent again by anyone: its box knows whether it ran.
+            Promise::Intends(place, wish) => match keeping.opening(&wish) {
+                Some(opening) => drop(keeping.fates.insert(id, (place, opening))),
+                None => {
                     self.forget(keeping::key(&id));
                     self.release((ServerId(place.server), place.address), &id, place.attempt, out);
                 }
-            }
+            },
             Promise::Owes(place) => {
                 let to = (ServerId(place.server), place.address);
                 self.release(to, &id, place.attempt, out);
--- a/crates/trial/src/processes.rs
+++ b/crates/trial/src/processes.rs
@@ -43,7 +43,8 @@
 }
 
 impl Clock {
-    fn start() -> Clock {
+    /// From now on.
+    pub fn start() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as u64);
         Clock { started: Instant::now(), unix }
     }
