--- a/crates/trial/src/picture.rs
+++ b/crates/trial/src/picture.rs
@@ -1,6 +1,7 @@
 //! Who believed whom alive, against the truth, over the time of a trial: an SVG with a row for each front. The band
 //! is the truth (green up, grey down, blue stopped); the line in it is the share of running fronts in whose view the
-//! front is.
+//! front is. Where a front goes on with what another promised, an arrow leads from the one to the other, with the number
+//! of sessions.
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -94,6 +95,33 @@
             .collect();
         let _ = writeln!(svg, "<polyline points=\"{points}\" fill=\"none\" stroke=\"#a02020\"/>");
     }
+    let x_at = |at: u64| LEFT + WIDTH * at as f64 / end as f64;
+    let middle = |front: usize| 10.0 + ROW * front as f64 + (ROW - 3.0) / 2.0;
+    let mut taken: BTreeMap<(u64, usize), usize> = BTreeMap::new();
+    for line in &sorted {
+        let (Some(life), Some(heir)) = (line["adopts"].as_str(), line["front"].as_str()) else { continue };
+        let owner = life.split('-').next().unwrap_or(life);
+        let (Some(from), Some(to)) = (place.get(owner).copied(), place.get(heir).copied()) else { continue };
+        let at = line["at"].as_u64().unwrap_or(0);
+        *taken.entry((at, to)).or_default() += line["sessions"].as_array().map_or(0, Vec::len);
+        let x = x_at(at);
+        let _ = writeln!(
+            svg,
+            "<line x1=\"{x:.1}\" x2=\"{x:.1}\" y1=\"{:.1}\" y2=\"{:.1}\" stroke=\"#1a1a8c\" stroke-width=\"1.5\"/>",
+            middle(from),
+            middle(to)
+        );
+    }
+    for ((at, to), sessions) in taken {
+        let (x, y) = (x_at(at), middle(to));
+        let _ = writeln!(
+            svg,
+            "<circle cx=\"{x:.1}\" cy=\"{y:.1}\" r=\"3\" fill=\"#1a1a8c\"/>\n\
+             <text x=\"{:.1}\" y=\"{:.1}\" fill=\"#1a1a8c\">{sessions}</text>",
+            x + 5.0,
+            y + 4.0
+        );
+    }
     if let Some(step) = calm {
         let at = x(step);
         let _ = writeln!(
--- a/crates/trial/src/whole.rs
+++ b/crates/trial/src/whole.rs
@@ -22,6 +22,7 @@
 use salttally_front::settings::Settings;
 use salttally_members::core as members;
 use salttally_members::core::view::Name;
+use salttally_members::history;
 use serde_json::json;
 
 use crate::describe::{Promises, Trial};
@@ -583,6 +584,7 @@
         let due = alive.members.next_due();
         self.again(front, Which::Members, Some(due));
         for output in out {
+            self.out.lines.extend(history::line(self.now, &plan::name(front), &output));
             match output {
                 members::Output::Send(to, envelope) => {
                     self.out.datagrams += 1;
