An heir waits a while before it says that a session of a taken life is unknown

Observed (): the one copy with the latest promise was stopped for 1.4 s and came 0.55 s after the others; a viewer who had asked in between was told that there is no such session. Change: for 10 s after it was handed something the heir answers 'ask again'.

--- a/crates/copies/src/core/mod.rs
+++ b/crates/copies/src/core/mod.rs
@@ -195,7 +195,7 @@
     Replaced(Life, Heir),
     /// Another one goes on with a life that this front had taken over.
     Gone(Life),
-    /// Nothing is left of a life that this front had taken over.
+    /// Nothing is left of a life that was taken over: worth knowing.
     Over(Life),
     /// Who holds copies has changed.
     Group(Vec<Name>),
@@ -715,6 +715,8 @@
                 held.heir = Some(self.now);
             }
         }
+        let over = heirs.over.keys().filter(|life| !self.heirs.over.contains_key(*life));
+        out.extend(over.map(|life| Output::Over(Life::clone(life))));
         (self.heirs, self.begun) = (heirs, begun);
         if self.lives && self.heirs.retired(&self.own.life) {
             self.lives = false;
@@ -735,10 +737,9 @@
             .collect();
         for life in gone {
             self.gathers.remove(&life);
-            let over = self.heirs.over.contains_key(&life);
             let ours: Vec<Key> = self.owner.keys().filter(|key| of_life(key, &life)).cloned().collect();
             ours.into_iter().for_each(|key| self.change(key, None));
-            out.push(if over { Output::Over(life) } else { Output::Gone(life) });
+            out.push(Output::Gone(life));
         }
         let begin: Vec<(Life, u64, bool)> = self
             .heirs
--- a/crates/copies/src/edge.rs
+++ b/crates/copies/src/edge.rs
@@ -309,7 +309,8 @@
                     tracing::error!(%life, by = %heir.name, "copies: another front goes on with this one's sessions");
                     (self.listener)(Told::Replaced(life, heir));
                 }
-                Output::Gone(life) | Output::Over(life) => (self.listener)(Told::Gone(life)),
+                Output::Gone(life) => (self.listener)(Told::Gone(life)),
+                Output::Over(life) => tracing::debug!(%life, "copies: nothing is left of it"),
                 Output::Group(names) => tracing::info!(?names, "copies: held there"),
             }
         }
--- a/crates/front/src/core/keeping.rs
+++ b/crates/front/src/core/keeping.rs
@@ -85,6 +85,8 @@
     pub own: Life,
     /// Lives that it goes on with, and by which epoch.
     pub epochs: BTreeMap<Life, u64>,
+    /// When it was last handed something of each.
+    pub adopted: BTreeMap<Life, Micros>,
     /// What waits.
     pub waits: BTreeMap<SessionId, Waits>,
     /// Sessions that play for all that is known, until their boxes have said so.
@@ -108,6 +110,7 @@
             names,
             own,
             epochs: BTreeMap::new(),
+            adopted: BTreeMap::new(),
             waits: BTreeMap::new(),
             unsure: BTreeSet::new(),
             fates: BTreeMap::new(),
--- a/crates/front/src/core/ledger/kept.rs
+++ b/crates/front/src/core/ledger/kept.rs
@@ -231,6 +231,7 @@
         }
         let Some(keeping) = &mut self.keeping else { return };
         keeping.epochs.insert(Life::clone(life), epoch);
+        keeping.adopted.insert(Life::clone(life), self.now);
         let mut boxes: BTreeMap<ServerId, SocketAddr> = self.boxes.clone();
         for (key, bytes) in promises {
             let id = keeping::session(key);
@@ -521,6 +522,7 @@
         self.moved.retain(|id, _| !of_life(&id.0, life));
         if let Some(keeping) = &mut self.keeping {
             keeping.epochs.remove(life);
+            keeping.adopted.remove(life);
             keeping.fates.retain(|id, _| !of_life(&id.0, life));
             keeping.claims.retain(|(of, _), _| of != life);
         }
@@ -559,7 +561,10 @@
         let wait = Reply::Wait(ASK_AGAIN);
         if let Some(heir) = heirs.last(life) {
             let here = heir.name.as_ref() == self.name.as_str();
-            return match (here, keeping.epochs.contains_key(life)) {
+            // Danger: a copy that was stopped comes a moment after the others, and its session was said to be unknown; found by
+            // the trial.
+            let whole = keeping.adopted.get(life).is_some_and(|at| at + SETTLES <= self.now);
+            return match (here, whole) {
                 (false, _) => Reply::Elsewhere(Name::clone(&heir.name), heir.serves),
                 // It was here, and is over; without a lease it may be at the next heir's.
                 (true, true) if terms.epoch(&keeping.own, life).is_some() => Reply::Unknown,
