One guard of acts and one connection that keeps order for both virtual worlds

Twins found by reading again: whole.rs had written again what versions.rs had. Change: plan::takes_place and Net::streamed serve both, one constant for lost segments.

--- a/crates/trial/src/net.rs
+++ b/crates/trial/src/net.rs
@@ -36,8 +36,13 @@
     special: BTreeMap<(usize, usize), Vec<(usize, Quality)>>,
     cut: BTreeMap<(usize, usize), u32>,
     sent: BTreeMap<(usize, usize), (Micros, u32)>,
+    /// When the latest bytes of each connection arrive.
+    arrived: BTreeMap<(usize, usize), Micros>,
 }
 
+/// A lost segment comes again after this (RFC 6298, section 2.4, with the least time-out in use).
+pub const AGAIN: Micros = 200_000;
+
 /// A share as a chance of a draw.
 pub fn chance(rng: &mut impl RngCore, share: f64) -> bool {
     share > 0.0 && f64::from(rng.next_u32()) < share * 4_294_967_296.0
@@ -46,7 +51,9 @@
 impl Net {
     /// All links are like this.
     pub fn new(usual: Quality) -> Net {
-        Net { usual, special: BTreeMap::new(), cut: BTreeMap::new(), sent: BTreeMap::new() }
+        let (special, cut, sent, arrived) =
+            (BTreeMap::new(), BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Net { usual, special, cut, sent, arrived }
     }
 
     /// Cuts a link, or takes one cut back; returns whether the link's state has changed.
@@ -69,6 +76,28 @@
         special.extend(quality.map(|quality| (fault, quality)));
     }
 
+    /// When bytes that are sent now arrive on a connection that keeps order: a lost segment comes again, and what follows
+    /// waits for it. Nothing where a cut, or loss upon loss, swallows them with the connection.
+    pub fn streamed(
+        &mut self,
+        now: Micros,
+        from: usize,
+        to: usize,
+        rng: &mut impl RngCore,
+    ) -> Option<Micros> {
+        let mut again = 0;
+        let delay = loop {
+            match self.fate(now, from, to, rng).first() {
+                Some(delay) => break delay + again,
+                None if again < 4 * AGAIN => again = again * 2 + AGAIN,
+                None => return None,
+            }
+        };
+        let last = self.arrived.entry((from, to)).or_default();
+        *last = (*last + 1).max(now + delay);
+        Some(*last)
+    }
+
     /// After how long each copy of a datagram arrives; none where it is lost.
     pub fn fate(&mut self, now: Micros, from: usize, to: usize, rng: &mut impl RngCore) -> Vec<Micros> {
         if self.is_cut(from, to) {
--- a/crates/trial/src/plan.rs
+++ b/crates/trial/src/plan.rs
@@ -170,6 +170,17 @@
         "equal_us": equal, "borne_us": borne})
 }
 
+/// Whether an act changes anything: nobody starts twice, and only what runs is struck. `state` tells of a front whether it
+/// is up, and stopped.
+pub fn takes_place(act: &Act, state: impl Fn(usize) -> (bool, bool)) -> bool {
+    match act {
+        Act::Start(front) => !state(*front).0,
+        Act::Kill(front) | Act::Lose(front) | Act::Stop(front) => state(*front).0,
+        Act::Run(front) => state(*front) == (true, true),
+        Act::Cut(..) | Act::Link(..) | Act::Calm => true,
+    }
+}
+
 /// Carries the part of an act out that concerns links, and tells it for the judge.
 pub fn truth(at: Micros, act: &Act, net: &mut Net) -> Option<Value> {
     let of = |truth: &str, front: &usize| Some(json!({"at": at, "truth": truth, "front": name(*front)}));
--- a/crates/trial/src/relay.rs
+++ b/crates/trial/src/relay.rs
@@ -18,14 +18,12 @@
 use rand_pcg::Pcg32;
 use salttally_members::wire::via;
 
-use crate::net::Net;
+use crate::net::{Net, AGAIN};
 use crate::processes::Clock;
 use crate::Micros;
 
 /// Stacks of the threads that serve connections; each has two.
 const STACK: usize = 128 * 1024;
-/// A lost segment comes again after this, at first (RFC 6298, with the least time-out in use).
-const AGAIN: Micros = 200_000;
 /// A connection on a link that was cut for so long is closed.
 pub const GIVEN_UP: Micros = 5_000_000;
 /// What one connection holds at most while it is late, parts of up to 16 kB; a sender of more waits, as with TCP.
--- a/crates/trial/src/versions.rs
+++ b/crates/trial/src/versions.rs
@@ -22,8 +22,6 @@
 
 /// Messages that wait for a stopped process at most: what its sockets hold.
 const BUFFER: usize = 512;
-/// A lost segment comes again after this (RFC 6298, section 2.4, with the least time-out in use).
-const AGAIN: Micros = 200_000;
 /// Viewers who ask, some of whom each proposal refuses.
 pub const VIEWERS: usize = 6;
 
@@ -129,7 +127,6 @@
     fronts: Vec<Front>,
     names: BTreeMap<Name, usize>,
     queue: Queue<Event>,
-    arrived: BTreeMap<(usize, usize), Micros>,
     now: Micros,
     struck: Struck,
     /// When the last fault ends.
@@ -174,7 +171,6 @@
         fronts,
         names,
         queue,
-        arrived: BTreeMap::new(),
         now: 0,
         struck,
         calm,
@@ -241,18 +237,9 @@
 
     fn act(&mut self, act: Act) {
         let told = plan::truth(self.now, &act, &mut self.net);
-        let there = match &act {
-            Act::Start(front) | Act::Kill(front) | Act::Lose(front) | Act::Stop(front) | Act::Run(front) => {
-                Some(*front)
-            }
-            Act::Cut(..) | Act::Link(..) | Act::Calm => None,
-        };
-        let up = there.is_some_and(|front| self.fronts[front].accord.is_some());
-        match act {
-            Act::Start(_) if up => return,
-            Act::Kill(_) | Act::Lose(_) | Act::Stop(_) if !up => return,
-            Act::Run(front) if !up || !self.fronts[front].stopped => return,
-            _ => {}
+        let state = |front: usize| (self.fronts[front].accord.is_some(), self.fronts[front].stopped);
+        if !plan::takes_place(&act, state) {
+            return;
         }
         self.out.lines.extend(told);
         match act {
@@ -344,18 +331,8 @@
     fn send(&mut self, front: usize, envelope: Box<Envelope>) {
         self.out.datagrams += 1;
         let Some(other) = self.names.get(&envelope.to).copied() else { return };
-        // A lost segment is sent again, and what follows waits for it; what a cut swallows is gone with the connection.
-        let mut again = 0;
-        let delay = loop {
-            match self.net.fate(self.now, front, other, &mut self.rng).first() {
-                Some(delay) => break delay + again,
-                None if again < 4 * AGAIN => again = again * 2 + AGAIN,
-                None => return,
-            }
-        };
-        let last = self.arrived.entry((front, other)).or_default();
-        *last = (*last + 1).max(self.now + delay);
-        let at = *last;
+        let at = self.net.streamed(self.now, front, other, &mut self.rng);
+        let Some(at) = at else { return };
         self.queue.push(at, Event::Arrive(other, envelope));
     }
 }
--- a/crates/trial/src/whole.rs
+++ b/crates/trial/src/whole.rs
@@ -43,8 +43,6 @@
 const BEAT: Micros = 400 * MS;
 /// Messages that wait for a stopped process at most, of each kind; the rest is lost.
 const BUFFER: usize = 2_048;
-/// A lost segment comes again after this (RFC 6298, section 2.4).
-const AGAIN: Micros = 200 * MS;
 /// An attempt that was released before it came is barred so long.
 const BARRED: Micros = 30_000 * MS;
 /// A viewer waits so long for its answer, and looks so long for a session.
@@ -243,7 +241,6 @@
     viewers: Vec<Viewer>,
     clients: BTreeMap<ClientId, usize>,
     queue: Queue<Event>,
-    arrived: BTreeMap<(usize, usize), Micros>,
     now: Micros,
     calm: Micros,
     struck: Struck,
@@ -303,7 +300,6 @@
         viewers: (0..promises.viewers).map(viewer).collect(),
         clients: BTreeMap::new(),
         queue,
-        arrived: BTreeMap::new(),
         now: 0,
         calm,
         struck,
@@ -421,18 +417,9 @@
 
     fn act(&mut self, act: Act) {
         let told = plan::truth(self.now, &act, &mut self.net);
-        let there = match &act {
-            Act::Start(front) | Act::Kill(front) | Act::Lose(front) | Act::Stop(front) | Act::Run(front) => {
-                Some(*front)
-            }
-            Act::Cut(..) | Act::Link(..) | Act::Calm => None,
-        };
-        let up = there.is_some_and(|front| self.nodes[front].alive.is_some());
-        match act {
-            Act::Start(_) if up => return,
-            Act::Kill(_) | Act::Lose(_) | Act::Stop(_) if !up => return,
-            Act::Run(front) if !up || !self.nodes[front].stopped => return,
-            _ => {}
+        let state = |front: usize| (self.nodes[front].alive.is_some(), self.nodes[front].stopped);
+        if !plan::takes_place(&act, state) {
+            return;
         }
         self.out.lines.extend(told);
         match act {
@@ -657,17 +644,9 @@
 
     /// Bytes between two fronts, in order; a lost segment comes again, what a cut swallows is gone with the connection.
     fn streamed(&mut self, front: usize, other: usize, what: In) {
-        let mut again = 0;
-        let delay = loop {
-            match self.net.fate(self.now, front, other, &mut self.rng).first() {
-                Some(delay) => break delay + again,
-                None if again < 4 * AGAIN => again = again * 2 + AGAIN,
-                None => return,
-            }
-        };
-        let last = self.arrived.entry((front, other)).or_default();
-        *last = (*last + 1).max(self.now + delay);
-        let (at, start) = (*last, self.nodes[other].starts);
+        let at = self.net.streamed(self.now, front, other, &mut self.rng);
+        let Some(at) = at else { return };
+        let start = self.nodes[other].starts;
         self.queue.push(at, Event::Comes(other, start, what));
     }
 
