--- a/crates/copies/src/core/mod.rs
+++ b/crates/copies/src/core/mod.rs
@@ -560,8 +560,6 @@
         }
         let before = held.shelf.head.clone();
         (held.shelf.head.group, held.shelf.head.boot) = (group, boot);
-        let gone: Vec<Key> =
-            changes.iter().filter(|c| c.body.is_none()).map(|c| Key::clone(&c.key)).collect();
         let beat = after == 0 && to == 0 && changes.is_empty() && held.shelf.head.have > 0;
         let took = !beat && held.shelf.put(after, to, whole, changes);
         if took {
@@ -569,9 +567,6 @@
                 let entry = held.shelf.entries.get(&change.key).cloned();
                 self.journal.push(Write::Entry(Life::clone(&life), Key::clone(&change.key), entry));
             }
-            for key in gone.iter().filter(|key| !held.shelf.entries.contains_key(*key)) {
-                self.journal.push(Write::Entry(Life::clone(&life), Key::clone(key), None));
-            }
         }
         if held.shelf.head != before {
             self.journal.push(Write::Head(Life::clone(&life), held.shelf.head.clone()));
--- a/crates/front/src/core/ledger/boxes.rs
+++ b/crates/front/src/core/ledger/boxes.rs
@@ -3,6 +3,7 @@
 use salttally_copies::core::{life_of, Life};
 
 use super::*;
+use crate::core::keeping::Place;
 
 impl<D: Decider> Ledger<D> {
     pub(super) fn list(&mut self, kind: ListKind, lines: Vec<Listed>, out: &mut Vec<Output>) {
@@ -175,27 +176,7 @@
         let Some(opening) = opening else {
             return self.release_unknown((server, address), held.session, held.attempt, out);
         };
-        self.counts.resumed += 1;
-        let id = held.session;
-        let request = opening.request(&id, false);
-        let effect = self.settings.classes.get(opening.class).map_or(Effect::Safe, |class| class.effect);
-        let mut session = Session::new(None, opening, effect, held.rung, self.now);
-        let attempt = Attempt {
-            number: 0,
-            wire: held.attempt,
-            server,
-            address,
-            sent: self.now,
-            expires: self.now,
-            rung: held.rung,
-        };
-        session.plays_already(attempt);
-        let until = self.now + self.limits.claim_within;
-        session.claim_by = Some(until);
-        self.insert(id.clone(), session);
-        self.timers.set(until, Due::Claim(id.clone()));
-        self.events.push_back(Event::Resumed(request, server));
-        let note = Note::Rung(held.rung);
-        self.events.push_back(Event::Note { session: id, server, note });
+        let place = Place { server: server.0, address, attempt: held.attempt };
+        self.plays_on(held.session, place, held.rung, opening, self.limits.claim_within);
     }
 }
--- a/crates/front/src/core/ledger/kept.rs
+++ b/crates/front/src/core/ledger/kept.rs
@@ -22,7 +22,7 @@
 impl<D: Decider> Ledger<D> {
     /// Has its promises copied, and goes on with others'. Wants rules that are agreed on: see [`Ledger::under`].
     pub fn keeping(mut self) -> Self {
-        let life = Life::from(format!("{}-{:08x}", self.name, self.boot));
+        let life = self.life();
         let names = self.terms.as_ref().map(Terms::names).unwrap_or_default();
         self.keeping = Some(Keeping::new(names, life));
         self.timers.set(LOOK, Due::Lease);
@@ -67,10 +67,15 @@
         let (Some(keeping), Some(terms)) = (&self.keeping, &self.terms) else { return true };
         let Some(life) = life_of(&id.0) else { return false };
         // Of a life of its own that is over nobody else has anything.
-        let leased = terms.epoch(&keeping.own, &keeping.own).is_some();
         let left = life.rsplit_once('-').is_some_and(|(name, _)| name == self.name)
             && terms.heirs().over.contains_key(life);
-        terms.epoch(&keeping.own, life).is_some() || leased && left
+        terms.epoch(&keeping.own, life).is_some() || self.leased() && left
+    }
+
+    /// Whether this front has a lease, and its life is its own.
+    fn leased(&self) -> bool {
+        let (Some(keeping), Some(terms)) = (&self.keeping, &self.terms) else { return false };
+        terms.epoch(&keeping.own, &keeping.own).is_some()
     }
 
     pub(super) fn promise(&mut self, key: Key, promise: &Promise, waits: bool) {
@@ -256,7 +261,9 @@
             Promise::Plays(place, rung, wish) => match keeping.opening(&wish) {
                 Some(opening) if !self.sessions.contains_key(&id) => {
                     keeping.unsure.insert(id.clone());
-                    self.plays_on(id, place, rung as usize, opening);
+                    let listed = self.boxes.get(&ServerId(place.server)).copied();
+                    let place = Place { address: listed.unwrap_or(place.address), ..place };
+                    self.plays_on(id, place, rung as usize, opening, self.limits.adopted_kept);
                 }
                 Some(_) => {}
                 None => {
@@ -288,17 +295,23 @@
         }
     }
 
-    /// A session plays on at its box for whoever comes for it.
-    pub(super) fn plays_on(&mut self, id: SessionId, place: Place, rung: usize, opening: Opening) {
-        let server = ServerId(place.server);
-        let address = self.boxes.get(&server).copied().unwrap_or(place.address);
+    /// A session plays on at its box for whoever comes for it within this time.
+    pub(super) fn plays_on(
+        &mut self,
+        id: SessionId,
+        place: Place,
+        rung: usize,
+        opening: Opening,
+        within: Micros,
+    ) {
+        let (server, address) = (ServerId(place.server), place.address);
         self.counts.resumed += 1;
         let request = opening.request(&id, false);
         let effect = self.settings.classes.get(opening.class).map_or(Effect::Safe, |class| class.effect);
         let mut session = Session::new(None, opening, effect, rung, self.now);
         let (number, wire, now) = (0, place.attempt, self.now);
         session.plays_already(Attempt { number, wire, server, address, sent: now, expires: now, rung });
-        let until = now + self.limits.adopted_kept;
+        let until = now + within;
         session.claim_by = Some(until);
         self.insert(id.clone(), session);
         self.timers.set(until, Due::Claim(id.clone()));
@@ -456,7 +469,7 @@
                 keeping.fates.remove(&id);
                 match opening.filter(|_| !self.ending) {
                     Some(opening) => {
-                        self.plays_on(id.clone(), place, held.rung, opening);
+                        self.plays_on(id.clone(), place, held.rung, opening, self.limits.adopted_kept);
                         self.promise_rung(&id);
                     }
                     None => self.release_unknown((server, address), id, held.attempt, out),
@@ -532,9 +545,10 @@
 
     /// Has this front a lease? Without one for long, its players are to look for whoever has.
     pub(super) fn look_at_lease(&mut self, out: &mut Vec<Output>) {
-        let (Some(keeping), Some(terms)) = (&mut self.keeping, &self.terms) else { return };
+        let leased = self.leased();
+        let Some(keeping) = &mut self.keeping else { return };
         self.timers.set(self.now + LOOK, Due::Lease);
-        if terms.epoch(&keeping.own, &keeping.own).is_some() {
+        if leased {
             keeping.leased = self.now;
             return;
         }
@@ -571,7 +585,7 @@
                 (true, _) => wait,
             };
         }
-        if terms.epoch(&keeping.own, &keeping.own).is_none() {
+        if !self.leased() {
             // Danger: a front that was stopped answers for what is another's; found by the trial. It cannot know.
             return wait;
         }
@@ -614,7 +628,7 @@
             }
             return;
         }
-        if terms.epoch(&keeping.own, &keeping.own).is_some() {
+        if self.leased() {
             self.notes.push(Output::Found(Life::from(life)));
         }
         let until = self.now + self.limits.claim_within;
