The front node's edge split: ports, sockets and the loop in files of their own

Need: node.rs held the loop, a connection's buffers, the making of sockets and an inline test. Change: node/mod.rs, node/port.rs, node/sockets.rs and node/tests.rs; no behaviour changed, the same test in its own file. Measured: cargo check and clippy of the package clean.

--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node/mod.rs
@@ -13,27 +13,26 @@
 use rustix::event::epoll::{self, EventData, EventFlags};
 use rustix::fd::OwnedFd;
 use rustix::io::Errno;
-use rustix::net::SendFlags;
 use salttally::brain::Brain;
 use salttally::interface::Micros;
 use salttally_front::clock::{timespec, Clock};
-use salttally_front::session_api::core::backlog::{Backlog, Step};
-use socket2::{Domain, Protocol, Socket, Type};
 use thiserror::Error;
 
 use crate::config::{Config, ConfigError};
-use crate::core::{ClientId, ConnId, Core, Counts, DialError, Input, Level, Output};
+use crate::core::{ClientId, ConnId, Core, Counts, Input, Level, Output};
 use crate::wire::frames::Frames;
-use crate::wire::{Decoder, Message};
+use crate::wire::Message;
+
+mod port;
+mod sockets;
+
+use port::{send, Port, BACKLOG};
+use sockets::{again, dial, dial_error, listen};
 
 /// Read at once from one connection; the others have their turn in between.
 const READ: usize = 16 * 1024;
 /// Connections accepted at once.
 const ACCEPTED: usize = 64;
-/// Waiting to be written to one peer at most.
-const BACKLOG: usize = 256 * 1024;
-/// A peer that takes nothing for this long is cut off.
-const STALLED: Micros = 2_000_000;
 /// A closed connection is read on for so long, so that what was written last is not lost by a reset.
 const LINGER: Micros = 300_000;
 /// Longest sleep.
@@ -70,81 +69,6 @@
     pub hang_up: UnixStream,
 }
 
-struct Port {
-    stream: TcpStream,
-    decoder: Decoder,
-    fresh: Vec<u8>,
-    backlog: Backlog,
-    connecting: bool,
-    watched: EventFlags,
-    /// Closed when all is written.
-    closing: bool,
-    /// Bytes read after it was closed.
-    discarded: usize,
-    /// Messages and bytes read, and bytes written, since they were last told.
-    crossed: [usize; 3],
-}
-
-impl Port {
-    fn new(stream: TcpStream, connecting: bool) -> Port {
-        let backlog = Backlog::new(BACKLOG, STALLED);
-        let (decoder, fresh) = (Decoder::default(), Vec::new());
-        let watched = if connecting { EventFlags::OUT } else { EventFlags::IN };
-        Port {
-            stream,
-            decoder,
-            fresh,
-            backlog,
-            connecting,
-            watched,
-            closing: false,
-            discarded: 0,
-            crossed: [0; 3],
-        }
-    }
-
-    /// Writes as much as the socket takes now. Tells whether something waits, or that it is of no more use.
-    fn flush(&mut self, now: Micros) -> Result<bool, ()> {
-        if self.connecting {
-            return Ok(false);
-        }
-        let mut sent = 0;
-        if self.backlog.is_clear() {
-            while sent < self.fresh.len() {
-                match send(&self.stream, &self.fresh[sent..])? {
-                    0 => break,
-                    taken => sent += taken,
-                }
-            }
-        }
-        self.crossed[2] += sent;
-        let rest = self.fresh.split_off(sent);
-        self.fresh = Vec::new();
-        if self.backlog.add(&rest, now) == Step::Cut {
-            return Err(());
-        }
-        while !self.backlog.is_clear() {
-            let turn = self.backlog.turn();
-            let taken = send(&self.stream, &turn)?;
-            self.crossed[2] += taken;
-            match self.backlog.tried(Some(taken), now) {
-                Step::Cut => return Err(()),
-                _ if taken == 0 => return Ok(true),
-                _ => {}
-            }
-        }
-        Ok(false)
-    }
-}
-
-fn send(stream: &TcpStream, bytes: &[u8]) -> Result<usize, ()> {
-    match rustix::net::send(stream, bytes, SendFlags::NOSIGNAL) {
-        Ok(taken) => Ok(taken),
-        Err(Errno::AGAIN | Errno::INTR) => Ok(0),
-        Err(_) => Err(()),
-    }
-}
-
 struct ListCall {
     number: u64,
     stream: TcpStream,
@@ -214,27 +138,6 @@
     node.serve()
 }
 
-fn listen(at: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&at.into())?;
-    socket.listen(1024)?;
-    Ok(socket.into())
-}
-
-fn dial(to: SocketAddr) -> io::Result<TcpStream> {
-    let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_nonblocking(true)?;
-    socket.set_tcp_nodelay(true)?;
-    match socket.connect(&to.into()) {
-        Ok(()) => {}
-        Err(error) if error.raw_os_error() == Some(Errno::INPROGRESS.raw_os_error()) => {}
-        Err(error) => return Err(error),
-    }
-    Ok(socket.into())
-}
-
 impl Node {
     fn serve(mut self) -> Result<Counts, NodeError> {
         let mut events = Vec::with_capacity(128);
@@ -611,37 +514,5 @@
     }
 }
 
-fn again(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
-}
-
-/// Either proves that nothing was sent; only a refusal proves that no process listens.
-fn dial_error(error: &io::Error) -> DialError {
-    match error.kind() {
-        io::ErrorKind::ConnectionRefused => DialError::Refused,
-        _ => DialError::TimedOut,
-    }
-}
-
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_peer_that_reads_nothing_is_given_up_and_not_tried_for_ever() {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-        stream.set_nonblocking(true).unwrap();
-        let _reads_nothing = listener.accept().unwrap();
-        let mut port = Port::new(stream, false);
-        let mut given_up = false;
-        for now in 0..1_000 {
-            port.fresh = vec![0; 64 * 1024];
-            given_up = port.flush(now).is_err();
-            if given_up {
-                break;
-            }
-        }
-        assert!(given_up);
-    }
-}
+mod tests;
