An answer is written before the module hears of it; the front node's parts by their field's names

Change: core hands the answer out first and the module hears of it right after, in the same order as before (Core::answers, catch_up). Names: links, watch, follower, doors and Hang are pool, health, list_watch, admission and Disconnect; no behaviour changed by that. Tests: an answer ahead of the module, a tick by the time of its look, the end by the time of the look.

--- a/crates/platform/src/core/doors.rs
+++ b/crates/platform/src/core/admission.rs
@@ -15,7 +15,7 @@
 const KEPT: Micros = 8_000_000;
 
 #[derive(Clone, Debug, Default)]
-struct Guest {
+struct Connection {
     joined: Micros,
     spoke: Option<Micros>,
     owed: BTreeSet<u64>,
@@ -24,7 +24,7 @@
     due: Option<Micros>,
 }
 
-impl Guest {
+impl Connection {
     /// Whether no session is its.
     fn has_none(&self) -> bool {
         self.owed.is_empty() && self.standing.is_empty()
@@ -33,15 +33,15 @@
 
 /// Viewer connections.
 #[derive(Clone, Debug)]
-pub struct Doors {
-    guests: BTreeMap<ClientId, Guest>,
+pub struct Admission {
+    guests: BTreeMap<ClientId, Connection>,
     most: usize,
 }
 
-impl Doors {
+impl Admission {
     /// None yet; half of the process's files may go to them, and viewers hold a third.
-    pub fn new(sockets: usize) -> Doors {
-        Doors { guests: BTreeMap::new(), most: (sockets / 2).max(1) }
+    pub fn new(sockets: usize) -> Admission {
+        Admission { guests: BTreeMap::new(), most: (sockets / 2).max(1) }
     }
 
     /// Number of connections.
@@ -64,7 +64,7 @@
     pub fn joined(&mut self, now: Micros, id: ClientId, timers: &mut Timers<Due>) -> Vec<ClientId> {
         let mut go = Vec::new();
         while self.guests.len() - go.len() >= self.most {
-            let free = |(other, guest): &(&ClientId, &Guest)| guest.has_none() && !go.contains(*other);
+            let free = |(other, guest): &(&ClientId, &Connection)| guest.has_none() && !go.contains(*other);
             let first = self.guests.iter().filter(free).min_by_key(|(_, g)| (g.spoke, g.joined));
             match first.map(|(other, _)| *other) {
                 Some(other) => go.push(other),
@@ -74,7 +74,7 @@
                 }
             }
         }
-        self.guests.insert(id, Guest { joined: now, ..Guest::default() });
+        self.guests.insert(id, Connection { joined: now, ..Connection::default() });
         self.arm(now + FIRST_WORD, id, timers);
         go
     }
--- a/crates/platform/src/core/boxes.rs
+++ b/crates/platform/src/core/boxes.rs
@@ -2,49 +2,49 @@
 
 use salttally_front::core::session::Playing;
 
-use super::links::Ended;
+use super::pool::Ended;
 use super::*;
 use crate::wire::words;
 
 impl<D: Decider> Core<D> {
     pub(super) fn dialed(&mut self, link: ConnId, result: Result<(), DialError>, out: &mut Vec<Output>) {
-        let Some(server) = self.links.server(link) else { return };
+        let Some(server) = self.pool.server(link) else { return };
         match result {
             Ok(()) => {
-                self.links.made(self.now, link, &mut self.timers, out);
-                self.watch.heard(self.now, server);
+                self.pool.made(self.now, link, &mut self.timers, out);
+                self.health.heard(self.now, server);
             }
             Err(DialError::NotTried) => {
                 // Nothing is learnt of the box: this process has no room.
-                let ended = self.links.closed(link);
+                let ended = self.pool.closed(link);
                 self.link_ended(ended, Outcome::NotSent);
             }
             Err(error) => {
-                let ended = self.links.closed(link);
+                let ended = self.pool.closed(link);
                 self.link_ended(ended, Outcome::NoConnection);
-                let verdict = self.watch.failed(self.now, server, error);
+                let verdict = self.health.failed(self.now, server, error);
                 self.judge(server, verdict, out);
             }
         }
     }
 
     pub(super) fn link_closed(&mut self, link: ConnId, out: &mut Vec<Output>) {
-        let Some(server) = self.links.server(link) else { return };
-        let ended = self.links.closed(link);
+        let Some(server) = self.pool.server(link) else { return };
+        let ended = self.pool.closed(link);
         self.link_ended(ended, Outcome::Broken);
         // What stands there goes on, unless its process has died: a look tells.
-        self.look_at(server, out);
+        self.check_health(server, out);
     }
 
     /// Nothing more of a connection can be trusted: it is hung up.
     pub(super) fn spoilt(&mut self, link: ConnId, out: &mut Vec<Output>) {
         self.counts.spoilt += 1;
-        self.hang_up(link, out);
+        self.disconnect(link, out);
     }
 
     /// A connection is of no more use, with all that is out on it.
-    pub(super) fn hang_up(&mut self, link: ConnId, out: &mut Vec<Output>) {
-        out.push(Output::Hang(link));
+    pub(super) fn disconnect(&mut self, link: ConnId, out: &mut Vec<Output>) {
+        out.push(Output::Disconnect(link));
         self.link_closed(link, out);
     }
 
@@ -66,16 +66,16 @@
 
     /// The connections of a box are of no more use: it is gone, or listens elsewhere.
     pub(super) fn forget_links(&mut self, server: ServerId, out: &mut Vec<Output>) {
-        for link in self.links.of(server) {
-            out.push(Output::Hang(link));
-            let ended = self.links.closed(link);
+        for link in self.pool.of(server) {
+            out.push(Output::Disconnect(link));
+            let ended = self.pool.closed(link);
             self.link_ended(ended, Outcome::Broken);
         }
     }
 
     pub(super) fn heard(&mut self, link: ConnId, message: Message, out: &mut Vec<Output>) {
-        let Some(server) = self.links.heard(self.now, link) else { return };
-        self.watch.heard(self.now, server);
+        let Some(server) = self.pool.heard(self.now, link) else { return };
+        self.health.heard(self.now, server);
         let id = message.session;
         match message.kind {
             kind::ANSWER => self.answered(server, link, message, out),
@@ -135,14 +135,15 @@
         };
         let Some(attempt) = entry.session.out().cloned() else { return };
         let client = entry.session.client.map(|(client, _)| client);
-        self.links.ended(link, id);
+        self.pool.ended(link, id);
         self.timers.unset(attempt.expires, Due::Expire(id, attempt.number));
         self.timers.unset(overdue, Due::Overdue(id));
         let took = self.now - attempt.sent;
         let answer = Message::new(kind::ANSWER, id).with(code::DESCRIPTION, description);
         if let Some(client) = client {
             out.push(Output::Say(client, answer));
-            self.doors.stands(client, id);
+            self.answers = true;
+            self.admission.stands(client, id);
         }
         entry.passed = Vec::new();
         entry.since = self.now;
@@ -164,7 +165,7 @@
         };
         let own = entry.link == Some(link);
         // Danger: a late word on an attempt before, taken for one on this, would leave two out, or end what plays.
-        let late = !own && entry.before.contains(&link) && entry.link.is_some_and(|on| self.links.exists(on));
+        let late = !own && entry.before.contains(&link) && entry.link.is_some_and(|on| self.pool.exists(on));
         if entry.session.at().is_none_or(|at| at.server != server) || late {
             return;
         }
@@ -177,7 +178,7 @@
         if !own {
             return;
         }
-        self.links.ended(link, id);
+        self.pool.ended(link, id);
         let outcome = match cause {
             Some(cause::FULL) => Outcome::Full,
             Some(cause::ERROR) => Outcome::Failed,
@@ -191,28 +192,28 @@
 
     /// A box holds one more session: it is watched.
     pub(super) fn holds(&mut self, server: ServerId) {
-        if let Some(at) = self.watch.holds(self.now, server) {
-            self.timers.set(at, Due::Look(server));
+        if let Some(at) = self.health.holds(self.now, server) {
+            self.timers.set(at, Due::HealthCheck(server));
         }
     }
 
-    pub(super) fn look_at(&mut self, server: ServerId, out: &mut Vec<Output>) {
-        let up = self.links.is_up(server);
-        let look = self.watch.look(self.now, server, up);
+    pub(super) fn check_health(&mut self, server: ServerId, out: &mut Vec<Output>) {
+        let up = self.pool.is_up(server);
+        let look = self.health.look(self.now, server, up);
         if let Some(at) = look.again {
-            self.timers.set(at, Due::Look(server));
+            self.timers.set(at, Due::HealthCheck(server));
         }
         if !look.dial {
             return;
         }
         match self.boxes.get(&server).copied() {
             Some(address) => {
-                if !self.links.check(self.now, (server, address), &mut self.timers, out) {
+                if !self.pool.check(self.now, (server, address), &mut self.timers, out) {
                     out.push(Output::Log(Level::Warn, format!("box {}: no room to look at it", server.0)));
                 }
             }
             None => {
-                let verdict = self.watch.failed(self.now, server, DialError::TimedOut);
+                let verdict = self.health.failed(self.now, server, DialError::TimedOut);
                 self.judge(server, verdict, out);
             }
         }
@@ -221,7 +222,7 @@
     fn judge(&mut self, server: ServerId, verdict: Verdict, out: &mut Vec<Output>) {
         match verdict {
             Verdict::Fine => {}
-            Verdict::Again(at) => self.timers.set(at, Due::Look(server)),
+            Verdict::Again(at) => self.timers.set(at, Due::HealthCheck(server)),
             Verdict::Lost => self.lost_where(server, |_| true, out),
         }
     }
@@ -260,7 +261,7 @@
         // A box that has gone took it along, and another one may listen at its address.
         let Some(address) = self.boxes.get(&at.server).copied() else { return };
         let to = (at.server, address);
-        self.links.tell(self.now, to, entry.link, message, &mut self.timers, out);
+        self.pool.tell(self.now, to, entry.link, message, &mut self.timers, out);
     }
 
     /// A moved session that its box has not ended is ended there.
--- a/crates/platform/src/core/watch.rs
+++ b/crates/platform/src/core/health.rs
@@ -52,15 +52,15 @@
 
 /// The boxes that hold sessions.
 #[derive(Clone, Debug)]
-pub struct Watch {
+pub struct Health {
     boxes: BTreeMap<ServerId, Seen>,
     connect_within: Micros,
 }
 
-impl Watch {
+impl Health {
     /// None yet. A dial that is not made within this time has failed.
-    pub fn new(connect_within: Micros) -> Watch {
-        Watch { boxes: BTreeMap::new(), connect_within }
+    pub fn new(connect_within: Micros) -> Health {
+        Health { boxes: BTreeMap::new(), connect_within }
     }
 
     /// A box holds one more session. Tells when to look, if no look is due.
--- a/crates/platform/src/core/follower.rs
+++ b/crates/platform/src/core/list_watch.rs
@@ -29,7 +29,7 @@
 
 /// Follows one coordinator at a time.
 #[derive(Clone, Debug, Default)]
-pub struct Follower {
+pub struct ListWatch {
     at: Option<SocketAddr>,
     /// Number of the last event.
     last: u64,
@@ -44,7 +44,7 @@
     fresh: bool,
 }
 
-impl Follower {
+impl ListWatch {
     /// Whether the coordinator was heard since the start.
     pub fn fresh(&self) -> bool {
         self.fresh
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -7,17 +7,17 @@
 //! - [`mod@self`]: the state, and what the decider's actions become.
 //! - `viewers`: requests, give-ups and ends by viewers; the one answer.
 //! - `boxes`: what boxes say of set-ups and of what stands.
-//! - [`links`]: connections to boxes, each with many set-ups; what the end of one proves.
-//! - [`watch`]: whether a box that holds sessions is there.
-//! - [`follower`]: the numbered events of the list.
-//! - [`doors`]: which viewer connections are kept, and which make room.
+//! - [`pool`]: connections to boxes, each with many set-ups; what the end of one proves.
+//! - [`health`]: whether a box that holds sessions is there.
+//! - [`list_watch`]: the numbered events of the list.
+//! - [`admission`]: which viewer connections are kept, and which make room.
 
+pub mod admission;
 mod boxes;
-pub mod doors;
-pub mod follower;
-pub mod links;
+pub mod health;
+pub mod list_watch;
+pub mod pool;
 mod viewers;
-pub mod watch;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -32,10 +32,10 @@
 
 use crate::wire::frames::Frame;
 use crate::wire::{cause, code, kind, Message};
-use doors::Doors;
-use follower::{Follower, News};
-use links::{Links, Withdrawn};
-use watch::{Verdict, Watch};
+use admission::Admission;
+use health::{Health, Verdict};
+use list_watch::{ListWatch, News};
+use pool::{Pool, Withdrawn};
 
 /// What a front node hears.
 #[derive(Clone, Debug, PartialEq)]
@@ -88,7 +88,7 @@
     /// Write to a box.
     Send(ConnId, Message),
     /// Close a connection to a box: what it takes at once is written, nothing is waited for.
-    Hang(ConnId),
+    Disconnect(ConnId),
     /// Connect to the coordinator, and write this number.
     Follow(u64, SocketAddr, u64),
     /// Close that connection.
@@ -121,7 +121,7 @@
     /// A probe takes too long.
     Probe(u64),
     /// A box that holds sessions is to be looked at.
-    Look(ServerId),
+    HealthCheck(ServerId),
     /// A viewer's connection may have been silent long enough.
     Silent(ClientId),
     /// The coordinator may be silent, or is to be called again.
@@ -203,10 +203,10 @@
     facts: Facts,
     now: Micros,
     sessions: BTreeMap<u64, Entry>,
-    doors: Doors,
-    links: Links,
-    watch: Watch,
-    follower: Follower,
+    admission: Admission,
+    pool: Pool,
+    health: Health,
+    list_watch: ListWatch,
     boxes: BTreeMap<ServerId, SocketAddr>,
     /// Viewers that this front moved and that have not come back.
     moved: BTreeMap<ViewerId, Micros>,
@@ -214,6 +214,7 @@
     next_probe: u64,
     timers: Timers<Due>,
     events: VecDeque<Event>,
+    answers: bool,
     /// When the process began.
     began: Micros,
     /// What no connection was there for, and until when it is of use.
@@ -230,23 +231,24 @@
 impl<D: Decider> Core<D> {
     /// A front node that has just started: it knows this list, which may be old.
     pub fn new(decider: D, facts: Facts, sockets: usize, now: Micros) -> Self {
-        let links = Links::new(&facts, sockets);
-        let watch = Watch::new(facts.connect_within);
+        let pool = Pool::new(&facts, sockets);
+        let health = Health::new(facts.connect_within);
         Core {
             decider,
             facts,
             now,
             sessions: BTreeMap::new(),
-            doors: Doors::new(sockets),
-            links,
-            watch,
-            follower: Follower::default(),
+            admission: Admission::new(sockets),
+            pool,
+            health,
+            list_watch: ListWatch::default(),
             boxes: BTreeMap::new(),
             moved: BTreeMap::new(),
             probes: BTreeMap::new(),
             next_probe: 0,
             timers: Timers::default(),
             events: VecDeque::new(),
+            answers: false,
             began: now,
             untold: VecDeque::new(),
             early: BTreeMap::new(),
@@ -268,7 +270,7 @@
     ) {
         self.now = self.now.max(now);
         self.list(ListKind::Remembered, known, out);
-        self.follower.begin(self.now, index, at, &mut self.timers, out);
+        self.list_watch.begin(self.now, index, at, &mut self.timers, out);
         self.settle(out);
     }
 
@@ -281,14 +283,14 @@
     /// heard of if it is watched. To be held against what crosses the sockets and what the module believes.
     pub fn ledger(&self) -> BTreeMap<ServerId, (Vec<ConnId>, i32, i32, Option<Micros>)> {
         let mut boxes: BTreeMap<_, _> =
-            self.boxes.keys().map(|id| (*id, (self.links.of(*id), 0, 0, None))).collect();
+            self.boxes.keys().map(|id| (*id, (self.pool.of(*id), 0, 0, None))).collect();
         for entry in self.sessions.values() {
             let Some(at) = entry.session.at() else { continue };
             let Some(row) = boxes.get_mut(&at.server) else { continue };
             let plays = i32::from(entry.session.playing().is_some());
             (row.1, row.2) = (row.1 + plays, row.2 + 1 - plays);
         }
-        for (id, _, heard) in self.watch.believed() {
+        for (id, _, heard) in self.health.believed() {
             boxes.entry(id).and_modify(|row| row.3 = Some(heard));
         }
         boxes
@@ -301,20 +303,20 @@
 
     /// What was done so far.
     pub fn counts(&self) -> Counts {
-        Counts { dials: self.links.dials(), ..self.counts }
+        Counts { dials: self.pool.dials(), ..self.counts }
     }
 
     /// Sessions in hand, those that play, viewer connections, connections to boxes, timers.
     pub fn held(&self) -> [usize; 5] {
         let playing = self.sessions.values().filter(|entry| entry.session.playing().is_some()).count();
-        [self.sessions.len(), playing, self.doors.len(), self.links.len(), self.timers.len()]
+        [self.sessions.len(), playing, self.admission.len(), self.pool.len(), self.timers.len()]
     }
 
     /// Whether it can serve: the list was heard, or has not come for long and one is known from the start. Danger: a
     /// start while the coordinator is down would be out of service for as long.
     pub fn ready(&self) -> bool {
         let without = self.now >= self.began + READY_WITHOUT && !self.boxes.is_empty();
-        (self.follower.fresh() || without) && self.ending.is_none()
+        (self.list_watch.fresh() || without) && self.ending.is_none()
     }
 
     /// Whether the process was told to end.
@@ -329,6 +331,11 @@
     /// stopped between the two as well.
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
+        // What a socket takes is known first, so that nothing is put on one that takes nothing.
+        if !matches!(input, Input::Stalled(..) | Input::Writable(_)) {
+            self.settle(out);
+        }
+        self.answers = false;
         match input {
             Input::Joined(client) => self.joined(client, out),
             Input::Said(client, message) => self.said(client, message, out),
@@ -341,19 +348,19 @@
             Input::Closed(link) => self.link_closed(link, out),
             Input::Spoilt(link) => self.spoilt(link, out),
             Input::Stalled(link, cut, unsent) => {
-                self.links.stalled(self.now, link, cut, unsent, &mut self.timers);
+                self.pool.stalled(self.now, link, cut, unsent, &mut self.timers);
             }
-            Input::Writable(link) => self.links.takes_again(link, out),
-            Input::ListUp(number) => self.follower.up(self.now, number),
+            Input::Writable(link) => self.pool.takes_again(link, out),
+            Input::ListUp(number) => self.list_watch.up(self.now, number),
             Input::Told(number, frame) => {
-                match self.follower.told(self.now, number, frame, &mut self.timers, out) {
+                match self.list_watch.told(self.now, number, frame, &mut self.timers, out) {
                     Some(News::Whole(lines)) => self.list(ListKind::Whole, lines, out),
                     Some(News::Changes(lines)) => self.list(ListKind::Changes, lines, out),
                     None => {}
                 }
             }
-            Input::ListDown(number) => self.follower.down(self.now, number, &mut self.timers),
-            Input::Coordinator(at) => self.follower.turn_to(self.now, at, &mut self.timers, out),
+            Input::ListDown(number) => self.list_watch.down(self.now, number, &mut self.timers),
+            Input::Coordinator(at) => self.list_watch.turn_to(self.now, at, &mut self.timers, out),
             Input::End => {
                 if self.ending.is_none() {
                     self.ending = Some(self.now);
@@ -370,6 +377,21 @@
                 self.look_at_end(now, out);
             }
         }
+        if !self.answers {
+            self.settle(out);
+        }
+    }
+
+    /// Whether the last input has brought a viewer the answer that its session stands: the edge writes that first, and
+    /// lets the decider hear of it by [`Core::catch_up`]. Danger: while the decider looks at all that it holds, the
+    /// viewer waits on, and may leave.
+    pub fn answers(&self) -> bool {
+        self.answers
+    }
+
+    /// The decider hears what has not been told it yet.
+    pub fn catch_up(&mut self, now: Micros, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
         self.settle(out);
     }
 
@@ -390,7 +412,7 @@
             self.end_at_end(id, out);
         }
         self.settle(out);
-        if !self.links.waits() || now >= by {
+        if !self.pool.waits() || now >= by {
             self.finished = true;
             out.push(Output::Finished);
         }
@@ -474,7 +496,7 @@
         self.counts.attempts += 1;
         self.timers.set(expires, Due::Expire(id, number));
         let to = (server, address);
-        entry.link = self.links.set_up(self.now, to, message, &entry.before, &mut self.timers, out);
+        entry.link = self.pool.set_up(self.now, to, message, &entry.before, &mut self.timers, out);
         if entry.link.is_none() {
             self.attempt_ended(id, Outcome::NoConnection, Vec::new());
         }
@@ -521,7 +543,7 @@
         self.next_probe += 1;
         let id = self.next_probe;
         let message = Message::new(kind::TEST, id).with(code::CAUSE, [1]);
-        let sent = self.links.tell(self.now, (server, address), None, message, &mut self.timers, out);
+        let sent = self.pool.tell(self.now, (server, address), None, message, &mut self.timers, out);
         match sent {
             Some(link) => {
                 self.probes.insert(id, (server, link));
@@ -566,7 +588,7 @@
         for id in gone {
             self.forget_links(id, out);
         }
-        for id in draining.into_iter().flat_map(|id| self.links.unsent(id)).collect::<Vec<_>>() {
+        for id in draining.into_iter().flat_map(|id| self.pool.unsent(id)).collect::<Vec<_>>() {
             self.withdraw(id, false, out);
             self.attempt_ended(id, Outcome::NotSent, Vec::new());
         }
@@ -584,27 +606,27 @@
             }
             Due::Linger(id) => self.linger(id, out),
             Due::Dial(link) => {
-                if self.links.dialing(link) {
-                    out.push(Output::Hang(link));
+                if self.pool.dialing(link) {
+                    out.push(Output::Disconnect(link));
                     self.dialed(link, Err(DialError::TimedOut), out);
                 }
             }
-            Due::Idle(link) => self.links.idle(self.now, link, &mut self.timers, out),
+            Due::Idle(link) => self.pool.idle(self.now, link, &mut self.timers, out),
             Due::Stalled(link) => {
-                if self.links.is_stalled(self.now, link) {
-                    self.hang_up(link, out);
+                if self.pool.is_stalled(self.now, link) {
+                    self.disconnect(link, out);
                 }
             }
             Due::Probe(id) => {
                 if let Some((server, link)) = self.probes.remove(&id) {
-                    self.links.doubt(link);
+                    self.pool.doubt(link);
                     let (outcome, report) = (Outcome::TimedOut, Vec::new());
                     self.events.push_back(Event::Probed { server, outcome, report });
                 }
             }
-            Due::Look(server) => self.look_at(server, out),
+            Due::HealthCheck(server) => self.check_health(server, out),
             Due::Silent(client) => self.silent(client, out),
-            Due::List(number) => self.follower.due(self.now, number, &mut self.timers, out),
+            Due::List(number) => self.list_watch.due(self.now, number, &mut self.timers, out),
             Due::Ending => {}
         }
     }
@@ -624,10 +646,10 @@
         let link = self.sessions.get_mut(&id).and_then(|entry| entry.link.take());
         let Some(link) = link else { return Outcome::NoConnection };
         self.sessions.entry(id).and_modify(|entry| entry.before.push(link));
-        match self.links.withdraw(link, id, timed_out, out) {
+        match self.pool.withdraw(link, id, timed_out, out) {
             Withdrawn::Unsent => Outcome::NoConnection,
             Withdrawn::Cut => {
-                self.hang_up(link, out);
+                self.disconnect(link, out);
                 Outcome::NoConnection
             }
             Withdrawn::MayHaveRun if timed_out => Outcome::TimedOut,
@@ -653,7 +675,7 @@
         let Some(entry) = self.sessions.remove(&id) else { return };
         self.timers.unset(entry.session.overdue_at(self.facts.answer_slack), Due::Overdue(id));
         if let Some((client, _)) = entry.session.client {
-            self.doors.ended(self.now, client, id, &mut self.timers);
+            self.admission.ended(self.now, client, id, &mut self.timers);
         }
     }
 }
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/pool.rs
@@ -86,12 +86,12 @@
 enum For {
     SetUp,
     Word,
-    Look,
+    HealthCheck,
 }
 
 /// All connections to boxes.
 #[derive(Clone, Debug)]
-pub struct Links {
+pub struct Pool {
     links: BTreeMap<ConnId, Link>,
     last: u64,
     dials: [u64; 3],
@@ -101,10 +101,10 @@
     idle_kept: Micros,
 }
 
-impl Links {
+impl Pool {
     /// None yet. A third of the process's files may go to them.
-    pub fn new(facts: &Facts, sockets: usize) -> Links {
-        Links {
+    pub fn new(facts: &Facts, sockets: usize) -> Pool {
+        Pool {
             links: BTreeMap::new(),
             last: 0,
             dials: [0; 3],
@@ -258,7 +258,7 @@
         out: &mut Vec<Output>,
     ) -> bool {
         let dialing = self.links.values().any(|one| one.server == to.0 && one.state == State::Dialing);
-        dialing || self.dial(now, to, For::Look, timers, out).is_some()
+        dialing || self.dial(now, to, For::HealthCheck, timers, out).is_some()
     }
 
     /// A connection is made: what waited is written.
@@ -370,7 +370,7 @@
         let last = link.used.max(link.heard);
         if link.out.is_empty() && (link.doubted || last + self.idle_kept <= now) {
             self.links.remove(&id);
-            out.push(Output::Hang(id));
+            out.push(Output::Disconnect(id));
         } else {
             let again = if link.doubted { now + self.connect_within } else { last + self.idle_kept };
             timers.set(again.max(now + self.connect_within), Due::Idle(id));
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -77,6 +77,8 @@
 
     fn tell(&mut self, input: Input) -> Vec<Output> {
         self.core.handle(self.now, input, &mut self.out);
+        // As the edge does it, which has written an answer before.
+        self.core.catch_up(self.now, &mut self.out);
         std::mem::take(&mut self.out)
     }
 
@@ -219,7 +221,7 @@
     let out = bench.made(&out);
     let (link, _) = set_up(&out).unwrap();
     let out = bench.tell(Input::Spoilt(link));
-    assert!(out.contains(&Output::Hang(link)) && said(&out).any(|m| m.cause() == Some(FAILED)));
+    assert!(out.contains(&Output::Disconnect(link)) && said(&out).any(|m| m.cause() == Some(FAILED)));
     assert_eq!(bench.core.counts().spoilt, 1);
 }
 
@@ -292,7 +294,7 @@
     let open = open.expect("a second one on the same connection");
     let out = bench.tell(Input::Closed(link));
     assert!(bench.core.sessions[&1].session.playing().is_some());
-    assert!(!bench.core.links.out().contains(&open) || bench.core.sessions[&open].session.attempts > 1);
+    assert!(!bench.core.pool.out().contains(&open) || bench.core.sessions[&open].session.attempts > 1);
     assert!(out.iter().any(|o| matches!(o, Output::Dial(_, to) if *to == at)), "it is looked at: {out:?}");
 }
 
@@ -363,7 +365,7 @@
     let out = bench.tell(Input::Dialed(look, Err(DialError::Refused)));
     let released: Vec<_> = said(&out).map(|m| (m.kind, m.session, m.cause())).collect();
     assert_eq!(released, [(kind::RELEASE, 1, Some(cause::BROKEN))]);
-    assert!(bench.core.sessions.is_empty() && bench.core.watch.believed().next().is_none());
+    assert!(bench.core.sessions.is_empty() && bench.core.health.believed().next().is_none());
 }
 
 #[test]
@@ -390,7 +392,7 @@
         bench.made(&out);
     }
     assert_eq!(bench.core.held()[1], 1);
-    assert!(bench.core.links.of(ServerId(0)).len() <= 4, "looks do not pile up");
+    assert!(bench.core.pool.of(ServerId(0)).len() <= 4, "looks do not pile up");
 }
 
 #[test]
@@ -402,9 +404,9 @@
     let new = ServerEntry { server: ServerId(90), cell: old.0, units: 1.0, ..ServerEntry::default() };
     let lines = vec![Listed { entry: gone, address: at }, Listed { entry: new, address: at }];
     let out = bench.told(1, 6, Told::Changes(lines));
-    assert!(out.contains(&Output::Hang(link)), "the old one's connection is never the new one's");
+    assert!(out.contains(&Output::Disconnect(link)), "the old one's connection is never the new one's");
     assert!(said(&out).any(|m| m.kind == kind::RELEASE && m.session == 1));
-    assert!(bench.core.links.of(ServerId(90)).is_empty());
+    assert!(bench.core.pool.of(ServerId(90)).is_empty());
 }
 
 #[test]
@@ -578,7 +580,7 @@
         let mut bench = Bench::with(Puppet::default());
         let out = bench.tell(Input::Said(ClientId(1), request(5, "clip", ";at:s-00000001")));
         bench.made(&out);
-        let link = bench.core.links.of(ServerId(1))[0];
+        let link = bench.core.pool.of(ServerId(1))[0];
         if let Some(rung) = told {
             let note = Message::new(kind::NOTE, 5).with(24, "level").with(39, rung.to_string());
             bench.tell(Input::Heard(link, note));
@@ -707,7 +709,7 @@
     let [sessions, playing, doors, links, timers] = bench.core.held();
     assert_eq!((sessions, playing, links), (0, 0, 0));
     assert!(doors <= 1 && timers < 12, "{doors} {timers}");
-    assert!(bench.core.probes.is_empty() && bench.core.links.out().is_empty());
+    assert!(bench.core.probes.is_empty() && bench.core.pool.out().is_empty());
 }
 
 #[test]
--- a/crates/platform/src/core/tests/crossings.rs
+++ b/crates/platform/src/core/tests/crossings.rs
@@ -10,7 +10,7 @@
 }
 
 fn set_up_at(server: u32) -> Action {
-    Action::SetUp(name(9), ServerId(server), 0)
+    Action::SetUp(name(9), ServerId(server), 2 * SECOND)
 }
 
 /// A request whose set-up waits for the connection to this box.
@@ -56,7 +56,7 @@
         let (mut bench, link) = waiting("paid");
         bench.tell(leaves.clone());
         assert!(no_set_up(&bench.tell(Input::Dialed(link, Ok(())))), "{leaves:?}");
-        assert!(bench.core.links.out().is_empty() && bench.core.sessions.is_empty());
+        assert!(bench.core.pool.out().is_empty() && bench.core.sessions.is_empty());
     }
 }
 
@@ -98,7 +98,7 @@
     let (mut bench, link) = written("paid");
     bench.tell(Input::Stalled(link, Some(9), Vec::new()));
     let out = bench.tell(Input::HalfClosed(ClientId(1)));
-    assert!(out.contains(&Output::Hang(link)), "{out:?}");
+    assert!(out.contains(&Output::Disconnect(link)), "{out:?}");
     assert_eq!(outcomes(&bench), [Outcome::NoConnection]);
 }
 
@@ -117,7 +117,7 @@
     assert!(no_set_up(&out) && out.iter().any(|o| matches!(o, Output::Dial(..))), "{out:?}");
     bench.core.decider.1.clear();
     let out = bench.after(5 * SECOND / 2);
-    assert!(out.contains(&Output::Hang(link)), "it is of no more use: {out:?}");
+    assert!(out.contains(&Output::Disconnect(link)), "it is of no more use: {out:?}");
     let of = |id: u64| {
         let ended = |event: &Event| match event {
             Event::Ended { session, outcome, .. } if *session == name(id) => Some(*outcome),
@@ -235,7 +235,7 @@
 fn a_box_that_goes_and_returns_at_its_address_gets_nothing_that_waited_for_the_one_before() {
     let (mut bench, link) = waiting("paid");
     let out = bench.told(1, 6, drains(0, ServerState::Gone));
-    assert!(out.contains(&Output::Hang(link)));
+    assert!(out.contains(&Output::Disconnect(link)));
     let ended = bench.core.decider.1.iter().position(|e| matches!(e, Event::Ended { .. }));
     let listed = bench.core.decider.1.iter().rposition(|e| matches!(e, Event::Servers(..)));
     assert!(listed.unwrap() < ended.unwrap(), "an attempt would be wasted on what is gone");
@@ -250,7 +250,7 @@
     let mut bench = Bench::new();
     let (link, _) = bench.playing(1, "clip");
     bench.tell(Input::Closed(link));
-    let look = bench.core.links.of(bench.core.sessions[&1].session.at().unwrap().server);
+    let look = bench.core.pool.of(bench.core.sessions[&1].session.at().unwrap().server);
     look.into_iter().for_each(|link| drop(bench.tell(Input::Dialed(link, Err(DialError::TimedOut)))));
     bench.tell(Input::End);
     let mut out = bench.after(9 * SECOND / 10);
@@ -346,3 +346,44 @@
     assert_eq!(bench.core.counts().lost, 0);
     assert!(bench.core.sessions[&1].session.playing().is_some());
 }
+
+#[test]
+fn an_answer_goes_out_before_the_decider_hears_of_it_and_loses_it_nothing() {
+    let (mut bench, link) = written("clip");
+    let started =
+        |bench: &Bench<Puppet>| bench.core.decider.1.iter().any(|e| matches!(e, Event::Started { .. }));
+    let mut out = Vec::new();
+    bench.core.handle(bench.now, Input::Heard(link, answer(9)), &mut out);
+    assert!(bench.core.answers() && said(&out).any(|m| m.kind == kind::ANSWER) && !started(&bench));
+    // Whatever comes next, it hears of the answer first.
+    bench.core.handle(bench.now, Input::Heard(link, Message::release(9, cause::NORMAL)), &mut out);
+    let at = |what: fn(&Event) -> bool| bench.core.decider.1.iter().position(what);
+    let (began, ended) =
+        (at(|e| matches!(e, Event::Started { .. })), at(|e| matches!(e, Event::Ended { .. })));
+    assert!(began.unwrap() < ended.unwrap() && !bench.core.answers());
+}
+
+#[test]
+fn a_tick_does_what_was_due_when_the_sockets_were_looked_at_and_no_more() {
+    let (mut bench, link) = written("paid");
+    let looked = bench.now;
+    // Stopped between the look and the tick: the answer has come meanwhile, and so has the time-out.
+    bench.now += 5 * SECOND / 2;
+    bench.tell(Input::ListUp(99));
+    let mut out = Vec::new();
+    bench.core.handle(looked, Input::Tick, &mut out);
+    assert_eq!(said(&out).count(), 0, "{out:?}");
+    assert_eq!(said(&bench.tell(Input::Heard(link, answer(9)))).next(), Some(&answer(9)));
+}
+
+#[test]
+fn the_end_is_not_looked_at_by_a_later_time_than_the_sockets() {
+    let mut bench = Bench::new();
+    bench.tell(Input::End);
+    let looked = bench.now;
+    bench.now += 2 * SECOND;
+    bench.tell(Input::ListUp(99));
+    let mut out = Vec::new();
+    bench.core.handle(looked, Input::Tick, &mut out);
+    assert!(!out.contains(&Output::Finished) && bench.core.closing.is_none());
+}
--- a/crates/platform/src/core/viewers.rs
+++ b/crates/platform/src/core/viewers.rs
@@ -10,13 +10,13 @@
 
 impl<D: Decider> Core<D> {
     pub(super) fn joined(&mut self, client: ClientId, out: &mut Vec<Output>) {
-        for other in self.doors.joined(self.now, client, &mut self.timers) {
+        for other in self.admission.joined(self.now, client, &mut self.timers) {
             self.cut(other, out);
         }
     }
 
     pub(super) fn said(&mut self, client: ClientId, message: Message, out: &mut Vec<Output>) {
-        self.doors.spoke(self.now, client, &mut self.timers);
+        self.admission.spoke(self.now, client, &mut self.timers);
         for (until, told) in self.untold.drain(..) {
             if self.now < until {
                 out.push(Output::Say(client, told));
@@ -37,7 +37,7 @@
 
     /// Closes a viewer's connection; what was owed on it is given up.
     pub(super) fn cut(&mut self, client: ClientId, out: &mut Vec<Output>) {
-        for id in self.doors.owed(client) {
+        for id in self.admission.owed(client) {
             // It was taken: it has its answer before the connection goes.
             self.fail(id, out);
         }
@@ -47,7 +47,7 @@
 
     /// A viewer's connection is gone: what was owed on it reaches nobody; what stands belongs to no connection.
     pub(super) fn client_left(&mut self, client: ClientId, out: &mut Vec<Output>) {
-        for id in self.doors.left(client, &mut self.timers) {
+        for id in self.admission.left(client, &mut self.timers) {
             let Some(entry) = self.sessions.get_mut(&id) else { continue };
             if entry.session.owed() {
                 self.give_up(id, out);
@@ -94,7 +94,7 @@
                 let entry =
                     Entry { session, passed, link: None, before: Vec::new(), since: 0, moving: false };
                 self.sessions.insert(id, entry);
-                self.doors.asked(client, id, &mut self.timers);
+                self.admission.asked(client, id, &mut self.timers);
                 self.events.push_back(Event::Request(request));
             }
         }
@@ -176,11 +176,11 @@
             moving: false,
         };
         self.sessions.insert(id, entry);
-        self.doors.asked(client, id, &mut self.timers);
-        self.doors.stands(client, id);
+        self.admission.asked(client, id, &mut self.timers);
+        self.admission.stands(client, id);
         self.events.push_back(Event::Resumed(request, at));
         self.holds(at);
-        self.look_at(at, out);
+        self.check_health(at, out);
     }
 
     /// A viewer takes a request back, or ends what stands.
@@ -257,7 +257,7 @@
 
     /// Says something to a viewer of a session that stands: on its connection, else on whichever is open.
     pub(super) fn say(&mut self, client: Option<ClientId>, message: Message, out: &mut Vec<Output>) {
-        match client.or_else(|| self.doors.any()) {
+        match client.or_else(|| self.admission.any()) {
             Some(client) => out.push(Output::Say(client, message)),
             // Danger: told nobody, its viewer would wait by a session that is over.
             None => {
@@ -284,7 +284,7 @@
             self.say(client, Message::release(id, cause), out);
         }
         self.drop_session(id);
-        self.watch.released(server);
+        self.health.released(server);
         let (session, last) = (name(id), true);
         self.events.push_back(Event::Ended { session, attempt, server, outcome, last, report });
     }
@@ -302,7 +302,7 @@
     }
 
     pub(super) fn silent(&mut self, client: ClientId, out: &mut Vec<Output>) {
-        if self.doors.silent(self.now, client, &mut self.timers) {
+        if self.admission.silent(self.now, client, &mut self.timers) {
             self.cut(client, out);
         }
     }
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -21,7 +21,7 @@
 use crate::config::{Config, ConfigError};
 use crate::core::{ClientId, ConnId, Core, Counts, Input, Level, Output};
 use crate::wire::frames::Frames;
-use crate::wire::{kind, Message};
+use crate::wire::Message;
 
 mod port;
 mod sockets;
@@ -252,19 +252,20 @@
 
     /// Hands in what has come, carries out what is answered, and writes.
     fn work(&mut self, out: &mut Vec<Output>) {
-        loop {
+        while !(self.inputs.is_empty() && self.dirty.is_empty()) {
             let mut answers = false;
             while !answers {
                 let Some(input) = self.inputs.pop_front() else { break };
                 self.core.handle(self.clock.now(), input, out);
-                // That a session stands is told at once, whatever else came with it.
-                answers = out.iter().any(|o| matches!(o, Output::Say(_, m) if m.kind == kind::ANSWER));
+                answers = self.core.answers();
                 self.carry_out(out);
             }
-            match self.dirty.pop_front() {
-                Some(token) => self.flush(token),
-                None if self.inputs.is_empty() => return,
-                None => {}
+            while let Some(token) = self.dirty.pop_front() {
+                self.flush(token);
+            }
+            if answers && self.inputs.is_empty() {
+                self.core.catch_up(self.clock.now(), out);
+                self.carry_out(out);
             }
         }
     }
@@ -275,7 +276,7 @@
                 Output::Say(client, message) => self.write(VIEWER | client.0, &message),
                 Output::Send(link, message) => self.write(BOX | link.0, &message),
                 Output::Close(client) => self.close(VIEWER | client.0),
-                Output::Hang(link) => self.close(BOX | link.0),
+                Output::Disconnect(link) => self.close(BOX | link.0),
                 Output::Dial(link, to) => self.dial(link, to),
                 Output::Follow(number, to, last) => self.follow(number, to, last),
                 Output::Unfollow(number) => {
