A session that its box ended in the same read as its answer is told to have failed

Blamed: read_port handed message after message, answered() looked at one alone. Change: what one read brought is one input (HeardAll); an answer with its end on purpose behind it becomes a failed answer, its box is not blamed. Tested: process test and core test, both fail without it.

--- a/crates/daemon/tests/front_node_crossings.rs
+++ b/crates/daemon/tests/front_node_crossings.rs
@@ -281,6 +281,23 @@
     assert_eq!(viewer.next(SECOND).map(|m| m.kind), Some(kind::ANSWER));
 }
 
+// Caught the answer that was passed on although its end lay behind it: the viewer was told nothing that was true.
+#[test]
+fn a_session_that_its_box_ended_in_the_same_read_as_its_answer_is_told_to_have_failed() {
+    let mut hands = Hands::new(1);
+    let node = hands.node("answer-end", |_| {});
+    let mut viewer = node.viewer();
+    viewer.say(&request_at(1, "paid", 0));
+    let mut line = hands.accept(0);
+    wait_for(&mut line, kind::SET_UP, 1);
+    let mut bytes = Vec::new();
+    Message::new(kind::ANSWER, 1).with(code::DESCRIPTION, "by hand").write(&mut bytes);
+    Message::release(1, cause::ON_PURPOSE).write(&mut bytes);
+    (&line.stream).write_all(&bytes).unwrap();
+    assert_eq!(viewer.next(SECOND).as_ref().and_then(released), Some(cause::BROKEN));
+    assert_eq!(rest(&mut viewer, SECOND / 5), [], "one answer");
+}
+
 // ---- Ends that find nobody ----
 
 // Caught `say`, which dropped what no connection was open for.
--- a/crates/platform/src/core/boxes.rs
+++ b/crates/platform/src/core/boxes.rs
@@ -109,6 +109,39 @@
         }
     }
 
+    /// What came in one read. Danger: a session that was ended on purpose before its answer has left here would be told
+    /// to play, and its viewer, which is owed no release then, would never hear anything that is still true.
+    pub(super) fn heard_all(&mut self, link: ConnId, messages: Vec<Message>, out: &mut Vec<Output>) {
+        let ends = |message: &Message, id: u64| {
+            message.kind == kind::RELEASE && message.session == id && end_of(message.cause()).1.is_none()
+        };
+        let answers = messages.iter().enumerate().filter(|(_, message)| message.kind == kind::ANSWER);
+        let over = answers.filter(|(at, answer)| messages[*at..].iter().any(|m| ends(m, answer.session)));
+        let over: Vec<u64> = over.map(|(_, answer)| answer.session).collect();
+        for message in messages {
+            if message.kind == kind::ANSWER && over.contains(&message.session) {
+                self.over_unheard(link, message.session, out);
+            } else {
+                self.heard(link, message, out);
+            }
+        }
+    }
+
+    /// The attempt that is out stood and is over again: it has failed for its viewer.
+    fn over_unheard(&mut self, link: ConnId, id: u64, out: &mut Vec<Output>) {
+        let Some(entry) = self.sessions.get_mut(&id) else { return };
+        if entry.link != Some(link) || !matches!(entry.session.stage, Stage::Trying(_)) {
+            return;
+        }
+        entry.session.settled();
+        if let Some((client, _)) = entry.session.client {
+            out.push(Output::Say(client, Message::release(id, FAILED)));
+        }
+        self.counts.failed += 1;
+        self.pool.ended(link, id);
+        self.attempt_ended(id, Outcome::Withdrawn, Vec::new());
+    }
+
     fn report(&self, message: &Message) -> Vec<f64> {
         words::report(message, &self.facts.report_names, &self.facts.settings.reports)
     }
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -54,6 +54,8 @@
     Dialed(ConnId, Result<(), DialError>),
     /// A box's message.
     Heard(ConnId, Message),
+    /// Messages of a box that came in one read, in order.
+    HeardAll(ConnId, Vec<Message>),
     /// A box's connection has closed.
     Closed(ConnId),
     /// It cannot be read any further.
@@ -345,6 +347,7 @@
             Input::HalfClosed(client) => self.cut(client, out),
             Input::Dialed(link, result) => self.dialed(link, result, out),
             Input::Heard(link, message) => self.heard(link, message, out),
+            Input::HeardAll(link, messages) => self.heard_all(link, messages, out),
             Input::Closed(link) => self.link_closed(link, out),
             Input::Spoilt(link) => self.spoilt(link, out),
             Input::Stalled(link, cut, unsent) => {
--- a/crates/platform/src/core/tests/crossings.rs
+++ b/crates/platform/src/core/tests/crossings.rs
@@ -387,3 +387,19 @@
     bench.core.handle(looked, Input::Tick, &mut out);
     assert!(!out.contains(&Output::Finished) && bench.core.closing.is_none());
 }
+
+#[test]
+fn a_session_that_is_over_before_its_answer_has_left_is_not_told_to_play() {
+    let (mut bench, link) = written("paid");
+    let note = Message::new(kind::NOTE, 9).with(code::NOTE, "port").with(code::FIGURE, "0.5");
+    let end = |cause| Message::release(9, cause);
+    let out = bench.tell(Input::HeardAll(link, vec![answer(9), note, end(cause::ON_PURPOSE)]));
+    let told: Vec<Option<u8>> = said(&out).map(Message::cause).collect();
+    assert_eq!(told, [Some(FAILED)], "one answer, and a true one");
+    assert_eq!(outcomes(&bench), [Outcome::Withdrawn], "its box is not blamed");
+    assert!(bench.core.sessions.is_empty() && bench.core.pool.out().is_empty());
+    // Of any other end its viewer is told as always.
+    let (mut bench, link) = written("paid");
+    let out = bench.tell(Input::HeardAll(link, vec![answer(9), end(cause::NORMAL)]));
+    assert_eq!(said(&out).map(|m| m.kind).collect::<Vec<_>>(), [kind::ANSWER, kind::RELEASE]);
+}
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -643,25 +643,31 @@
         }
         port.crossed[1] += count;
         port.decoder.feed(&bytes[..count]);
-        loop {
+        let (id, is_viewer) = (token & !KINDS, token & KINDS == VIEWER);
+        let mut messages = Vec::new();
+        let unreadable = loop {
             match port.decoder.take() {
                 Ok(Some(message)) => {
                     port.crossed[0] += 1;
                     crosses("in", token, &message);
-                    self.inputs.push_back(said(token, message));
-                }
-                Ok(None) => return count == READ,
-                Err(error) => {
-                    tracing::debug!(%error, "a peer cannot be read");
-                    let id = token & !KINDS;
-                    self.inputs.push_back(match token & KINDS {
-                        VIEWER => Input::Garbled(ClientId(id)),
-                        _ => Input::Spoilt(ConnId(id)),
-                    });
-                    return false;
+                    messages.push(message);
                 }
+                Ok(None) => break None,
+                Err(error) => break Some(error),
             }
-        }
+        };
+        if is_viewer {
+            let said = messages.into_iter().map(|message| Input::Said(ClientId(id), message));
+            self.inputs.extend(said);
+        } else if !messages.is_empty() {
+            self.inputs.push_back(Input::HeardAll(ConnId(id), messages));
+        }
+        if let Some(error) = unreadable {
+            tracing::debug!(%error, "a peer cannot be read");
+            let spoilt = if is_viewer { Input::Garbled(ClientId(id)) } else { Input::Spoilt(ConnId(id)) };
+            self.inputs.push_back(spoilt);
+        }
+        unreadable.is_none() && count == READ
     }
 
     /// A connection is of no more use.
@@ -687,13 +693,5 @@
     }
 }
 
-fn said(token: u64, message: Message) -> Input {
-    let id = token & !KINDS;
-    match token & KINDS {
-        VIEWER => Input::Said(ClientId(id), message),
-        _ => Input::Heard(ConnId(id), message),
-    }
-}
-
 #[cfg(test)]
 mod tests;
