The end of a front node says its last words once

Found on reading the change again: last_words was called in carry_out and again at the end of serve, so an end with open viewers read on for 0.3 s twice and came nearer to the kill; part_now repeated what dropping a port does. Change: one call, at the end of serve, when all is flushed; the port is dropped as its twin is.

--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -288,9 +288,6 @@
                 Output::Finished => self.finished = true,
             }
         }
-        if self.finished {
-            self.last_words();
-        }
     }
 
     fn write(&mut self, token: u64, message: &Message) {
@@ -374,19 +371,15 @@
             match token & KINDS {
                 LINGERING => drop(self.ports.remove(&token)),
                 // One that takes nothing: tried once more, and cut off where that is vain; one that is closed just goes.
-                _ if self.ports.get(&token).is_some_and(|port| port.closing) => self.part_now(token),
+                _ if self.ports.get(&token).is_some_and(|port| port.closing) => {
+                    drop(self.ports.remove(&token))
+                }
                 _ if due <= now => self.dirty.push_back(token),
                 _ => {}
             }
         }
     }
 
-    fn part_now(&mut self, token: u64) {
-        if let Some(port) = self.ports.remove(&token) {
-            let _ = epoll::delete(&self.poll, &port.stream);
-        }
-    }
-
     /// The process ends: nobody is accepted any more, what is written waits a moment for the sockets to take it, and
     /// they are read on until their peers have closed. Danger: closed over bytes that nobody read, a connection is
     /// reset, and what was written last is lost with it.
