The list is heard again within the drain grace of the settings, whatever the coordinator did

An event counts as told once it is in the coordinator, so what is announced while nobody can call is late by the pause.

Excluded by logs and reading: servers that are leaving in `known` (barred), news in the same turn as a dial that came up (the list is read first), set-ups that wait for a dial or a connection that takes nothing (taken back; tests of the last landing), empty first frames after a restart (the node is taken in by them, but the events behind came 0.14 s later and counted from then).

Change: no two calls begin further apart than a fifth of the grace, 0.4 s at most, with a quarter of each pause drawn so that 300 nodes do not call in step; calls overlap, four at most, the oldest kept for 2.2 s so that a slow network is got through. A gap that stays is not asked for without a pause. A whole list under the last number is taken when a call begins with it. The price: a node whose coordinator is gone calls 10 to 13 times a second with a grace of 500 ms, 2.5 to 3.3 times with 2,000.

The list and the media servers keep their descriptors: a crowd accepted in one turn held 199 of 128 (new test, process without a limit of its own); viewers and closed connections that wait for their peers now have a part that is looked at before each accept. Viewers that take nothing stand in a queue of their own, once each, apart from closed connections.

--- /dev/null
+++ b/crates/daemon/tests/front_node_list.rs
@@ -0,0 +1,247 @@
+//! The list of a front node whose coordinator is out of reach for a while, over real connections: how soon a server
+//! that was announced as leaving meanwhile is sent nothing more.
+
+mod node;
+
+use std::fs;
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use node::hand::{request_at, with, Hands};
+use node::{Node, SECOND};
+use rustix::process::{prlimit, Pid, Resource, Rlimit, Signal};
+use salttally_platform::wire::{cause, code, kind, Message};
+use salttally_standin::platform::Viewer;
+use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
+
+const MS: Duration = Duration::from_millis(1);
+/// What the protocol adds to each limit of the settings.
+const SLACK: Duration = Duration::from_millis(50);
+/// Graces of deployments that lost requests to leaving servers, or would have.
+const GRACES: [u64; 2] = [350, 500];
+
+fn grace(ms: u64) -> impl FnOnce(&mut Value) {
+    move |config| config["settings"]["safety"]["drain_grace_ms"] = json!(ms)
+}
+
+/// A media server that turns every set-up away as moot, so that its title is asked for again and again; when each came.
+fn turns_away(hands: &Hands, at: usize) -> Arc<Mutex<Vec<Instant>>> {
+    let came = Arc::new(Mutex::new(Vec::new()));
+    let (listener, kept) = (hands.boxes[at].try_clone().unwrap(), Arc::clone(&came));
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let came = Arc::clone(&kept);
+            thread::spawn(move || {
+                let mut line = Viewer::over(stream);
+                while let Some(message) = line.next(60 * SECOND) {
+                    if message.kind == kind::SET_UP {
+                        came.lock().unwrap().push(Instant::now());
+                        line.say(&Message::release(message.session, cause::MOOT));
+                    }
+                }
+            });
+        }
+    });
+    came
+}
+
+/// Asks for the title of the first cell every 5 ms, until it is told to stop.
+fn asks(node: &Node) -> (Arc<AtomicBool>, thread::JoinHandle<()>) {
+    let over = Arc::new(AtomicBool::new(false));
+    let (flag, mut viewer) = (Arc::clone(&over), node.viewer());
+    let asking = thread::spawn(move || {
+        let mut id = 1_000;
+        while !flag.load(Ordering::Relaxed) {
+            id += 1;
+            viewer.say(&request_at(id, "clip", 0));
+            while viewer.next(5 * MS).is_some() {}
+        }
+    });
+    (over, asking)
+}
+
+/// What came to a server later than it may, once it was announced as leaving.
+fn too_late(came: &Mutex<Vec<Instant>>, announced: Instant, grace: u64) -> Vec<Duration> {
+    let allowed = Duration::from_millis(grace) + SLACK;
+    let came = came.lock().unwrap();
+    came.iter().filter_map(|at| at.checked_duration_since(announced)).filter(|late| *late > allowed).collect()
+}
+
+/// Takes the next call of the front node and reads the number of the last event from it.
+fn hello(coordinator: &TcpListener) -> (TcpStream, u64) {
+    let (mut stream, _) = coordinator.accept().unwrap();
+    let mut bytes = [0; 8];
+    stream.set_read_timeout(Some(5 * SECOND)).unwrap();
+    stream.read_exact(&mut bytes).expect("the number of the last event");
+    (stream, u64::from_be_bytes(bytes))
+}
+
+// Caught pauses of up to 0.8 s between two calls: with a grace of 350 or 500 ms, requests went to servers that the
+// coordinator had announced as leaving as soon as it was there again.
+#[test]
+fn a_drain_announced_while_the_coordinator_breaks_off_each_call_is_kept() {
+    for ms in GRACES {
+        let mut hands = Hands::new(2);
+        let node = hands.node(&format!("breaks-off-{ms}"), grace(ms));
+        let came = turns_away(&hands, 0);
+        let (over, asking) = asks(&node);
+        let coordinator = hands.coordinator();
+        hands.hang_up();
+        // Down: each call is closed as it comes, for long enough that pauses have grown as long as they get.
+        let until = Instant::now() + 4 * SECOND;
+        while Instant::now() < until {
+            drop(hello(&coordinator));
+        }
+        // The worst moment for the news is right after a call has been broken off.
+        let announced = Instant::now();
+        let (list, last) = hello(&coordinator);
+        assert_eq!(last, 1);
+        hands.take_list(list);
+        hands.frame(2, &[(0, 1)]);
+        thread::sleep(3 * SECOND / 2);
+        over.store(true, Ordering::Relaxed);
+        asking.join().unwrap();
+        assert!(came.lock().unwrap().iter().any(|at| *at < announced), "nothing was asked for");
+        let late = too_late(&came, announced, ms);
+        assert!(
+            late.is_empty(),
+            "{} set-ups, the last {:?} after it, grace {ms} ms",
+            late.len(),
+            late.last()
+        );
+    }
+}
+
+// Caught calls that hung for up to 2.2 s, in which no other one began.
+#[test]
+fn a_drain_announced_while_calls_to_the_coordinator_hang_is_kept() {
+    for ms in GRACES {
+        let mut hands = Hands::new(2);
+        // A listener whose queue is full: the kernel answers no call to it.
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(1).unwrap();
+        let deaf: TcpListener = socket.into();
+        let at = deaf.local_addr().unwrap();
+        let node = hands.node(&format!("hangs-{ms}"), grace(ms));
+        let came = turns_away(&hands, 0);
+        let (over, asking) = asks(&node);
+        let fillers: Vec<Socket> = (0..6)
+            .map(|_| {
+                let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+                socket.set_nonblocking(true).unwrap();
+                let _ = socket.connect(&at.into());
+                socket
+            })
+            .collect();
+        hands.move_coordinator(&node, at);
+        thread::sleep(4 * SECOND);
+        // It can be reached again: whoever waited in its queue is taken out of it.
+        drop(fillers);
+        let announced = Instant::now();
+        let list = loop {
+            let (mut stream, _) = deaf.accept().unwrap();
+            stream.set_read_timeout(Some(SECOND)).unwrap();
+            if stream.read_exact(&mut [0; 8]).is_ok() {
+                break stream;
+            }
+        };
+        hands.take_list(list);
+        hands.frame(2, &[(0, 1)]);
+        thread::sleep(3 * SECOND / 2);
+        over.store(true, Ordering::Relaxed);
+        asking.join().unwrap();
+        assert!(came.lock().unwrap().iter().any(|at| *at < announced), "nothing was asked for");
+        let late = too_late(&came, announced, ms);
+        assert!(
+            late.is_empty(),
+            "{} set-ups, the last {:?} after it, grace {ms} ms",
+            late.len(),
+            late.last()
+        );
+    }
+}
+
+// Caught the crowd that was accepted in one turn: with the descriptors gone, neither list nor media server was called.
+#[test]
+fn idle_clients_in_any_number_leave_the_list_its_descriptors_while_the_coordinator_is_down() {
+    const SOCKETS: u64 = 128;
+    let mut hands = Hands::new(2);
+    let node = hands.node_within("idle-crowd", SOCKETS as usize, grace(350));
+    let limit = Rlimit { current: Some(SOCKETS), maximum: Some(SOCKETS) };
+    prlimit(Some(Pid::from_child(&node.child)), Resource::Nofile, limit).unwrap();
+    let coordinator = hands.coordinator();
+    hands.hang_up();
+    let (over, listen) = (Arc::new(AtomicBool::new(false)), node.listen);
+    let crowds: Vec<_> = (0..3)
+        .map(|_| {
+            let over = Arc::clone(&over);
+            thread::spawn(move || {
+                let mut idle = std::collections::VecDeque::new();
+                while !over.load(Ordering::Relaxed) {
+                    idle.extend((0..100).filter_map(|_| TcpStream::connect(listen).ok()));
+                    while idle.len() > 400 {
+                        idle.pop_front();
+                    }
+                    thread::sleep(10 * MS);
+                }
+            })
+        })
+        .collect();
+    let held = || fs::read_dir(format!("/proc/{}/fd", node.child.id())).unwrap().count() as u64;
+    let (until, mut most, mut longest, mut since) =
+        (Instant::now() + 4 * SECOND, 0, Duration::ZERO, Instant::now());
+    while Instant::now() < until {
+        drop(hello(&coordinator));
+        (longest, since, most) = (longest.max(since.elapsed()), Instant::now(), most.max(held()));
+    }
+    over.store(true, Ordering::Relaxed);
+    crowds.into_iter().for_each(|crowd| crowd.join().unwrap());
+    assert!(most > SOCKETS / 2, "{most} descriptors are no crowd");
+    assert!(most < SOCKETS, "{most} descriptors: none is left");
+    assert!(longest < 350 * MS, "{longest:?} between two calls");
+    // One that comes now is served.
+    hands.take_list(hello(&coordinator).0);
+    hands.frame(0, &[]);
+    let came = turns_away(&hands, 0);
+    let mut viewer = node.viewer();
+    viewer.say(&with(request_at(7, "clip", 0), code::WAIT, "1000"));
+    assert!(viewer.next(2 * SECOND).is_some());
+    assert!(!came.lock().unwrap().is_empty());
+}
+
+#[test]
+fn a_crowd_that_comes_at_once_takes_no_more_than_its_part_of_the_descriptors() {
+    const SOCKETS: usize = 128;
+    let mut hands = Hands::new(1);
+    let node = hands.node_within("crowd-at-once", SOCKETS, grace(350));
+    let of_process = format!("/proc/{}/fd", node.child.id());
+    let before = fs::read_dir(&of_process).unwrap().count();
+    let over = Arc::new(AtomicBool::new(false));
+    let sampling = {
+        let (over, path) = (Arc::clone(&over), of_process.clone());
+        thread::spawn(move || {
+            let mut most = 0;
+            while !over.load(Ordering::Relaxed) {
+                most = most.max(fs::read_dir(&path).unwrap().count());
+            }
+            most
+        })
+    };
+    for _ in 0..10 {
+        node.signal(Signal::STOP);
+        let crowd: Vec<TcpStream> = (0..200).filter_map(|_| TcpStream::connect(node.listen).ok()).collect();
+        node.signal(Signal::CONT);
+        thread::sleep(100 * MS);
+        drop(crowd);
+    }
+    over.store(true, Ordering::Relaxed);
+    let most = sampling.join().unwrap() - before;
+    // Half for clients, a twelfth for those that are closed and wait for their peers.
+    assert!((SOCKETS / 4..=SOCKETS / 2 + SOCKETS / 12).contains(&most), "{most} of {SOCKETS}");
+}
--- a/crates/daemon/tests/node/hand.rs
+++ b/crates/daemon/tests/node/hand.rs
@@ -1,11 +1,13 @@
 //! Media servers and a coordinator led by hand: nothing is accepted, read or written but where the test says so, which
 //! forces the order of what crosses.
 
+use std::fs;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rustix::process::Signal;
 use salttally_platform::wire::{code, kind, Message};
 use salttally_standin::platform::{Platform, Viewer};
 use serde_json::{json, Value};
@@ -45,8 +47,13 @@
 
     /// A node by these hands; `change` has the last word on its configuration. It has heard the list.
     pub fn node(&mut self, name: &str, change: impl FnOnce(&mut Value)) -> Node {
-        let node = Node::start_by(name, 256, |listen| {
-            let mut config = self.config(listen, 256);
+        self.node_within(name, 256, change)
+    }
+
+    /// The same, with so many descriptors in its limits.
+    pub fn node_within(&mut self, name: &str, sockets: usize, change: impl FnOnce(&mut Value)) -> Node {
+        let node = Node::start_by(name, sockets, |listen| {
+            let mut config = self.config(listen, sockets);
             change(&mut config);
             config
         });
@@ -58,6 +65,29 @@
         node
     }
 
+    /// Where the front node calls for the list.
+    pub fn coordinator(&self) -> TcpListener {
+        self.coordinator.try_clone().unwrap()
+    }
+
+    /// The list is told on this connection from now on.
+    pub fn take_list(&mut self, list: TcpStream) {
+        self.list = Some(list);
+    }
+
+    /// The connection on which the list is told breaks.
+    pub fn hang_up(&mut self) {
+        self.list = None;
+    }
+
+    /// A new configuration names another coordinator.
+    pub fn move_coordinator(&mut self, node: &Node, to: SocketAddr) {
+        let mut config: Value = serde_json::from_str(&fs::read_to_string(&node.config).unwrap()).unwrap();
+        config["coordinator"] = json!(to.to_string());
+        fs::write(&node.config, config.to_string()).unwrap();
+        node.signal(Signal::HUP);
+    }
+
     /// One frame: kind 0 says nothing new; records are of a media server and its state.
     pub fn frame(&mut self, kind: u8, records: &[(usize, u8)]) {
         self.told += u64::from(kind > 0);
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -127,7 +127,7 @@
     /// A viewer's connection may have been silent long enough.
     Silent(ClientId),
     /// The coordinator may be silent, or is to be called again.
-    List(u64),
+    List,
     /// The process ends, whatever stands.
     Ending,
 }
@@ -235,6 +235,8 @@
     pub fn new(decider: D, facts: Facts, sockets: usize, now: Micros) -> Self {
         let pool = Pool::new(&facts, sockets);
         let health = Health::new(facts.connect_within);
+        // Nodes that start in the same microsecond are few.
+        let list_watch = ListWatch::new(facts.settings.drain_grace, now);
         Core {
             decider,
             facts,
@@ -243,7 +245,7 @@
             admission: Admission::new(sockets),
             pool,
             health,
-            list_watch: ListWatch::default(),
+            list_watch,
             boxes: BTreeMap::new(),
             moved: BTreeMap::new(),
             probes: BTreeMap::new(),
@@ -354,7 +356,7 @@
                 self.pool.stalled(self.now, link, cut, unsent, &mut self.timers);
             }
             Input::Writable(link) => self.pool.takes_again(link, out),
-            Input::ListUp(number) => self.list_watch.up(self.now, number),
+            Input::ListUp(number) => self.list_watch.up(self.now, number, &mut self.timers, out),
             Input::Told(number, frame) => {
                 match self.list_watch.told(self.now, number, frame, &mut self.timers, out) {
                     Some(News::Whole(lines)) => self.list(ListKind::Whole, lines, out),
@@ -629,7 +631,7 @@
             }
             Due::HealthCheck(server) => self.check_health(server, out),
             Due::Silent(client) => self.silent(client, out),
-            Due::List(number) => self.list_watch.due(self.now, number, &mut self.timers, out),
+            Due::List => self.list_watch.due(self.now, &mut self.timers, out),
             Due::Ending => {}
         }
     }
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -159,6 +159,7 @@
 }
 
 mod crossings;
+mod list;
 
 #[test]
 fn a_description_passes_unchanged_and_a_copy_of_the_answer_is_not_passed_again() {
--- /dev/null
+++ b/crates/platform/src/core/tests/list.rs
@@ -0,0 +1,163 @@
+//! The list and how soon it is heard again, by any settings.
+
+use super::*;
+
+/// Graces from a twentieth of the usual one to ten times it, ms.
+const GRACES: [u64; 6] = [100, 200, 350, 500, 2_000, 20_000];
+
+fn with_grace(grace_ms: u64) -> Bench<Brain> {
+    let mut facts = facts();
+    facts.settings.drain_grace = grace_ms * 1_000;
+    let core = Core::new(Brain::new(facts.settings.clone(), 7), facts, 256, START + grace_ms);
+    let mut bench = Bench { core, now: START + grace_ms, out: Vec::new() };
+    bench.core.begin(bench.now, (0..LISTED).map(line).collect(), 5, address(200), &mut bench.out);
+    bench.out.clear();
+    bench.told(1, 5, Told::Nothing);
+    bench
+}
+
+/// Goes on until a call begins; which it is, and how long that took. What was over by then is taken off `open`.
+fn next_call(bench: &mut Bench<Brain>, open: &mut Vec<u64>) -> (u64, Micros) {
+    let since = bench.now;
+    loop {
+        bench.now = bench.core.next_due().expect("a call is always due").max(bench.now);
+        let mut begun = None;
+        for output in bench.tell(Input::Tick) {
+            match output {
+                Output::Unfollow(call) => open.retain(|other| *other != call),
+                Output::Follow(call, _, last) => {
+                    assert_eq!(last, 5, "asked from the last event on");
+                    open.push(call);
+                    begun = Some(call);
+                }
+                _ => {}
+            }
+        }
+        if let Some(call) = begun {
+            return (call, bench.now - since);
+        }
+    }
+}
+
+// Caught pauses of up to 0.8 s between calls, longer than the whole grace of some settings: servers that were announced
+// as leaving in the meantime were sent requests.
+#[test]
+fn a_coordinator_that_refuses_is_called_again_well_within_any_grace() {
+    for grace in GRACES {
+        let mut bench = with_grace(grace);
+        bench.tell(Input::ListDown(1));
+        let (mut open, mut longest) = (Vec::new(), 0);
+        for _ in 0..60 {
+            let (call, took) = next_call(&mut bench, &mut open);
+            longest = longest.max(took);
+            bench.tell(Input::ListDown(call));
+            open.clear();
+        }
+        assert!(longest <= grace * 1_000 / 4, "{longest} us of a grace of {grace} ms");
+        assert!(longest >= 20_000, "nor without a pause: {longest} us");
+    }
+}
+
+// Caught calls that hung for up to 2.2 s before the next one began.
+#[test]
+fn calls_that_hang_do_not_hold_up_the_one_that_would_come_up() {
+    for grace in GRACES {
+        let mut bench = with_grace(grace);
+        bench.tell(Input::ListDown(1));
+        let (mut open, mut longest, mut most) = (Vec::new(), 0, 0);
+        for _ in 0..60 {
+            longest = longest.max(next_call(&mut bench, &mut open).1);
+            most = most.max(open.len());
+        }
+        assert!(longest <= grace * 1_000 / 4, "{longest} us of a grace of {grace} ms");
+        assert!(most <= list_watch::MOST_CALLS, "{most} descriptors");
+    }
+}
+
+#[test]
+fn a_network_in_which_connections_come_up_slowly_is_got_through() {
+    for grace in GRACES {
+        let mut bench = with_grace(grace);
+        bench.tell(Input::ListDown(1));
+        let (mut open, mut begun) = (Vec::new(), BTreeMap::new());
+        let until = bench.now + 4 * SECOND;
+        let up = loop {
+            let (call, _) = next_call(&mut bench, &mut open);
+            begun.insert(call, bench.now);
+            if let Some(call) = open.iter().find(|call| begun[call] + 3 * SECOND / 2 <= bench.now) {
+                break *call;
+            }
+            assert!(bench.now < until, "no call is kept long enough, grace {grace} ms");
+        };
+        let out = bench.tell(Input::ListUp(up));
+        let over: Vec<u64> = out
+            .iter()
+            .filter_map(|o| match o {
+                Output::Unfollow(call) => Some(*call),
+                _ => None,
+            })
+            .collect();
+        open.retain(|call| *call != up);
+        assert_eq!(over, open, "the others are over");
+        let mut leaves = line(0);
+        leaves.entry.state = ServerState::Draining;
+        bench.told(up, 6, Told::Changes(vec![leaves.clone()]));
+        assert!(bench.told(over.last().copied().unwrap_or(0), 7, Told::Changes(vec![leaves])).is_empty());
+        bench.told(up, 6, Told::Nothing);
+        assert_eq!(bench.after(2 * SECOND).iter().filter(|o| matches!(o, Output::Follow(..))).count(), 0);
+    }
+}
+
+#[test]
+fn nodes_that_lost_their_coordinator_together_do_not_call_in_step() {
+    let calls: Vec<Vec<Micros>> = [1, 2]
+        .map(|seed| {
+            let mut facts = facts();
+            facts.settings.drain_grace = 500_000;
+            let core = Core::new(Brain::new(facts.settings.clone(), 7), facts, 256, START + seed);
+            let mut bench = Bench { core, now: START + seed, out: Vec::new() };
+            bench.core.begin(bench.now, (0..LISTED).map(line).collect(), 5, address(200), &mut bench.out);
+            bench.told(1, 5, Told::Nothing);
+            bench.now = START + SECOND;
+            bench.tell(Input::ListDown(1));
+            let calls = (0..20).map(|_| {
+                let (call, _) = next_call(&mut bench, &mut Vec::new());
+                bench.tell(Input::ListDown(call));
+                bench.now
+            });
+            calls.collect()
+        })
+        .into();
+    assert!(calls[0].iter().all(|at| !calls[1].contains(at)), "{calls:?}");
+}
+
+#[test]
+fn a_whole_list_under_the_last_number_is_taken_once_the_call_begins_with_it() {
+    let mut bench = with_grace(500);
+    bench.tell(Input::ListDown(1));
+    let (call, _) = next_call(&mut bench, &mut Vec::new());
+    bench.tell(Input::ListUp(call));
+    bench.told(call, 5, Told::Whole(vec![line(1)]));
+    assert_eq!(bench.core.boxes.keys().copied().collect::<Vec<_>>(), [ServerId(1)]);
+    // Later on it is a double of what has been told.
+    bench.told(call, 5, Told::Whole(vec![line(2)]));
+    bench.told(call, 4, Told::Whole(vec![line(2)]));
+    assert_eq!(bench.core.boxes.keys().copied().collect::<Vec<_>>(), [ServerId(1)]);
+}
+
+#[test]
+fn a_coordinator_that_never_tells_what_is_missing_is_not_called_without_a_pause() {
+    let mut bench = with_grace(500);
+    let (mut call, mut calls, until) = (1, 0, bench.now + SECOND);
+    while bench.now < until {
+        let out = bench.told(call, 9, Told::Changes(vec![line(1)]));
+        let again = out.iter().find_map(|o| match o {
+            Output::Follow(call, ..) => Some(*call),
+            _ => None,
+        });
+        call = again.unwrap_or_else(|| next_call(&mut bench, &mut Vec::new()).0);
+        bench.tell(Input::ListUp(call));
+        calls += 1;
+    }
+    assert!((5..=40).contains(&calls), "{calls} calls in a second");
+}
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -19,6 +19,7 @@
 use thiserror::Error;
 
 use crate::config::{Config, ConfigError};
+use crate::core::list_watch::MOST_CALLS;
 use crate::core::{ClientId, ConnId, Core, Counts, Input, Level, Output};
 use crate::wire::frames::Frames;
 use crate::wire::Message;
@@ -39,8 +40,8 @@
 const READ_ON: Micros = 100_000;
 /// Without room for another connection none is accepted for so long.
 const FULL: Micros = 20_000;
-/// Descriptors that are neither viewers' nor boxes'.
-const RESERVED: usize = 16;
+/// Descriptors that are neither viewers' nor boxes': the calls to the coordinator, and about a dozen of the process.
+const RESERVED: usize = 20 + MOST_CALLS;
 /// Bytes that wait for all viewers together take this part of the memory at most.
 const MEMORY_PART: f64 = 0.25;
 /// Waiting to be written to one viewer at least and at most.
@@ -86,7 +87,6 @@
 }
 
 struct ListCall {
-    number: u64,
     stream: TcpStream,
     connecting: bool,
     hello: u64,
@@ -105,14 +105,19 @@
     /// Bytes that may wait for one viewer, and closed connections that may be kept.
     backlog: usize,
     most_lingering: usize,
+    /// Viewers' connections that are open here, closed ones that wait for their peers included.
+    most_viewers: usize,
     signals: Signals,
     ports: BTreeMap<u64, Port>,
-    list: Option<ListCall>,
+    /// Calls to the coordinator by their numbers.
+    list_calls: BTreeMap<u64, ListCall>,
     clients: u64,
     inputs: VecDeque<Input>,
     dirty: VecDeque<u64>,
-    /// When connections go that are closed and wait for their peers, or that take nothing.
+    /// When connections go that are closed and wait for their peers.
     lingering: BTreeSet<(Micros, u64)>,
+    /// When viewers' connections are tried again that take nothing, each once.
+    stalled: BTreeSet<(Micros, u64)>,
     finished: bool,
     /// More may lie in the sockets than the last look at them has shown.
     more: bool,
@@ -154,13 +159,15 @@
         full_until: None,
         backlog,
         most_lingering: (sockets / 12).max(4),
+        most_viewers: sockets / 2 + (sockets / 12).max(4),
         signals,
         ports: BTreeMap::new(),
-        list: None,
+        list_calls: BTreeMap::new(),
         clients: 0,
         inputs: VecDeque::new(),
         dirty: VecDeque::new(),
         lingering: BTreeSet::new(),
+        stalled: BTreeSet::new(),
         finished: false,
         more: false,
         telling: 0,
@@ -179,7 +186,8 @@
             // that is stopped before or after its look at them finds time-outs that have run out meanwhile, and they
             // would go ahead of the answers that came in time.
             let now = self.clock.now();
-            let due = [self.core.next_due(), self.lingering.first().map(|(due, _)| *due), self.full_until];
+            let closes = [&self.lingering, &self.stalled].map(|queue| queue.first().map(|(due, _)| *due));
+            let due = [self.core.next_due(), closes[0], closes[1], self.full_until];
             let due = due.into_iter().flatten().min().unwrap_or(Micros::MAX);
             let wait = due.saturating_sub(now).min(LONGEST_WAIT);
             let _ = epoll::wait(&self.poll, spare_capacity(&mut events), Some(&timespec(wait)));
@@ -280,7 +288,7 @@
                 Output::Dial(link, to) => self.dial(link, to),
                 Output::Follow(number, to, last) => self.follow(number, to, last),
                 Output::Unfollow(number) => {
-                    self.list.take_if(|call| call.number == number);
+                    self.list_calls.remove(&number);
                 }
                 Output::Log(Level::Debug, text) => tracing::debug!("{text}"),
                 Output::Log(Level::Info, text) => tracing::info!("{text}"),
@@ -320,9 +328,9 @@
             Flushed::All if port.closing => return self.part(token),
             Flushed::All => false,
             Flushed::Waits => {
-                if is_viewer {
+                if is_viewer && !std::mem::replace(&mut port.stalled, true) {
                     // Looked at again by then, whether it takes something or not.
-                    self.lingering.insert((now + STALLED, token));
+                    self.stalled.insert((now + STALLED, token));
                 }
                 true
             }
@@ -365,19 +373,35 @@
         let now = self.clock.now();
         while let Some((due, token)) = self.lingering.first().copied() {
             if due > now && self.lingering.len() <= self.most_lingering {
-                return;
+                break;
             }
             self.lingering.pop_first();
-            match token & KINDS {
-                LINGERING => drop(self.ports.remove(&token)),
-                // One that takes nothing: tried once more, and cut off where that is vain; one that is closed just goes.
-                _ if self.ports.get(&token).is_some_and(|port| port.closing) => {
-                    drop(self.ports.remove(&token))
-                }
-                _ if due <= now => self.dirty.push_back(token),
-                _ => {}
+            self.ports.remove(&token);
+        }
+        while let Some((_, token)) = self.stalled.first().copied().filter(|(due, _)| *due <= now) {
+            self.stalled.pop_first();
+            let Some(port) = self.ports.get_mut(&token) else { continue };
+            port.stalled = false;
+            if port.closing {
+                self.ports.remove(&token);
+            } else {
+                // Tried once more, and cut off where that is vain.
+                self.dirty.push_back(token);
+            }
+        }
+    }
+
+    /// Lets the connection go that was closed first and waits for its peer; tells whether there was one.
+    fn drop_closed(&mut self) -> bool {
+        while let Some((_, token)) = self.lingering.pop_first() {
+            if self.ports.remove(&token).is_some() {
+                return true;
             }
         }
+        let closes = |(_, token): &&(Micros, u64)| self.ports.get(token).is_some_and(|port| port.closing);
+        let Some(first) = self.stalled.iter().find(closes).copied() else { return false };
+        self.stalled.remove(&first);
+        self.ports.remove(&first.1).is_some()
     }
 
     /// The process ends: nobody is accepted any more, what is written waits a moment for the sockets to take it, and
@@ -423,7 +447,8 @@
         match self.watched_dial(to, LIST | number) {
             Ok(stream) => {
                 let frames = Frames::default();
-                self.list = Some(ListCall { number, stream, connecting: true, hello: last, frames });
+                let call = ListCall { stream, connecting: true, hello: last, frames };
+                self.list_calls.insert(number, call);
             }
             Err(error) => {
                 tracing::warn!(%error, %to, "the list cannot be asked for");
@@ -466,12 +491,23 @@
     }
 
     fn accept(&mut self) {
+        let open = [VIEWER, LINGERING].map(|kind| self.ports.range(kind..kind + (1 << 60)).count());
+        let mut room = self.most_viewers.saturating_sub(open.iter().sum());
         for _ in 0..ACCEPTED {
+            // Danger: a crowd that is accepted in one turn takes the descriptors that the list and the boxes are called
+            // with, before any of its connections is closed again.
+            if room == 0 && !self.drop_closed() {
+                return self.accept_later("all that may go to viewers are in use");
+            }
+            room = room.max(1);
             let Some(listener) = &self.listener else { return };
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
-                Err(error) if is_own_lack(&error) => return self.accept_later(&error),
+                Err(error) if is_own_lack(&error) => {
+                    self.drop_closed();
+                    return self.accept_later(&error.to_string());
+                }
                 Err(error) => {
                     // That one connection has gone again.
                     tracing::debug!(%error, "a connection is not taken");
@@ -486,21 +522,17 @@
                 self.ports.insert(token, Port::viewer(stream, self.backlog));
                 self.inputs.push_back(Input::Joined(client));
                 self.more = true;
+                room -= 1;
             }
         }
     }
 
     /// No descriptor is to be had: the newcomers wait in the kernel's queue, and nobody else waits for them. Danger: a
     /// listener that stays ready and cannot be served would be all that is looked at.
-    fn accept_later(&mut self, error: &io::Error) {
-        tracing::debug!(%error, "no room for a connection");
+    fn accept_later(&mut self, why: &str) {
+        tracing::debug!(why, "no room for a connection");
         self.full_until = Some(self.clock.now() + FULL);
         self.watch_listener(EventFlags::empty());
-        let closed = self.lingering.iter().find(|(_, token)| token & KINDS == LINGERING).copied();
-        if let Some((due, token)) = closed {
-            self.lingering.remove(&(due, token));
-            self.ports.remove(&token);
-        }
     }
 
     fn accept_again(&mut self) {
@@ -517,7 +549,7 @@
     }
 
     fn ready_list(&mut self, number: u64) {
-        let Some(call) = self.list.as_mut().filter(|call| call.number == number) else { return };
+        let Some(call) = self.list_calls.get_mut(&number) else { return };
         if call.connecting {
             let hello = call.hello.to_be_bytes();
             let made = call.stream.take_error().ok().flatten().is_none()
@@ -550,7 +582,7 @@
     }
 
     fn list_down(&mut self, number: u64) {
-        self.list = None;
+        self.list_calls.remove(&number);
         self.inputs.push_back(Input::ListDown(number));
     }
 
--- a/crates/platform/src/node/port.rs
+++ b/crates/platform/src/node/port.rs
@@ -42,6 +42,8 @@
     pub closing: bool,
     /// Its peer writes no more.
     pub half_closed: bool,
+    /// It takes nothing, and is tried again by a time that is set.
+    pub stalled: bool,
     /// Bytes read after it was closed.
     pub discarded: usize,
     /// Messages and bytes read, and bytes written, since they were last told.
@@ -71,9 +73,21 @@
     fn new(stream: TcpStream, connecting: bool, kept: Kept) -> Port {
         let (decoder, fresh) = (Decoder::default(), Vec::new());
         let watched = if connecting { EventFlags::OUT } else { READS };
-        let (closing, half_closed) = (false, false);
+        let (closing, half_closed, stalled) = (false, false, false);
         let (discarded, crossed) = (0, [0; 3]);
-        Port { stream, decoder, fresh, connecting, watched, closing, half_closed, discarded, crossed, kept }
+        Port {
+            stream,
+            decoder,
+            fresh,
+            connecting,
+            watched,
+            closing,
+            half_closed,
+            stalled,
+            discarded,
+            crossed,
+            kept,
+        }
     }
 
     /// Whether something waits that the socket has not taken.
