Nothing begins for a client that went while the front node could not look

Cause: core/mod.rs of the code before, `handle`, lines 339 and 385: the decider heard of each input as it was handed in, so a request or a refusal was acted on while what said that its client had gone lay unread behind it, by the length of the stop.

Change: the decider hears of what was handed in when all that lay in the sockets has been read (`Core::decide`); connections that come up or take something again are handed in then too, since what waits for them may be for somebody who has gone. A request whose client has gone by then never reaches it; of an attempt that ended, it hears that no other is to follow. Where the sockets were looked at less than 50 ms before, a flood by others holds nobody up for more than 10 ms. The flag that let an answer out ahead of the decider is gone: that holds for everything now.

Mended on the way: a client that half closed, or sent what cannot be read, while its request waited in the module was not told to the module, which kept the session for good (`cut`, viewers.rs line 42).

The test of answers ahead of the decider asked for that flag; it now asserts that the decider has not heard before `decide`, also when more is read in between.

--- /dev/null
+++ b/crates/daemon/tests/front_node_gone.rs
@@ -0,0 +1,148 @@
+//! Clients that close or cancel while the front node cannot look: nothing begins for who has gone, first or further.
+
+mod node;
+
+use std::io::Write;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use node::hand::{wait_for, Hands};
+use node::{answer, ask, Node, CELLS, SECOND};
+use rustix::process::Signal;
+use salttally_platform::wire::{cause, code, kind, Message};
+use salttally_standin::platform::{Platform, Viewer};
+use socket2::SockRef;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn set_ups(platform: &Platform, ids: impl Fn(u64) -> bool) -> Vec<u64> {
+    let came = platform.came().into_iter().map(|came| came.message);
+    came.filter(|message| message.kind == kind::SET_UP && ids(message.session)).map(|m| m.session).collect()
+}
+
+/// As many bytes of tests as one look at a socket does not read, then the request.
+fn behind_others(viewer: &Viewer, id: u64) {
+    let mut bytes = Vec::new();
+    (0..10_000).for_each(|test| Message::new(kind::TEST, test).with(code::CAUSE, [0]).write(&mut bytes));
+    Viewer::request(id, "clip", CELLS).write(&mut bytes);
+    (&viewer.stream).write_all(&bytes).unwrap();
+}
+
+// Caught requests that were sent on as soon as they were read, ahead of the close or cancellation behind them.
+#[test]
+fn whoever_left_while_the_process_was_stopped_is_not_sent_on() {
+    let platform = Platform::start(CELLS).unwrap();
+    let node = Node::start(&platform, "gone-unread", 256);
+    let mut proper = node.viewer();
+    // Connections to all media servers are open, so that nothing waits for a dial.
+    for id in 1..=12 {
+        assert_eq!(ask(&mut proper, id, "clip").kind, kind::ANSWER);
+    }
+    assert!((0..CELLS).all(|at| (1..=12).any(|id| platform.stands_at(id) == Some(at))));
+    let viewers: Vec<Viewer> = (0..60).map(|_| node.viewer()).collect();
+    let mut others: Vec<Viewer> = (0..60).map(|_| node.viewer()).collect();
+    others.iter_mut().chain([&mut proper]).for_each(|viewer| {
+        viewer.say(&Message::new(kind::TEST, 1).with(code::CAUSE, [0]));
+        assert!(viewer.next(SECOND).is_some());
+    });
+    node.stop();
+    let mut kept = Vec::new();
+    for (at, (viewer, other)) in viewers.into_iter().zip(others).enumerate() {
+        let id = 1_000 + at as u64;
+        let ask = || viewer.say(&Viewer::request(id, "clip", CELLS));
+        match at % 6 {
+            0 => ask(),
+            1 => {
+                ask();
+                SockRef::from(&viewer.stream).set_linger(Some(Duration::ZERO)).unwrap();
+            }
+            2 => {
+                ask();
+                viewer.say(&Message::release(id, cause::NORMAL));
+                kept.push((viewer, other));
+                continue;
+            }
+            3 => {
+                ask();
+                other.say(&Message::release(id, cause::NORMAL));
+                kept.push((viewer, other));
+                continue;
+            }
+            4 if at < 6 => behind_others(&viewer, id),
+            4 => {
+                ask();
+                let new = node.viewer();
+                new.say(&Message::release(id, cause::NORMAL));
+                kept.push((viewer, new));
+                continue;
+            }
+            _ => {
+                // Half a message behind it, and gone.
+                ask();
+                (&viewer.stream).write_all(&[0, 200, 1]).unwrap();
+            }
+        }
+        kept.push((other, node.viewer()));
+    }
+    proper.say(&Viewer::request(500, "clip", CELLS));
+    thread::sleep(SECOND);
+    node.signal(Signal::CONT);
+    assert_eq!(answer(&mut proper, 500).kind, kind::ANSWER, "whoever waits is served");
+    thread::sleep(300 * MS);
+    let sent = set_ups(&platform, |id| (1_000..2_000).contains(&id));
+    assert!(sent.is_empty(), "{} of 60 sent on: {sent:?}", sent.len());
+}
+
+// Caught the refusal that was read ahead of the close of the client that had waited for it.
+#[test]
+fn no_further_attempt_begins_for_who_left_while_the_process_was_stopped() {
+    let mut hands = Hands::new(2);
+    let node = hands.node("gone-between", |_| {});
+    let mut viewer = node.viewer();
+    let mut lines = Vec::new();
+    // A connection to each, with nothing out on it.
+    for at in 0..2 {
+        viewer.say(&node::hand::request_at(1 + at as u64, "clip", at));
+        let mut line = hands.accept(at);
+        wait_for(&mut line, kind::SET_UP, 1 + at as u64);
+        line.say(&Message::release(1 + at as u64, cause::FULL));
+        assert!(viewer.next(SECOND).is_some());
+        lines.push(line);
+    }
+    // What turned a set-up away is not asked again for a while.
+    thread::sleep(3 * SECOND / 2);
+    for (round, closes) in [true, false, true, false].into_iter().enumerate() {
+        let id = 100 + round as u64;
+        let leaving = node.viewer();
+        leaving.say(&Viewer::request(id, "clip", 2));
+        let until = Instant::now() + 2 * SECOND;
+        let at = loop {
+            let has = |line: &mut Viewer| {
+                line.next(5 * MS).is_some_and(|m| m.kind == kind::SET_UP && m.session == id)
+            };
+            if let Some(at) = (0..2).find(|at| has(&mut lines[*at])) {
+                break at;
+            }
+            assert!(Instant::now() < until, "no first attempt");
+        };
+        node.stop();
+        lines[at].say(&Message::release(id, cause::MOOT));
+        let kept = match closes {
+            true => {
+                drop(leaving);
+                None
+            }
+            false => {
+                leaving.say(&Message::release(id, cause::NORMAL));
+                Some(leaving)
+            }
+        };
+        thread::sleep(SECOND);
+        node.signal(Signal::CONT);
+        let other = node::hand::rest(&mut lines[1 - at], 300 * MS);
+        assert!(other.iter().all(|m| m.kind != kind::SET_UP), "round {round}: {other:?}");
+        let same = node::hand::rest(&mut lines[at], 50 * MS);
+        assert!(same.iter().all(|m| m.kind != kind::SET_UP), "round {round}: {same:?}");
+        drop(kept);
+    }
+}
--- a/crates/daemon/tests/node/mod.rs
+++ b/crates/daemon/tests/node/mod.rs
@@ -66,6 +66,19 @@
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
 
+    /// Stops the process, and returns when it has stopped: what is done after that it has not seen.
+    pub fn stop(&self) {
+        self.signal(Signal::STOP);
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let stopped = || {
+            fs::read_dir(&tasks).unwrap().flatten().all(|task| {
+                let stat = fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+                stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
+            })
+        };
+        soon("it stops", stopped);
+    }
+
     pub fn restart(&mut self, platform: &Platform) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
--- a/crates/platform/src/core/boxes.rs
+++ b/crates/platform/src/core/boxes.rs
@@ -175,7 +175,6 @@
         let answer = Message::new(kind::ANSWER, id).with(code::DESCRIPTION, description);
         if let Some(client) = client {
             out.push(Output::Say(client, answer));
-            self.answers = true;
             self.admission.stands(client, id);
         }
         entry.passed = Vec::new();
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -216,7 +216,6 @@
     next_probe: u64,
     timers: Timers<Due>,
     events: VecDeque<Event>,
-    answers: bool,
     /// When the process began.
     began: Micros,
     /// What no connection was there for, and until when it is of use.
@@ -252,7 +251,6 @@
             next_probe: 0,
             timers: Timers::default(),
             events: VecDeque::new(),
-            answers: false,
             began: now,
             untold: VecDeque::new(),
             early: BTreeMap::new(),
@@ -328,18 +326,13 @@
         self.ending.is_some()
     }
 
-    /// Takes in one input; what is to be done is added to `out`, in order. What is due is done at [`Input::Tick`]
-    /// alone. Danger: a process that was stopped, or had no processor for a while, finds answers in its sockets and
+    /// Takes in one input; what is to be done is added to `out`, in order. The decider hears of it by
+    /// [`Core::decide`], or at the next tick. What is due is done at [`Input::Tick`] alone. Danger: a process that was stopped, or had no processor for a while, finds answers in its sockets and
     /// time-outs in its queue; were the time-outs looked at between two inputs, set-ups that stand would be taken
     /// back. The edge hands in what waits in the sockets, and then a tick with the time of its look at them: it may be
     /// stopped between the two as well.
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
-        // What a socket takes is known first, so that nothing is put on one that takes nothing.
-        if !matches!(input, Input::Stalled(..) | Input::Writable(_)) {
-            self.settle(out);
-        }
-        self.answers = false;
         match input {
             Input::Joined(client) => self.joined(client, out),
             Input::Said(client, message) => self.said(client, message, out),
@@ -374,6 +367,7 @@
                 }
             }
             Input::Tick => {
+                self.settle(out);
                 // By the time when the sockets were looked at, which may lie back.
                 while let Some(due) = self.timers.pop(now) {
                     self.due(due, out);
@@ -382,20 +376,14 @@
                 self.look_at_end(now, out);
             }
         }
-        if !self.answers {
-            self.settle(out);
-        }
-    }
-
-    /// Whether the last input has brought a viewer the answer that its session stands: the edge writes that first, and
-    /// lets the decider hear of it by [`Core::catch_up`]. Danger: while the decider looks at all that it holds, the
-    /// viewer waits on, and may leave.
-    pub fn answers(&self) -> bool {
-        self.answers
     }
 
-    /// The decider hears what has not been told it yet.
-    pub fn catch_up(&mut self, now: Micros, out: &mut Vec<Output>) {
+    /// The decider hears of what was handed in since the last time, and what it decides is done. Called when all that
+    /// lay in the sockets was handed in, and the answers in it were written. Dangers: a client may have asked and gone,
+    /// or have cancelled on any connection, or have gone while a media server turned its request away, and what says so
+    /// may lie unread behind other bytes, for as long as the process was stopped; and while the decider looks at all
+    /// that it holds, a client waits on for an answer that has come.
+    pub fn decide(&mut self, now: Micros, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
         self.settle(out);
     }
@@ -463,6 +451,26 @@
         }
     }
 
+    /// The decider is told that a viewer has gone. A request that it has not heard of, it never hears of; of an attempt
+    /// whose end it has not heard of, it hears that no other is to follow.
+    fn gone(&mut self, id: u64) {
+        let of = name(id);
+        let asked = |event: &Event| matches!(event, Event::Request(request) if request.session == of);
+        if let Some(at) = self.events.iter().position(asked) {
+            self.events.remove(at);
+            return;
+        }
+        for event in self.events.iter_mut().rev() {
+            if let Event::Ended { session, last, .. } = event {
+                if *session == of {
+                    *last = true;
+                    return;
+                }
+            }
+        }
+        self.events.push_back(Event::Left(of));
+    }
+
     fn stopped(&mut self, what: &str, id: u64, out: &mut Vec<Output>) {
         self.counts.stopped += 1;
         out.push(Output::Log(Level::Warn, format!("stopped {what} for session {id:016x}")));
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -77,8 +77,8 @@
 
     fn tell(&mut self, input: Input) -> Vec<Output> {
         self.core.handle(self.now, input, &mut self.out);
-        // As the edge does it, which has written an answer before.
-        self.core.catch_up(self.now, &mut self.out);
+        // As the edge does it when nothing more lies in the sockets.
+        self.core.decide(self.now, &mut self.out);
         std::mem::take(&mut self.out)
     }
 
@@ -159,6 +159,7 @@
 }
 
 mod crossings;
+mod gone;
 mod list;
 
 #[test]
--- a/crates/platform/src/core/viewers.rs
+++ b/crates/platform/src/core/viewers.rs
@@ -39,6 +39,7 @@
     pub(super) fn cut(&mut self, client: ClientId, out: &mut Vec<Output>) {
         for id in self.admission.owed(client) {
             // It was taken: it has its answer before the connection goes.
+            self.gone(id);
             self.fail(id, out);
         }
         out.push(Output::Close(client));
@@ -199,7 +200,7 @@
 
     /// No answer is owed any more, and what is out for it is taken back.
     fn give_up(&mut self, id: u64, out: &mut Vec<Output>) {
-        self.events.push_back(Event::Left(name(id)));
+        self.gone(id);
         self.settled(id, out);
     }
 
@@ -217,7 +218,7 @@
     pub(super) fn overdue(&mut self, id: u64, out: &mut Vec<Output>) {
         if self.sessions.get(&id).is_some_and(|entry| entry.session.owed()) {
             self.counts.overdue += 1;
-            self.events.push_back(Event::Left(name(id)));
+            self.gone(id);
             self.fail(id, out);
         }
     }
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -38,6 +38,10 @@
 const EVENTS: usize = 512;
 /// What waits in the sockets is read to its end within this time, before it is looked at what is due.
 const READ_ON: Micros = 100_000;
+/// Where the sockets were looked at so shortly before, what lies in them says nothing that is old: who asks is served in
+/// steps of this length, and does not wait until a flood by others is read.
+const UNREAD: Micros = 50_000;
+const TURN: Micros = 10_000;
 /// Without room for another connection none is accepted for so long.
 const FULL: Micros = 20_000;
 /// Descriptors that are neither viewers' nor boxes': the calls to the coordinator, and about a dozen of the process.
@@ -113,6 +117,9 @@
     list_calls: BTreeMap<u64, ListCall>,
     clients: u64,
     inputs: VecDeque<Input>,
+    /// Connections to boxes that take what waits for them: handed in once all is read, since whoever asked for what waits
+    /// may have gone.
+    sendable: VecDeque<Input>,
     dirty: VecDeque<u64>,
     /// When connections go that are closed and wait for their peers.
     lingering: BTreeSet<(Micros, u64)>,
@@ -121,6 +128,8 @@
     finished: bool,
     /// More may lie in the sockets than the last look at them has shown.
     more: bool,
+    /// When the sockets were last looked at to the end of a turn.
+    looked: Micros,
     /// When what is believed is told next.
     telling: Micros,
 }
@@ -165,15 +174,17 @@
         list_calls: BTreeMap::new(),
         clients: 0,
         inputs: VecDeque::new(),
+        sendable: VecDeque::new(),
         dirty: VecDeque::new(),
         lingering: BTreeSet::new(),
         stalled: BTreeSet::new(),
         finished: false,
         more: false,
+        looked: 0,
         telling: 0,
     };
     node.carry_out(&mut out);
-    node.work(&mut out);
+    node.decide(&mut out);
     node.serve()
 }
 
@@ -192,9 +203,10 @@
             let wait = due.saturating_sub(now).min(LONGEST_WAIT);
             let _ = epoll::wait(&self.poll, spare_capacity(&mut events), Some(&timespec(wait)));
             self.read_all(&mut events, &mut out);
+            self.decide(&mut out);
             self.core.handle(now, Input::Tick, &mut out);
             self.carry_out(&mut out);
-            self.work(&mut out);
+            self.decide(&mut out);
             self.close_lingering();
             self.accept_again();
             if tracing::enabled!(tracing::Level::DEBUG) {
@@ -208,7 +220,9 @@
     /// Hands in what is ready, and looks again where a look has not shown all: more sockets than it tells of, more bytes
     /// than one turn reads, the first words on connections that it accepted. A flood is not read to its end.
     fn read_all(&mut self, events: &mut Vec<epoll::Event>, out: &mut Vec<Output>) {
-        let until = self.clock.now() + READ_ON;
+        let since = self.clock.now();
+        let recent = since.saturating_sub(self.looked) < UNREAD;
+        let mut decides = since + TURN;
         while !events.is_empty() {
             self.more = events.len() >= EVENTS;
             // What has ended or was taken back goes ahead of what begins, and that ahead of what is sent on new
@@ -218,11 +232,17 @@
                 self.ready(event.data.u64(), event.flags);
                 self.work(out);
             }
-            if !self.more || self.clock.now() >= until {
-                return;
+            let now = self.clock.now();
+            if !self.more || now >= since + READ_ON {
+                break;
+            }
+            if recent && now >= decides {
+                decides = now + TURN;
+                self.decide(out);
             }
             let _ = epoll::wait(&self.poll, spare_capacity(events), Some(&timespec(0)));
         }
+        self.looked = self.clock.now();
     }
 
     fn rank(&self, token: u64) -> u32 {
@@ -261,19 +281,25 @@
     /// Hands in what has come, carries out what is answered, and writes.
     fn work(&mut self, out: &mut Vec<Output>) {
         while !(self.inputs.is_empty() && self.dirty.is_empty()) {
-            let mut answers = false;
-            while !answers {
-                let Some(input) = self.inputs.pop_front() else { break };
+            while let Some(input) = self.inputs.pop_front() {
                 self.core.handle(self.clock.now(), input, out);
-                answers = self.core.answers();
                 self.carry_out(out);
             }
             while let Some(token) = self.dirty.pop_front() {
                 self.flush(token);
             }
-            if answers && self.inputs.is_empty() {
-                self.core.catch_up(self.clock.now(), out);
-                self.carry_out(out);
+        }
+    }
+
+    /// Lets the module decide on what was handed in, and on what comes of that at once.
+    fn decide(&mut self, out: &mut Vec<Output>) {
+        loop {
+            self.inputs.append(&mut self.sendable);
+            self.work(out);
+            self.core.decide(self.clock.now(), out);
+            self.carry_out(out);
+            if self.inputs.is_empty() && self.dirty.is_empty() && self.sendable.is_empty() {
+                return;
             }
         }
     }
@@ -339,7 +365,7 @@
                 true
             }
             Flushed::Resumed => {
-                self.inputs.push_back(Input::Writable(ConnId(token & !KINDS)));
+                self.sendable.push_back(Input::Writable(ConnId(token & !KINDS)));
                 false
             }
         };
@@ -617,7 +643,10 @@
                 port.watched = port::READS;
                 let _ = epoll::modify(&self.poll, &port.stream, EventData::new_u64(token), port::READS);
             }
-            return self.inputs.push_back(Input::Dialed(link, result));
+            return match result {
+                Ok(()) => self.sendable.push_back(Input::Dialed(link, result)),
+                Err(_) => self.inputs.push_back(Input::Dialed(link, result)),
+            };
         }
         if flags.contains(EventFlags::OUT) {
             self.dirty.push_back(token);
