The pace of a cold server holds for the sum of 20, 30 and 300 processes

Cause: `Brain::pace` (src/brain.rs of the code before, lines 789 to 804): the spacing was the pace of all fronts for each of them; what the front would send was counted by one title, as a mean over 10 s also where the front had lived for a second, and a crowd of this second counted a tenth. With 20 or 30 processes each sees enough to send much of the pace by itself.

Change: a front keeps in a window to its part of what makes the server fall, one at least; what it would send is all that it was asked for and the server holds, over the time in which it was asked at all, or the other requests of the window, whichever is more. No constant was changed.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -89,7 +89,8 @@
     /// Where moved viewers go when they come back, and who has been moved lately.
     plans: BTreeMap<ViewerId, (ServerId, Micros)>,
     lengths: Vec<f64>,
-    taken: VecDeque<(Micros, TitleId)>,
+    /// Requests taken lately: when, and the cells that hold their titles, the first and how many.
+    taken: VecDeque<(Micros, u32, u32)>,
     further: VecDeque<Micros>,
     /// True until the list is known to be fresh: servers of unknown age count as cold.
     unsure: bool,
@@ -313,7 +314,7 @@
             }
         }
         if let (Some(budget), true) = (self.set.budget, session.attempts > 0) {
-            let taken = self.taken.iter().filter(|(at, _)| at + budget.window > self.now).count();
+            let taken = self.taken.iter().filter(|(at, ..)| at + budget.window > self.now).count();
             let further = self.further.iter().filter(|at| **at + budget.window >= self.now).count();
             if (further + 1) as f64 > budget.free + budget.share * taken as f64 {
                 return Some(NEVER);
@@ -780,8 +781,9 @@
         server.cold_since.max(told).filter(|at| at + self.set.warm_up > self.now)
     }
 
-    /// Until when a server that may be cold bars a session. Each front lets a drawn part of its sessions in:
-    /// its share of the pace over what it would send, so that all together stay under the pace of a fall.
+    /// Until when a server that may be cold bars a session. Each front keeps to the pace, and in a window to
+    /// its part of what makes the server fall; and it lets a drawn part of its sessions in: its share of the
+    /// pace over what it would send, so that all together stay under a fall where that part is less than one.
     /// Danger: a returning wave pushes it over; it raises the own rate, so lowers the part. Harm: idle room.
     fn pace(&self, session: &Session, id: ServerId) -> Option<Micros> {
         let server = self.servers.get(&id)?;
@@ -790,16 +792,26 @@
         let multiple = (self.set.fall_multiple * COLD_PART).max(COLD_PART);
         let pace = f64::from(streams) * self.set.cold_from.max(0.05) * multiple;
         let length = ((self.set.warm_up as f64 / pace) as Micros).max(1);
-        if let Some(next) = server.cold_sent.map(|at| at + length).filter(|next| *next > self.now) {
+        let (window, fronts) = (self.set.fall_window, f64::from(self.set.fronts));
+        let part = (window as f64 / length as f64 / COLD_PART / fronts).floor().max(1.0);
+        let spacing = length.max((window as f64 / part) as Micros);
+        if let Some(next) = server.cold_sent.map(|at| at + spacing).filter(|next| *next > self.now) {
             return Some(next);
         }
-        // What this front would send there: its requests spread over the fleet, or those for this title if
-        // they are more. A returning viewer shows that others ask for it in vain.
-        let (title, again) = (session.request.title, usize::from(session.request.again) * AGAIN);
-        let same = self.taken.iter().filter(|(_, other)| *other == title).count() + again;
-        let part = self.holders(&session.request).len() as f64 / self.servers.len().max(1) as f64;
-        let sends = ((self.taken.len() + 2) as f64 * part).max(same as f64 - 1.0) / TAKEN_KEPT as f64;
-        let share = 1.0 / (length as f64 * f64::from(self.set.fronts));
+        // What this front would send there: all that it was lately asked for and the server holds, since the
+        // least loaded draws them all. A returning viewer shows that others ask for it in vain. A crowd shows
+        // in the other requests of a window first; a front that has just started has no long run.
+        let asked = |span: Micros| {
+            let here = |first, many| is_held_in(first, many, server.entry.cell, self.set.cells);
+            let lately =
+                self.taken.iter().filter(|(at, first, many)| at + span > self.now && here(*first, *many));
+            lately.count() as f64
+        };
+        let again = (usize::from(session.request.again) * AGAIN) as f64;
+        let since = self.taken.front().map_or(0, |(at, ..)| self.now - at);
+        let sends = (asked(TAKEN_KEPT) + again) / since.min(TAKEN_KEPT).max(window).max(1) as f64;
+        let sends = sends.max((asked(window) - 1.0) / window.max(1) as f64);
+        let share = 1.0 / (length as f64 * fronts);
         (session.luck * sends > share).then_some(NEVER)
     }
 
@@ -813,7 +825,7 @@
             Event::Request(request) => match self.set.classes.get(request.class) {
                 None => out.push(Action::Refuse(request.session.clone(), self.set.max_hold_off)),
                 Some(class) => {
-                    self.taken.push_back((self.now, request.title));
+                    self.taken.push_back((self.now, request.first_cell, request.cell_count));
                     let mut session = Session::new(request, class, &self.set.ladder, self.now);
                     session.luck = self.draw();
                     self.sessions.insert(request.session.clone(), session);
@@ -980,7 +992,7 @@
             }
             self.plans.retain(|_, plan| plan.1 + SESSION_MOVE_SPACING > now);
             let window = self.set.budget.map_or(0, |budget| budget.window).max(TAKEN_KEPT);
-            self.taken.retain(|(at, _)| at + window >= now);
+            self.taken.retain(|(at, ..)| at + window >= now);
             self.further.retain(|at| at + window >= now);
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -374,7 +374,13 @@
 impl Request {
     /// Whether a cell, of so many in the ring, holds the title.
     pub fn held_in(&self, cell: u32, cells: u32) -> bool {
-        let cells = cells.max(1);
-        (cell % cells + cells - self.first_cell % cells) % cells < self.cell_count
+        is_held_in(self.first_cell, self.cell_count, cell, cells)
     }
 }
+
+/// Whether a title that begins at `first_cell` of a ring of so many cells, and lies in `cell_count` of them, is held in
+/// this one.
+pub fn is_held_in(first_cell: u32, cell_count: u32, cell: u32, cells: u32) -> bool {
+    let cells = cells.max(1);
+    (cell % cells + cells - first_cell % cells) % cells < cell_count
+}
