More media servers than connections: the one that rests longest makes room, none is taken for dead

Need: up to hundreds of servers on limits that nobody here has seen. Observed in a new process test on the code before, with 256 descriptors: the 78th of 1,025 servers was answered as full without a call, since all connections to servers were in use, 77 of them carrying nothing, and the module took a server that could not be called for one that is down.

Cause: core/pool.rs, `dial` and `Pool::new` of the code before: a third of the descriptors, and nothing was closed for a newcomer.

Change: the connection that has carried nothing for the longest is closed for the next one; to servers go five twelfths, which is what viewers' connections leave since they are counted. A connection that was closed here says nothing of its server, so what plays there is looked at after 2 s of silence as before, and not at once. Tested with 1,025 servers known, told as a whole list, and 1,024 with one told as a change: each is used, within the descriptors and under 56 MB; nothing that plays is taken for lost while connections come and go, and ends reach their viewers.

--- a/crates/platform/src/core/boxes.rs
+++ b/crates/platform/src/core/boxes.rs
@@ -33,7 +33,8 @@
         let ended = self.pool.closed(link);
         self.link_ended(ended, Outcome::Broken);
         // What stands there goes on, unless its process has died: a look tells.
-        self.check_health(server, out);
+        let gone = !self.pool.is_up(server);
+        self.check_health(server, gone, out);
     }
 
     /// Nothing more of a connection can be trusted: it is hung up.
@@ -229,9 +230,8 @@
         }
     }
 
-    pub(super) fn check_health(&mut self, server: ServerId, out: &mut Vec<Output>) {
-        let up = self.pool.is_up(server);
-        let look = self.health.look(self.now, server, up);
+    pub(super) fn check_health(&mut self, server: ServerId, gone: bool, out: &mut Vec<Output>) {
+        let look = self.health.look(self.now, server, gone);
         if let Some(at) = look.again {
             self.timers.set(at, Due::HealthCheck(server));
         }
--- a/crates/platform/src/core/health.rs
+++ b/crates/platform/src/core/health.rs
@@ -91,11 +91,12 @@
         }
     }
 
-    /// A look is due, or its last connection has gone; `up` tells whether one stands that is of use.
-    pub fn look(&mut self, now: Micros, server: ServerId, up: bool) -> Look {
+    /// A look is due, or `gone`: its last connection has ended, or there was none yet. One that was closed here to make
+    /// room says nothing of the box.
+    pub fn look(&mut self, now: Micros, server: ServerId, gone: bool) -> Look {
         let Some(seen) = self.boxes.get_mut(&server) else { return Look::default() };
         let quiet = seen.heard + QUIET <= now;
-        let dial = !up || quiet;
+        let dial = gone || quiet || seen.failing.is_some();
         // A dial under way ends by itself and is judged then.
         let next = if dial { now + self.connect_within + PAUSE } else { seen.heard + QUIET };
         if seen.look.is_some_and(|due| due > now && due <= next) {
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -637,7 +637,7 @@
                     self.events.push_back(Event::Probed { server, outcome, report });
                 }
             }
-            Due::HealthCheck(server) => self.check_health(server, out),
+            Due::HealthCheck(server) => self.check_health(server, false, out),
             Due::Silent(client) => self.silent(client, out),
             Due::List => self.list_watch.due(self.now, &mut self.timers, out),
             Due::Ending => {}
--- a/crates/platform/src/core/pool.rs
+++ b/crates/platform/src/core/pool.rs
@@ -102,14 +102,14 @@
 }
 
 impl Pool {
-    /// None yet. A third of the process's files may go to them.
+    /// None yet. To them may go what the viewers' connections, open and closed, leave of the process's files.
     pub fn new(facts: &Facts, sockets: usize) -> Pool {
         Pool {
             links: BTreeMap::new(),
             last: 0,
             dials: [0; 3],
             streams: facts.streams,
-            most: (sockets / 3).max(1),
+            most: (sockets * 5 / 12).max(1),
             connect_within: facts.connect_within,
             idle_kept: (facts.idle_closed * IDLE_PART.0 / IDLE_PART.1).max(1),
         }
@@ -183,7 +183,7 @@
         out: &mut Vec<Output>,
     ) -> Option<ConnId> {
         let of_box = self.links.values().filter(|one| one.server == to.0).count();
-        if of_box >= MOST_TO_A_BOX || self.links.len() >= self.most {
+        if of_box >= MOST_TO_A_BOX || (self.links.len() >= self.most && !self.make_room(out)) {
             return None;
         }
         self.last += 1;
@@ -198,6 +198,20 @@
         Some(id)
     }
 
+    /// Closes the connection that has carried nothing for the longest, of those that nothing waits for and is out on;
+    /// tells whether there was one. Danger: with more boxes than connections, those that were never called would be
+    /// taken for dead.
+    fn make_room(&mut self, out: &mut Vec<Output>) -> bool {
+        let free = |one: &Link| one.state == State::Open && one.out.is_empty() && one.waiting.is_empty();
+        let idle = self.links.iter().filter(|(_, one)| free(one));
+        let Some(id) = idle.min_by_key(|(_, one)| one.used.max(one.heard)).map(|(id, _)| *id) else {
+            return false;
+        };
+        self.links.remove(&id);
+        out.push(Output::Disconnect(id));
+        true
+    }
+
     fn put(&mut self, now: Micros, id: ConnId, message: Message, out: &mut Vec<Output>) {
         let Some(link) = self.links.get_mut(&id) else { return };
         link.used = now;
--- a/crates/platform/src/core/viewers.rs
+++ b/crates/platform/src/core/viewers.rs
@@ -181,7 +181,8 @@
         self.admission.stands(client, id);
         self.events.push_back(Event::Resumed(request, at));
         self.holds(at);
-        self.check_health(at, out);
+        let gone = !self.pool.is_up(at);
+        self.check_health(at, gone, out);
     }
 
     /// A viewer takes a request back, or ends what stands.
