--- a/crates/daemon/tests/front_node_list.rs
+++ b/crates/daemon/tests/front_node_list.rs
@@ -4,7 +4,7 @@
 mod node;
 
 use std::fs;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -245,3 +245,71 @@
     // Half for clients, a twelfth for those that are closed and wait for their peers.
     assert!((SOCKETS / 4..=SOCKETS / 2 + SOCKETS / 12).contains(&most), "{most} of {SOCKETS}");
 }
+
+// A new configuration and a drain, in each order: told by the old coordinator before the change, by both, by the new one.
+#[test]
+fn a_drain_told_before_during_or_after_a_new_configuration_is_kept() {
+    const MS_GRACE: u64 = 350;
+    for way in ["old, unread", "new at once", "new that comes up late", "new, and old once more"] {
+        let mut hands = Hands::new(2);
+        let node = hands.node(&format!("reload-drain-{}", way.len()), grace(MS_GRACE));
+        let came = turns_away(&hands, 0);
+        let (over, asking) = asks(&node);
+        thread::sleep(200 * MS);
+        let new = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = new.local_addr().unwrap();
+        let announced = match way {
+            "old, unread" => {
+                // Both wait for a process that looks at neither until it goes on.
+                node.stop();
+                hands.frame(2, &[(0, 1)]);
+                hands.move_coordinator(&node, at);
+                thread::sleep(100 * MS);
+                let announced = Instant::now();
+                node.signal(Signal::CONT);
+                let (list, last) = hello(&new);
+                hands.take_list(list);
+                if last == 1 {
+                    hands.tell_again(&[(0, 1)]);
+                }
+                announced
+            }
+            "new at once" => {
+                hands.move_coordinator(&node, at);
+                let (list, last) = hello(&new);
+                assert_eq!(last, 1, "the numbers carry on");
+                hands.take_list(list);
+                hands.frame(2, &[(0, 1)]);
+                Instant::now()
+            }
+            "new that comes up late" => {
+                drop(new);
+                hands.move_coordinator(&node, at);
+                thread::sleep(2 * SECOND);
+                let new = TcpListener::bind(at).unwrap();
+                let announced = Instant::now();
+                let (list, last) = hello(&new);
+                assert_eq!(last, 1);
+                hands.take_list(list);
+                hands.frame(2, &[(0, 1)]);
+                announced
+            }
+            _ => {
+                let old = hands.list();
+                hands.move_coordinator(&node, at);
+                let (list, _) = hello(&new);
+                hands.take_list(list);
+                hands.frame(2, &[(0, 1)]);
+                // The old one says nothing that counts any more, least of all that the server is ready again.
+                let _ = (&old).write_all(&hands.record(3, 2, &[(0, 0)]));
+                Instant::now()
+            }
+        };
+        thread::sleep(SECOND);
+        over.store(true, Ordering::Relaxed);
+        asking.join().unwrap();
+        assert!(came.lock().unwrap().iter().any(|at| *at < announced), "{way}: nothing was asked for");
+        let late = too_late(&came, announced, MS_GRACE);
+        assert!(late.is_empty(), "{way}: {} set-ups, the last {:?} after it", late.len(), late.last());
+    }
+}
--- a/crates/daemon/tests/node/hand.rs
+++ b/crates/daemon/tests/node/hand.rs
@@ -88,11 +88,28 @@
         node.signal(Signal::HUP);
     }
 
+    /// The connection on which the list is told.
+    pub fn list(&self) -> TcpStream {
+        self.list.as_ref().unwrap().try_clone().unwrap()
+    }
+
     /// One frame: kind 0 says nothing new; records are of a media server and its state.
     pub fn frame(&mut self, kind: u8, records: &[(usize, u8)]) {
         self.told += u64::from(kind > 0);
+        let bytes = self.record(self.told, kind, records);
+        self.list().write_all(&bytes).unwrap();
+    }
+
+    /// The last changes once more, under their number.
+    pub fn tell_again(&mut self, records: &[(usize, u8)]) {
+        let bytes = self.record(self.told, 2, records);
+        self.list().write_all(&bytes).unwrap();
+    }
+
+    /// The bytes of a frame under this number.
+    pub fn record(&self, number: u64, kind: u8, records: &[(usize, u8)]) -> Vec<u8> {
         let mut bytes = (9 + 27 * records.len() as u32).to_be_bytes().to_vec();
-        bytes.extend(self.told.to_be_bytes());
+        bytes.extend(number.to_be_bytes());
         bytes.push(kind);
         for (at, state) in records {
             bytes.extend((*at as u32 + 1).to_be_bytes());
@@ -103,7 +120,7 @@
             bytes.extend(1000u32.to_be_bytes());
             bytes.extend(0u64.to_be_bytes());
         }
-        self.list.as_ref().unwrap().write_all(&bytes).unwrap();
+        bytes
     }
 
     /// The next connection that is made to a media server, which has to come within 10 s.
