A front whose part of a cold server's window is one or more keeps to its turns and draws no lot

Two fronts before boxes of 60 places: a window allows 12 set-ups, six of each front, and the estimate over a short life, new since, let three in ten in.

Cause: `Brain::pace` drew a lot also where spacing alone keeps the sum under N.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -782,8 +782,8 @@
     }
 
     /// Until when a server that may be cold bars a session. Each front keeps to the pace, and in a window to
-    /// its part of what makes the server fall; and it lets a drawn part of its sessions in: its share of the
-    /// pace over what it would send, so that all together stay under a fall where that part is less than one.
+    /// its part of what makes the server fall. Where that is less than one, it lets a drawn part of its
+    /// sessions in: its share of the pace over what it would send, so that all together stay under a fall.
     /// Danger: a returning wave pushes it over; it raises the own rate, so lowers the part. Harm: idle room.
     fn pace(&self, session: &Session, id: ServerId) -> Option<Micros> {
         let server = self.servers.get(&id)?;
@@ -793,10 +793,11 @@
         let pace = f64::from(streams) * self.set.cold_from.max(0.05) * multiple;
         let length = ((self.set.warm_up as f64 / pace) as Micros).max(1);
         let (window, fronts) = (self.set.fall_window, f64::from(self.set.fronts));
-        let part = (window as f64 / length as f64 / COLD_PART / fronts).floor().max(1.0);
-        let spacing = length.max((window as f64 / part) as Micros);
-        if let Some(next) = server.cold_sent.map(|at| at + spacing).filter(|next| *next > self.now) {
-            return Some(next);
+        let part = (window as f64 / length as f64 / COLD_PART / fronts).floor();
+        let spacing = length.max((window as f64 / part.max(1.0)) as Micros);
+        let turn = server.cold_sent.map(|at| at + spacing).filter(|next| *next > self.now);
+        if turn.is_some() || part >= 1.0 {
+            return turn;
         }
         // What this front would send there: all that it was lately asked for and the server holds, since the
         // least loaded draws them all. A returning viewer shows that others ask for it in vain. A crowd shows
