One check of a kept drain for the three tests of the list, and a comment wrapped

Read again: three tests of front_node_list.rs ended with the same lines (the client stops, something was asked for before, nothing came too late). One check serves them, with the same assertions and bounds; the client that asks stops when its value goes, also when a test falls.

--- a/crates/daemon/tests/front_node_list.rs
+++ b/crates/daemon/tests/front_node_list.rs
@@ -50,8 +50,18 @@
     came
 }
 
-/// Asks for the title of the first cell every 5 ms, until it is told to stop.
-fn asks(node: &Node) -> (Arc<AtomicBool>, thread::JoinHandle<()>) {
+/// A client that asks for the title of the first cell every 5 ms, until this value goes.
+struct Asks(Arc<AtomicBool>, Option<thread::JoinHandle<()>>);
+
+impl Drop for Asks {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+        let asking = self.1.take().expect("asks until now").join();
+        assert!(asking.is_ok() || thread::panicking());
+    }
+}
+
+fn asks(node: &Node) -> Asks {
     let over = Arc::new(AtomicBool::new(false));
     let (flag, mut viewer) = (Arc::clone(&over), node.viewer());
     let asking = thread::spawn(move || {
@@ -62,14 +72,18 @@
             while viewer.next(5 * MS).is_some() {}
         }
     });
-    (over, asking)
+    Asks(over, Some(asking))
 }
 
-/// What came to a server later than it may, once it was announced as leaving.
-fn too_late(came: &Mutex<Vec<Instant>>, announced: Instant, grace: u64) -> Vec<Duration> {
+/// Asserts that the server was asked before it was announced as leaving, and nothing came to it later than it may then.
+fn is_kept(came: &Mutex<Vec<Instant>>, announced: Instant, grace: u64, way: &str) {
     let allowed = Duration::from_millis(grace) + SLACK;
     let came = came.lock().unwrap();
-    came.iter().filter_map(|at| at.checked_duration_since(announced)).filter(|late| *late > allowed).collect()
+    assert!(came.iter().any(|at| *at < announced), "{way}: nothing was asked for");
+    let after = came.iter().filter_map(|at| at.checked_duration_since(announced));
+    let late: Vec<Duration> = after.filter(|late| *late > allowed).collect();
+    let (many, last) = (late.len(), late.last());
+    assert!(late.is_empty(), "{way}: {many} set-ups, the last {last:?} after it, grace {grace} ms");
 }
 
 /// Takes the next call of the front node and reads the number of the last event from it.
@@ -89,7 +103,7 @@
         let mut hands = Hands::new(2);
         let node = hands.node(&format!("breaks-off-{ms}"), grace(ms));
         let came = turns_away(&hands, 0);
-        let (over, asking) = asks(&node);
+        let asking = asks(&node);
         let coordinator = hands.coordinator();
         hands.hang_up();
         // Down: each call is closed as it comes, for long enough that pauses have grown as long as they get.
@@ -104,16 +118,8 @@
         hands.take_list(list);
         hands.frame(2, &[(0, 1)]);
         thread::sleep(3 * SECOND / 2);
-        over.store(true, Ordering::Relaxed);
-        asking.join().unwrap();
-        assert!(came.lock().unwrap().iter().any(|at| *at < announced), "nothing was asked for");
-        let late = too_late(&came, announced, ms);
-        assert!(
-            late.is_empty(),
-            "{} set-ups, the last {:?} after it, grace {ms} ms",
-            late.len(),
-            late.last()
-        );
+        drop(asking);
+        is_kept(&came, announced, ms, "");
     }
 }
 
@@ -130,7 +136,7 @@
         let at = deaf.local_addr().unwrap();
         let node = hands.node(&format!("hangs-{ms}"), grace(ms));
         let came = turns_away(&hands, 0);
-        let (over, asking) = asks(&node);
+        let asking = asks(&node);
         let fillers: Vec<Socket> = (0..6)
             .map(|_| {
                 let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
@@ -154,16 +160,8 @@
         hands.take_list(list);
         hands.frame(2, &[(0, 1)]);
         thread::sleep(3 * SECOND / 2);
-        over.store(true, Ordering::Relaxed);
-        asking.join().unwrap();
-        assert!(came.lock().unwrap().iter().any(|at| *at < announced), "nothing was asked for");
-        let late = too_late(&came, announced, ms);
-        assert!(
-            late.is_empty(),
-            "{} set-ups, the last {:?} after it, grace {ms} ms",
-            late.len(),
-            late.last()
-        );
+        drop(asking);
+        is_kept(&came, announced, ms, "");
     }
 }
 
@@ -254,7 +252,7 @@
         let mut hands = Hands::new(2);
         let node = hands.node(&format!("reload-drain-{}", way.len()), grace(MS_GRACE));
         let came = turns_away(&hands, 0);
-        let (over, asking) = asks(&node);
+        let asking = asks(&node);
         thread::sleep(200 * MS);
         let new = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = new.local_addr().unwrap();
@@ -306,10 +304,7 @@
             }
         };
         thread::sleep(SECOND);
-        over.store(true, Ordering::Relaxed);
-        asking.join().unwrap();
-        assert!(came.lock().unwrap().iter().any(|at| *at < announced), "{way}: nothing was asked for");
-        let late = too_late(&came, announced, MS_GRACE);
-        assert!(late.is_empty(), "{way}: {} set-ups, the last {:?} after it", late.len(), late.last());
+        drop(asking);
+        is_kept(&came, announced, MS_GRACE, way);
     }
 }
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -326,11 +326,11 @@
         self.ending.is_some()
     }
 
-    /// Takes in one input; what is to be done is added to `out`, in order. The decider hears of it by
-    /// [`Core::decide`], or at the next tick. What is due is done at [`Input::Tick`] alone. Danger: a process that was stopped, or had no processor for a while, finds answers in its sockets and
-    /// time-outs in its queue; were the time-outs looked at between two inputs, set-ups that stand would be taken
-    /// back. The edge hands in what waits in the sockets, and then a tick with the time of its look at them: it may be
-    /// stopped between the two as well.
+    /// Takes in one input; what is to be done is added to `out`, in order. The decider hears of it by [`Core::decide`],
+    /// or at the next tick. What is due is done at [`Input::Tick`] alone. Danger: a process that was stopped, or had no
+    /// processor for a while, finds answers in its sockets and time-outs in its queue; were the time-outs looked at
+    /// between two inputs, set-ups that stand would be taken back. The edge hands in what waits in the sockets, and
+    /// then a tick with the time of its look at them: it may be stopped between the two as well.
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
         match input {
