The relay of trials takes one port that is free for datagrams and connections alike

Cause: `Relay::start` (crates/trial/src/relay.rs, lines 67 and 84 of the code before) let the kernel choose a port for datagrams and then asked for the same one for connections, which any connection of the machine may hold. Change: the port is chosen for connections and then taken for datagrams, again where that is in use, 64 times at most.

--- a/crates/trial/src/relay.rs
+++ b/crates/trial/src/relay.rs
@@ -29,6 +29,9 @@
 /// What one connection holds at most while it is late, parts of up to 16 kB; a sender of more waits, as with TCP.
 const HELD: usize = 256;
 
+/// Ports that are tried before there is none to be had.
+const PORT_TRIES: usize = 64;
+
 /// What went by the relay.
 #[derive(Debug, Default)]
 pub struct Passed {
@@ -58,13 +61,26 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// A port for datagrams and for connections. Danger: one that is free for the first may be in use for the other, by any
+/// connection of this machine.
+fn one_port() -> io::Result<(UdpSocket, TcpListener)> {
+    let mut tries = 0;
+    loop {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        match UdpSocket::bind(listener.local_addr()?) {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && tries < PORT_TRIES => tries += 1,
+            socket => return Ok((socket?, listener)),
+        }
+    }
+}
+
 impl Relay {
     /// Starts one between the fronts at these addresses.
     ///
     /// # Errors
     /// No address or no thread to be had.
     pub fn start(net: Net, fronts: &[SocketAddrV4], seed: u64, clock: Clock) -> io::Result<Relay> {
-        let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let (socket, listener) = one_port()?;
         let address = socket.local_addr()?;
         let (net, passed) = (Arc::new(Mutex::new(net)), Arc::new(Passed::default()));
         let over = Arc::new(AtomicBool::new(false));
@@ -81,7 +97,7 @@
             next: 0,
         };
         let streams = Streams {
-            listener: TcpListener::bind(address)?,
+            listener,
             places: work.places.clone(),
             net: Arc::clone(&net),
             passed: Arc::clone(&passed),
