The decider hears of a drain ahead of whatever was read before it in the same look

Observed, in a new process test: a front node that goes on after a stop of 1 s sent a request to a server whose drain had lain in its socket all that time, behind 16 kB of other frames; grace 350 ms. Followed by a line for each look and message: the request was read in the first part of the look, the drain in the second, and the set-up went out after both.

Causes. core/mod.rs, `list` and `settle` of the code before: the module heard of all in the order in which it was read, so a request, or a refusal that a further attempt follows, read ahead of the list was placed by the list of before. node/mod.rs, `ready_list`: after one read of 16 kB the rest of the list waited for the next turn, with the module deciding in between. node/mod.rs, `serve`: a wait that a signal ends (which is how a process goes on after a stop) was taken for a look at the sockets, so that what lay there since the stop was acted on in steps of 10 ms.

Change: what the list says goes ahead of all that a session may be placed by; events of one session keep their order, so what is handed over and lost in one look is over for the module as before. A look reads the list on, and an interrupted wait is none.

The interrupted wait has no test of its own. A test's coordinator that comes up late and the ones that refuse hold their ports now, which another process could have taken in the meantime.

--- a/crates/daemon/tests/front_node_crossings.rs
+++ b/crates/daemon/tests/front_node_crossings.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use node::hand::{plays, request_at, rest, wait_for, with, Hands};
+use node::hand::{plays, refusing, request_at, rest, wait_for, with, Hands};
 use node::{ask, soon, Node, CELLS, SECOND};
 use rustix::process::Signal;
 use salttally_platform::wire::{cause, code, kind, Message};
@@ -367,7 +367,7 @@
 #[test]
 fn a_start_while_the_coordinator_is_down_or_silent_is_ready_within_ten_seconds() {
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
-    let refuses = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (_held, refuses) = refusing();
     for (at, coordinator) in [silent.local_addr().unwrap(), refuses].into_iter().enumerate() {
         let platform = Platform::start(CELLS).unwrap();
         let node = Node::start_by(&format!("no-list-{at}"), 256, |listen| {
--- a/crates/daemon/tests/front_node_list.rs
+++ b/crates/daemon/tests/front_node_list.rs
@@ -11,13 +11,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use node::hand::{request_at, with, Hands};
+use node::hand::{plays, refusing, request_at, wait_for, with, Hands};
 use node::{Node, SECOND};
 use rustix::process::{prlimit, Pid, Resource, Rlimit, Signal};
 use salttally_platform::wire::{cause, code, kind, Message};
 use salttally_standin::platform::Viewer;
 use serde_json::{json, Value};
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 
 const MS: Duration = Duration::from_millis(1);
 /// What the protocol adds to each limit of the settings.
@@ -254,8 +254,11 @@
         let came = turns_away(&hands, 0);
         let asking = asks(&node);
         thread::sleep(200 * MS);
-        let new = TcpListener::bind("127.0.0.1:0").unwrap();
-        let at = new.local_addr().unwrap();
+        let (new, at) = refusing();
+        if way != "new that comes up late" {
+            new.listen(16).unwrap();
+        }
+        let new: TcpListener = new.into();
         let announced = match way {
             "old, unread" => {
                 // Both wait for a process that looks at neither until it goes on.
@@ -281,10 +284,9 @@
                 Instant::now()
             }
             "new that comes up late" => {
-                drop(new);
                 hands.move_coordinator(&node, at);
                 thread::sleep(2 * SECOND);
-                let new = TcpListener::bind(at).unwrap();
+                SockRef::from(&new).listen(16).unwrap();
                 let announced = Instant::now();
                 let (list, last) = hello(&new);
                 assert_eq!(last, 1);
@@ -308,3 +310,36 @@
         is_kept(&came, announced, MS_GRACE, way);
     }
 }
+
+// Caught a look at the list that ended after 16 kB: a request that lay beside it was sent on to a server whose drain was
+// still unread.
+#[test]
+fn a_drain_that_lies_unread_behind_much_else_is_heard_before_a_request_is_sent_on() {
+    let mut hands = Hands::new(2);
+    let node = hands.node("drain-behind", grace(350));
+    let mut viewer = node.viewer();
+    // A connection to the server is open, so that a set-up waits for no dial.
+    viewer.say(&request_at(1, "clip", 0));
+    let mut line = hands.accept(0);
+    wait_for(&mut line, kind::SET_UP, 1);
+    plays(&line, 1);
+    assert_eq!(viewer.next(SECOND).map(|answer| answer.kind), Some(kind::ANSWER));
+    node.stop();
+    let nothing = hands.record(1, 0, &[]);
+    hands.list().write_all(&nothing.repeat(2_000)).unwrap();
+    hands.frame(2, &[(0, 1)]);
+    viewer.say(&request_at(2, "clip", 0));
+    thread::sleep(SECOND);
+    node.signal(Signal::CONT);
+    let until = Instant::now() + SECOND;
+    while let Some(message) = line.next(until.saturating_duration_since(Instant::now())) {
+        assert_ne!(
+            (message.kind, message.session),
+            (kind::SET_UP, 2),
+            "1 s after it was announced as leaving"
+        );
+    }
+    viewer.say(&with(request_at(3, "clip", 1), code::WAIT, "1000"));
+    let mut other = hands.accept(1);
+    wait_for(&mut other, kind::SET_UP, 3);
+}
--- a/crates/daemon/tests/front_node_restart.rs
+++ b/crates/daemon/tests/front_node_restart.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use node::hand::refusing;
 use node::{ask, Node, CELLS, SECOND};
 use salttally_platform::wire::kind;
 use salttally_standin::platform::{Platform, Viewer};
@@ -37,7 +38,7 @@
 
 #[test]
 fn restarted_nodes_are_ready_in_time_whatever_the_coordinator_does_and_serve() {
-    let refuses = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (_held, refuses) = refusing();
     let ways = [
         ("up", None),
         ("refuses", Some(refuses)),
--- a/crates/daemon/tests/node/hand.rs
+++ b/crates/daemon/tests/node/hand.rs
@@ -153,6 +153,14 @@
     }
 }
 
+/// An address at which calls are refused until this socket listens, and which nobody else can take meanwhile.
+pub fn refusing() -> (Socket, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).unwrap();
+    let at = socket.local_addr().unwrap().as_socket().unwrap();
+    (socket, at)
+}
+
 /// Reads until a message of this kind; what else comes meanwhile is dropped.
 pub fn wait_for(line: &mut Viewer, kind: u8, id: u64) -> Message {
     let until = Instant::now() + 5 * SECOND;
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -216,6 +216,8 @@
     next_probe: u64,
     timers: Timers<Due>,
     events: VecDeque<Event>,
+    /// What the list says, and what ended by it: heard ahead of all else.
+    list_events: VecDeque<Event>,
     /// When the process began.
     began: Micros,
     /// What no connection was there for, and until when it is of use.
@@ -251,6 +253,7 @@
             next_probe: 0,
             timers: Timers::default(),
             events: VecDeque::new(),
+            list_events: VecDeque::new(),
             began: now,
             untold: VecDeque::new(),
             early: BTreeMap::new(),
@@ -425,7 +428,7 @@
 
     fn settle(&mut self, out: &mut Vec<Output>) {
         let mut actions = Vec::new();
-        while let Some(event) = self.events.pop_front() {
+        while let Some(event) = self.list_events.pop_front().or_else(|| self.events.pop_front()) {
             if let Some(text) = trouble(&event) {
                 out.push(Output::Log(Level::Debug, text));
             }
@@ -571,9 +574,15 @@
 
     // ---- List ----
 
+    /// Danger: a request, or a refusal that a further attempt follows, may be read ahead of a drain that was announced long
+    /// before, when a process goes on after a stop or the list is long. The decider hears of the list before either.
     fn list(&mut self, kind: ListKind, lines: Vec<Listed>, out: &mut Vec<Output>) {
-        let gone = gone(kind, &lines, self.boxes.keys());
-        let mut draining = Vec::new();
+        let (ahead, behind): (Vec<_>, Vec<_>) =
+            self.events.drain(..).partition(|event| !may_be_placed(event));
+        self.events = std::mem::take(&mut self.list_events);
+        self.events.extend(ahead);
+        let mut gone = gone(kind, &lines, self.boxes.keys());
+        let (mut draining, mut elsewhere) = (Vec::new(), Vec::new());
         for line in &lines {
             let id = line.entry.server;
             if line.entry.state == ServerState::Gone {
@@ -584,7 +593,7 @@
             }
             let before = self.boxes.insert(id, line.address);
             if before.is_some_and(|before| before != line.address) {
-                self.forget_links(id, out);
+                elsewhere.push(id);
             }
             if let (Some(started), true) = (line.entry.started, kind != ListKind::Remembered) {
                 // Another process: what the one before played is cut.
@@ -597,7 +606,9 @@
         }
         let entries = lines.into_iter().map(|line| line.entry).collect();
         self.events.push_back(Event::Servers(kind, entries));
-        // The module hears of the list first: what is taken off a box now must not be sent there again.
+        self.list_events = std::mem::replace(&mut self.events, behind.into());
+        // What is taken off a box now must not be sent there again.
+        gone.extend(elsewhere);
         for id in gone {
             self.forget_links(id, out);
         }
@@ -693,6 +704,15 @@
     }
 }
 
+/// Whether the decider may send a session on by what it hears here. Events of one session keep their order: what is heard
+/// of it after one of these is about the attempt that follows.
+fn may_be_placed(event: &Event) -> bool {
+    let is_over = |event: &Event| matches!(event, Event::Ended { last: true, .. } | Event::Left(_));
+    let of_standing =
+        |event: &Event| matches!(event, Event::Resumed(..) | Event::Started { .. } | Event::Note { .. });
+    !is_over(event) && !of_standing(event)
+}
+
 /// What of an event is worth a line at debug: attempts and probes that did not end well.
 fn trouble(event: &Event) -> Option<String> {
     match event {
--- a/crates/platform/src/core/tests/list.rs
+++ b/crates/platform/src/core/tests/list.rs
@@ -161,3 +161,91 @@
     }
     assert!((5..=40).contains(&calls), "{calls} calls in a second");
 }
+
+/// What is read in one look, in this order, and decided then.
+fn in_one_look(bench: &mut Bench<Brain>, inputs: Vec<Input>) -> Vec<Output> {
+    for input in inputs {
+        bench.core.handle(bench.now, input, &mut bench.out);
+    }
+    bench.core.decide(bench.now, &mut bench.out);
+    std::mem::take(&mut bench.out)
+}
+
+fn announced(number: u64, lines: Vec<Listed>) -> Input {
+    Input::Told(1, Frame { number, told: Told::Changes(lines) })
+}
+
+fn leaving(id: u32, state: ServerState) -> Listed {
+    let mut line = line(id);
+    line.entry.state = state;
+    line
+}
+
+fn dialled(out: &[Output]) -> Vec<SocketAddr> {
+    let dial = |output: &Output| match output {
+        Output::Dial(_, at) => Some(*at),
+        _ => None,
+    };
+    out.iter().filter_map(dial).collect()
+}
+
+/// All but this one leave, or are gone.
+fn all_but(kept: u32, state: ServerState) -> Input {
+    announced(6, (0..LISTED).filter(|id| *id != kept).map(|id| leaving(id, state)).collect())
+}
+
+// Caught requests that the decider heard of ahead of a drain in the same look, and sent to the server that was leaving.
+#[test]
+fn a_drain_that_is_read_behind_a_request_is_heard_before_it() {
+    for state in [ServerState::Draining, ServerState::Gone] {
+        for kept in 0..LISTED {
+            let mut bench = Bench::new();
+            let asks = Input::Said(ClientId(1), request(9, "clip", ""));
+            let out = in_one_look(&mut bench, vec![asks, all_but(kept, state)]);
+            assert_eq!(dialled(&out), [address(kept)], "{state:?}");
+        }
+    }
+}
+
+// Caught a further attempt at a server whose drain lay behind the refusal of the first.
+#[test]
+fn a_drain_that_is_read_behind_a_refusal_is_heard_before_the_further_attempt() {
+    for state in [ServerState::Draining, ServerState::Gone] {
+        for kept in 0..LISTED {
+            let mut bench = Bench::new();
+            let out = bench.ask(9, "clip");
+            let out = bench.made(&out);
+            let (link, _) = set_up(&out).unwrap();
+            if bench.core.sessions[&9].session.at().unwrap().server == ServerId(kept) {
+                continue;
+            }
+            let turned_away = Input::Heard(link, Message::release(9, cause::FULL));
+            let out = in_one_look(&mut bench, vec![turned_away, all_but(kept, state)]);
+            assert_eq!(dialled(&out), [address(kept)], "{state:?}");
+        }
+    }
+}
+
+// A session that is handed over in the same look in which its server goes is over for the decider too.
+#[test]
+fn what_is_handed_over_and_lost_in_one_look_is_over_for_the_decider() {
+    let mut bench = Bench::with(Puppet::default());
+    let handed = Input::Said(ClientId(1), request(9, "clip", ";at:s-00000000"));
+    bench.core.handle(bench.now, handed, &mut bench.out);
+    bench.core.handle(bench.now, announced(6, vec![leaving(0, ServerState::Gone)]), &mut bench.out);
+    bench.core.decide(bench.now, &mut bench.out);
+    let heard: Vec<&str> = bench
+        .core
+        .decider
+        .1
+        .iter()
+        .filter_map(|event| match event {
+            Event::Resumed(..) => Some("resumed"),
+            Event::Ended { last: true, .. } => Some("over"),
+            Event::Servers(ListKind::Changes, lines) if !lines.is_empty() => Some("list"),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(heard, ["resumed", "over", "list"]);
+    assert!(bench.core.sessions.is_empty());
+}
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -201,7 +201,12 @@
             let due = [self.core.next_due(), closes[0], closes[1], self.full_until];
             let due = due.into_iter().flatten().min().unwrap_or(Micros::MAX);
             let wait = due.saturating_sub(now).min(LONGEST_WAIT);
-            let _ = epoll::wait(&self.poll, spare_capacity(&mut events), Some(&timespec(wait)));
+            let looked = epoll::wait(&self.poll, spare_capacity(&mut events), Some(&timespec(wait)));
+            if looked == Err(Errno::INTR) {
+                // Danger: a process that goes on after a stop is woken so. Taken for a look at the sockets, it would let
+                // what lies in them from the time of the stop be acted on before the rest of it is read.
+                continue;
+            }
             self.read_all(&mut events, &mut out);
             self.decide(&mut out);
             self.core.handle(now, Input::Tick, &mut out);
@@ -591,7 +596,11 @@
         let mut bytes = [0; READ];
         match (&call.stream).read(&mut bytes) {
             Ok(0) => return self.list_down(number),
-            Ok(count) => call.frames.feed(&bytes[..count]),
+            Ok(count) => {
+                call.frames.feed(&bytes[..count]);
+                // Danger: a drain that lies behind as much is read after requests were sent on to that server.
+                self.more |= count == READ;
+            }
             Err(error) if again(&error) => return,
             Err(_) => return self.list_down(number),
         }
