A front node that knows no server is not ready until one is announced

Need: no process that is ready serves nobody. Observed by reading, and in a test on the core: with an empty list, heard or known, a front node passed its tests and would have been given clients that it could only refuse. `Core::ready` asks for a server that is known in either case now. The test fell on the code before.

--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -317,11 +317,12 @@
         [self.sessions.len(), playing, self.admission.len(), self.pool.len(), self.timers.len()]
     }
 
-    /// Whether it can serve: the list was heard, or has not come for long and one is known from the start. Danger: a
-    /// start while the coordinator is down would be out of service for as long.
+    /// Whether it can serve: a server is known, and the list was heard or has not come for long. Danger: a start while the
+    /// coordinator is down would be out of service for as long; one that knows no server would be given clients and
+    /// serve none of them.
     pub fn ready(&self) -> bool {
-        let without = self.now >= self.began + READY_WITHOUT && !self.boxes.is_empty();
-        (self.list_watch.fresh() || without) && self.ending.is_none()
+        let heard = self.list_watch.fresh() || self.now >= self.began + READY_WITHOUT;
+        heard && !self.boxes.is_empty() && self.ending.is_none()
     }
 
     /// Whether the process was told to end.
--- a/crates/platform/src/core/tests/crossings.rs
+++ b/crates/platform/src/core/tests/crossings.rs
@@ -327,6 +327,21 @@
     assert!(!bench.core.ready());
 }
 
+// Caught a node that passed its tests with a list of nobody: it was given clients and served none of them.
+#[test]
+fn a_node_that_knows_no_server_is_not_ready_until_one_is_announced() {
+    let core = Core::new(Brain::new(facts().settings, 7), facts(), 256, START);
+    let mut bench = Bench { core, now: START, out: Vec::new() };
+    bench.core.begin(START, Vec::new(), 5, address(200), &mut bench.out);
+    bench.told(1, 5, Told::Nothing);
+    bench.after(SECOND);
+    assert!(!bench.core.ready(), "heard, and nobody is listed");
+    bench.told(1, 6, Told::Whole(Vec::new()));
+    assert!(!bench.core.ready(), "a whole list of nobody");
+    bench.told(1, 7, Told::Changes(vec![line(0)]));
+    assert!(bench.core.ready());
+}
+
 #[test]
 fn lack_of_descriptors_here_ends_nothing_that_plays_there() {
     let mut bench = Bench::new();
