Of a server that one event of the list names twice, the last record counts

Need: a whole list with a server twice must lose nothing. Cause: core/mod.rs, `list`, which took the records one by one and what is gone from all of them. Change: earlier records of a server are left out. The test falls without it.

--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -578,6 +578,7 @@
     /// Danger: a request, or a refusal that a further attempt follows, may be read ahead of a drain that was announced long
     /// before, when a process goes on after a stop or the list is long. The decider hears of the list before either.
     fn list(&mut self, kind: ListKind, lines: Vec<Listed>, out: &mut Vec<Output>) {
+        let lines = last_of_each(lines);
         let (ahead, behind): (Vec<_>, Vec<_>) =
             self.events.drain(..).partition(|event| !may_be_placed(event));
         self.events = std::mem::take(&mut self.list_events);
@@ -705,6 +706,15 @@
     }
 }
 
+/// Of a server that one event names twice, the last record counts. Danger: gone by one record and back by the next, it
+/// would be there for the decider and not here.
+fn last_of_each(lines: Vec<Listed>) -> Vec<Listed> {
+    let last: BTreeMap<ServerId, usize> =
+        lines.iter().enumerate().map(|(at, line)| (line.entry.server, at)).collect();
+    let is_last = |(at, line): &(usize, Listed)| last.get(&line.entry.server) == Some(at);
+    lines.into_iter().enumerate().filter(is_last).map(|(_, line)| line).collect()
+}
+
 /// Whether the decider may send a session on by what it hears here. Events of one session keep their order: what is heard
 /// of it after one of these is about the attempt that follows.
 fn may_be_placed(event: &Event) -> bool {
--- a/crates/platform/src/core/tests/list.rs
+++ b/crates/platform/src/core/tests/list.rs
@@ -249,3 +249,24 @@
     assert_eq!(heard, ["resumed", "over", "list"]);
     assert!(bench.core.sessions.is_empty());
 }
+
+// Caught a server that one event called gone and then ready: the decider sent sessions there and each was stopped here.
+#[test]
+fn a_server_that_one_event_names_twice_is_what_its_last_record_says() {
+    let (gone, ready) = (leaving(0, ServerState::Gone), line(0));
+    for whole in [true, false] {
+        for (records, is_there) in
+            [(vec![gone.clone(), ready.clone()], true), (vec![ready.clone(), gone.clone()], false)]
+        {
+            let mut bench = Bench::new();
+            bench.told(1, 6, if whole { Told::Whole(records) } else { Told::Changes(records) });
+            assert_eq!(bench.core.ledger().contains_key(&ServerId(0)), is_there);
+            if whole {
+                let there: Vec<SocketAddr> = is_there.then_some(address(0)).into_iter().collect();
+                let out = bench.ask(9, "clip");
+                assert_eq!(dialled(&out), there);
+                assert_eq!(bench.core.counts().stopped, 0);
+            }
+        }
+    }
+}
