--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -55,7 +55,7 @@
 pub struct Config {
     /// Its name, the same after a restart.
     pub name: String,
-    /// Where viewers connect.
+    /// Where clients connect.
     pub listen: SocketAddr,
     /// Seed of the draws; new with each start.
     pub seed: u64,
@@ -182,7 +182,8 @@
 impl Host {
     fn listed(&self, facts: &Facts) -> Result<Listed, (&'static str, String)> {
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0) as u32;
-        let id = words::box_id(&self.host).ok_or(("known.host", format!("`{}` is no box", self.host)))?;
+        let id = words::server_id(&self.host)
+            .ok_or(("known.host", format!("`{}` is no media server", self.host)))?;
         let state = match self.health.as_str() {
             "active" => ServerState::Ready,
             "leaving" => ServerState::Draining,
--- a/crates/platform/src/core/viewers.rs
+++ b/crates/platform/src/core/clients.rs
@@ -1,4 +1,4 @@
-//! What viewers say, and the one answer that each request gets.
+//! What clients say, and the one answer that each request gets.
 
 use salttally_front::core::{Opening, Ticket};
 
@@ -9,46 +9,46 @@
 const TICKET: Ticket = Ticket(0);
 
 impl<D: Decider> Core<D> {
-    pub(super) fn joined(&mut self, client: ClientId, out: &mut Vec<Output>) {
-        for other in self.admission.joined(self.now, client, &mut self.timers) {
-            self.cut(other, out);
+    pub(super) fn client_connected(&mut self, client: ClientId, out: &mut Vec<Command>) {
+        for other in self.admission.connected(self.now, client, &mut self.timers) {
+            self.close_client(other, out);
         }
     }
 
-    pub(super) fn said(&mut self, client: ClientId, message: Message, out: &mut Vec<Output>) {
-        self.admission.spoke(self.now, client, &mut self.timers);
-        for (until, told) in self.untold.drain(..) {
+    pub(super) fn client_message(&mut self, client: ClientId, message: Message, out: &mut Vec<Command>) {
+        self.admission.message_received(self.now, client, &mut self.timers);
+        for (until, told) in self.undelivered.drain(..) {
             if self.now < until {
-                out.push(Output::Say(client, told));
+                out.push(Command::SendToClient(client, told));
             }
         }
         match message.kind {
-            kind::SET_UP => self.asked(client, &message, out),
-            kind::RELEASE => self.released(client, &message, out),
+            kind::SET_UP => self.request(client, &message, out),
+            kind::RELEASE => self.client_release(client, &message, out),
             kind::TEST => {
                 let passed = u8::from(self.ready());
                 let answer = Message::new(kind::TESTED, message.session).with(code::CAUSE, [passed]);
-                out.push(Output::Say(client, answer));
+                out.push(Command::SendToClient(client, answer));
             }
             kind::PROGRESS | kind::HEARD => {}
-            _ => self.cut(client, out),
+            _ => self.close_client(client, out),
         }
     }
 
-    /// Closes a viewer's connection; what was owed on it is given up.
-    pub(super) fn cut(&mut self, client: ClientId, out: &mut Vec<Output>) {
-        for id in self.admission.owed(client) {
+    /// Closes a client's connection; what was owed on it is given up.
+    pub(super) fn close_client(&mut self, client: ClientId, out: &mut Vec<Command>) {
+        for id in self.admission.open(client) {
             // It was taken: it has its answer before the connection goes.
-            self.gone(id);
+            self.client_gone(id);
             self.fail(id, out);
         }
-        out.push(Output::Close(client));
-        self.client_left(client, out);
+        out.push(Command::CloseClient(client));
+        self.client_closed(client, out);
     }
 
-    /// A viewer's connection is gone: what was owed on it reaches nobody; what stands belongs to no connection.
-    pub(super) fn client_left(&mut self, client: ClientId, out: &mut Vec<Output>) {
-        for id in self.admission.left(client, &mut self.timers) {
+    /// A client's connection is gone: what was owed on it reaches nobody; what stands belongs to no connection.
+    pub(super) fn client_closed(&mut self, client: ClientId, out: &mut Vec<Command>) {
+        for id in self.admission.closed(client, &mut self.timers) {
             let Some(entry) = self.sessions.get_mut(&id) else { continue };
             if entry.session.owed() {
                 self.give_up(id, out);
@@ -58,44 +58,44 @@
         }
     }
 
-    fn asked(&mut self, client: ClientId, message: &Message, out: &mut Vec<Output>) {
+    fn request(&mut self, client: ClientId, message: &Message, out: &mut Vec<Command>) {
         let id = message.session;
         match self.opening(message) {
             Err(why) => {
                 self.counts.unusable += 1;
-                out.push(Output::Log(Level::Debug, format!("request {id:016x}: {why}")));
+                out.push(Command::Log(Level::Debug, format!("request {id:016x}: {why}")));
                 match self.sessions.contains_key(&id) {
-                    true => self.cut(client, out),
-                    false => out.push(Output::Say(client, Message::release(id, cause::UNUSABLE))),
+                    true => self.close_client(client, out),
+                    false => out.push(Command::SendToClient(client, Message::release(id, cause::UNUSABLE))),
                 }
             }
-            Ok((opening, Some(at))) => self.handed(client, id, opening, ServerId(at), out),
+            Ok((opening, Some(at))) => self.resume(client, id, opening, ServerId(at), out),
             // Danger: an answer under this id would be taken for that of the request which has it already.
             Ok(_) if self.sessions.contains_key(&id) => {
                 self.counts.unusable += 1;
-                self.cut(client, out);
+                self.close_client(client, out);
             }
             // The process ends, and nothing is sent on any more: whoever asks may ask elsewhere at once.
-            Ok((_, None)) if self.closing.is_some() => {
+            Ok((_, None)) if self.releasing_until.is_some() => {
                 self.counts.refused += 1;
-                out.push(Output::Say(client, Message::release(id, cause::MOOT)));
+                out.push(Command::SendToClient(client, Message::release(id, cause::MOOT)));
             }
             Ok((opening, None)) => {
                 let moved = self.moved.remove(&opening.viewer);
                 if let Some(until) = moved {
-                    self.timers.unset(until, Due::Moved(opening.viewer));
+                    self.timers.unset(until, Timer::MovedKept(opening.viewer));
                 }
                 self.counts.taken += 1;
                 let request = opening.request(&name(id), moved.is_some());
                 let session = self.session(client, opening);
-                self.timers.set(session.overdue_at(self.facts.answer_slack), Due::Overdue(id));
+                self.timers.set(session.overdue_at(self.facts.answer_slack), Timer::AnswerDeadline(id));
                 let keep = [code::CLASS, code::TITLE, code::DESCRIPTION];
                 let passed =
                     message.parameters.iter().filter(|(code, _)| keep.contains(code)).cloned().collect();
                 let entry =
-                    Entry { session, passed, link: None, before: Vec::new(), since: 0, moving: false };
+                    Entry { session, passed, conn: None, before: Vec::new(), since: 0, moving: false };
                 self.sessions.insert(id, entry);
-                self.admission.asked(client, id, &mut self.timers);
+                self.admission.request_opened(client, id, &mut self.timers);
                 self.events.push_back(Event::Request(request));
             }
         }
@@ -148,13 +148,13 @@
     }
 
     /// A session that plays already, told at a start; it wants no answer and may be known.
-    fn handed(&mut self, client: ClientId, id: u64, opening: Opening, at: ServerId, out: &mut Vec<Output>) {
+    fn resume(&mut self, client: ClientId, id: u64, opening: Opening, at: ServerId, out: &mut Vec<Command>) {
         if self.sessions.contains_key(&id) {
             return;
         }
-        if let Some((_, end)) = self.early.remove(&id).filter(|(server, _)| *server == at) {
-            if let Some(cause) = super::boxes::end_of(end.cause()).1 {
-                out.push(Output::Say(client, Message::release(id, cause)));
+        if let Some((_, end)) = self.early_ends.remove(&id).filter(|(server, _)| *server == at) {
+            if let Some(cause) = super::servers::end_of(end.cause()).1 {
+                out.push(Command::SendToClient(client, Message::release(id, cause)));
             }
             return;
         }
@@ -162,51 +162,51 @@
         let request = opening.request(&name(id), false);
         let mut session = self.session(client, opening);
         let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
-        let address = self.boxes.get(&at).copied().unwrap_or(unknown);
+        let address = self.servers.get(&at).copied().unwrap_or(unknown);
         let (sent, expires) = (self.now, self.now);
-        // Its rung is not known until its box tells: whichever the module wants is told the box.
+        // Its rung is not known until its media server tells: whichever the module wants is told the media server.
         let rung = usize::MAX;
         let attempt = Attempt { number: 0, wire: 0, server: at, address, sent, expires, rung };
         session.plays_already(attempt);
         let entry = Entry {
             session,
             passed: Vec::new(),
-            link: None,
+            conn: None,
             before: Vec::new(),
             since: self.now,
             moving: false,
         };
         self.sessions.insert(id, entry);
-        self.admission.asked(client, id, &mut self.timers);
-        self.admission.stands(client, id);
+        self.admission.request_opened(client, id, &mut self.timers);
+        self.admission.session_started(client, id);
         self.events.push_back(Event::Resumed(request, at));
-        self.holds(at);
+        self.watch_health(at);
         let gone = !self.pool.is_up(at);
         self.check_health(at, gone, out);
     }
 
-    /// A viewer takes a request back, or ends what stands.
-    fn released(&mut self, client: ClientId, message: &Message, out: &mut Vec<Output>) {
+    /// A client takes a request back, or ends what stands.
+    fn client_release(&mut self, client: ClientId, message: &Message, out: &mut Vec<Command>) {
         let id = message.session;
-        out.push(Output::Say(client, Message::new(kind::HEARD, id)));
+        out.push(Command::SendToClient(client, Message::new(kind::HEARD, id)));
         let Some(entry) = self.sessions.get_mut(&id) else { return };
         if entry.session.owed() {
             self.give_up(id, out);
         } else if entry.session.playing().is_some() {
             let cause = message.cause().unwrap_or(cause::ON_PURPOSE);
-            self.release_at_box(id, cause, out);
-            self.over(id, Outcome::Withdrawn, Vec::new(), None, out);
+            self.release_at_server(id, cause, out);
+            self.end_session(id, Outcome::Withdrawn, Vec::new(), None, out);
         }
     }
 
     /// No answer is owed any more, and what is out for it is taken back.
-    fn give_up(&mut self, id: u64, out: &mut Vec<Output>) {
-        self.gone(id);
+    fn give_up(&mut self, id: u64, out: &mut Vec<Command>) {
+        self.client_gone(id);
         self.settled(id, out);
     }
 
     /// The answer is given, or no longer owed: the session is over, with the attempt that is out.
-    fn settled(&mut self, id: u64, out: &mut Vec<Output>) {
+    fn settled(&mut self, id: u64, out: &mut Vec<Command>) {
         let Some(entry) = self.sessions.get_mut(&id) else { return };
         if entry.session.settled() {
             self.drop_session(id);
@@ -216,10 +216,10 @@
         }
     }
 
-    pub(super) fn overdue(&mut self, id: u64, out: &mut Vec<Output>) {
+    pub(super) fn overdue(&mut self, id: u64, out: &mut Vec<Command>) {
         if self.sessions.get(&id).is_some_and(|entry| entry.session.owed()) {
             self.counts.overdue += 1;
-            self.gone(id);
+            self.client_gone(id);
             self.fail(id, out);
         }
     }
@@ -227,19 +227,19 @@
     // ---- Answers ----
 
     /// Gives the one answer, if it is still owed; returns whether it was.
-    fn answer(&mut self, id: u64, answer: Message, out: &mut Vec<Output>) -> bool {
+    fn answer(&mut self, id: u64, answer: Message, out: &mut Vec<Command>) -> bool {
         let Some(entry) = self.sessions.get(&id).filter(|entry| entry.session.owed()) else {
             self.stopped("a second answer", id, out);
             return false;
         };
         if let Some((client, _)) = entry.session.client {
-            out.push(Output::Say(client, answer));
+            out.push(Command::SendToClient(client, answer));
         }
         self.settled(id, out);
         true
     }
 
-    pub(super) fn refuse(&mut self, id: u64, hold_off: Micros, out: &mut Vec<Output>) {
+    pub(super) fn refuse(&mut self, id: u64, hold_off: Micros, out: &mut Vec<Command>) {
         if self.sessions.get(&id).is_some_and(|entry| entry.session.not_to_refuse()) {
             self.stopped("a refusal of what may have run", id, out);
             return self.fail(id, out);
@@ -251,61 +251,61 @@
         self.counts.refused += u64::from(self.answer(id, answer, out));
     }
 
-    pub(super) fn fail(&mut self, id: u64, out: &mut Vec<Output>) {
+    pub(super) fn fail(&mut self, id: u64, out: &mut Vec<Command>) {
         self.counts.failed += u64::from(self.answer(id, Message::release(id, FAILED), out));
     }
 
     // ---- Ends of what stands ----
 
-    /// Says something to a viewer of a session that stands: on its connection, else on whichever is open.
-    pub(super) fn say(&mut self, client: Option<ClientId>, message: Message, out: &mut Vec<Output>) {
+    /// Says something to a client of a session that stands: on its connection, else on whichever is open.
+    pub(super) fn tell_client(&mut self, client: Option<ClientId>, message: Message, out: &mut Vec<Command>) {
         match client.or_else(|| self.admission.any()) {
-            Some(client) => out.push(Output::Say(client, message)),
-            // Danger: told nobody, its viewer would wait by a session that is over.
+            Some(client) => out.push(Command::SendToClient(client, message)),
+            // Danger: told nobody, its client would wait by a session that is over.
             None => {
-                self.untold.retain(|(until, _)| *until > self.now);
-                self.untold.push_back((self.now + UNTOLD_KEPT, message));
+                self.undelivered.retain(|(until, _)| *until > self.now);
+                self.undelivered.push_back((self.now + UNDELIVERED_KEPT, message));
             }
         }
     }
 
-    /// What stood is over; its viewer is released with this cause, if that is owed.
-    pub(super) fn over(
+    /// What stood is over; its client is released with this cause, if that is owed.
+    pub(super) fn end_session(
         &mut self,
         id: u64,
         outcome: Outcome,
         report: Vec<f64>,
         cause: Option<u8>,
-        out: &mut Vec<Output>,
+        out: &mut Vec<Command>,
     ) {
         let Some(entry) = self.sessions.get(&id) else { return };
         let Some(playing) = entry.session.playing() else { return };
         let (server, attempt) = (playing.attempt.server, playing.attempt.number);
         let client = entry.session.client.map(|(client, _)| client);
         if let Some(cause) = cause {
-            self.say(client, Message::release(id, cause), out);
+            self.tell_client(client, Message::release(id, cause), out);
         }
         self.drop_session(id);
-        self.health.released(server);
+        self.health.session_ended(server);
         let (session, last) = (name(id), true);
         self.events.push_back(Event::Ended { session, attempt, server, outcome, last, report });
     }
 
-    /// The process ends: what is owed fails, and viewers of what stands are released.
-    pub(super) fn end_at_end(&mut self, id: u64, out: &mut Vec<Output>) {
+    /// The process ends: what is owed fails, and clients of what stands are released.
+    pub(super) fn end_for_shutdown(&mut self, id: u64, out: &mut Vec<Command>) {
         let Some(entry) = self.sessions.get(&id) else { return };
         if entry.session.owed() {
             self.fail(id, out);
         } else if entry.session.playing().is_some() {
             let told = Some(cause::BROKEN).filter(|_| !entry.moving);
-            self.release_at_box(id, cause::BROKEN, out);
-            self.over(id, Outcome::Withdrawn, Vec::new(), told, out);
+            self.release_at_server(id, cause::BROKEN, out);
+            self.end_session(id, Outcome::Withdrawn, Vec::new(), told, out);
         }
     }
 
-    pub(super) fn silent(&mut self, client: ClientId, out: &mut Vec<Output>) {
-        if self.admission.silent(self.now, client, &mut self.timers) {
-            self.cut(client, out);
+    pub(super) fn client_idle(&mut self, client: ClientId, out: &mut Vec<Command>) {
+        if self.admission.is_idle(self.now, client, &mut self.timers) {
+            self.close_client(client, out);
         }
     }
 }
--- a/crates/platform/src/core/health.rs
+++ b/crates/platform/src/core/health.rs
@@ -1,9 +1,11 @@
-//! Whether a box that holds sessions is there. A box that dies or vanishes cannot say so, and its sessions are cut:
-//! their viewers must be released within seconds, and come again.
+//! Whether a media server that holds sessions is there. A media server that dies or vanishes cannot say so, and its
+//! sessions are cut:
+//! their clients must be released within seconds, and come again.
 //!
 //! What is heard shows life. After a while of silence, and when its last connection has gone, a new connection is
-//! made: made, the box lives (and says on it what ended meanwhile); refused twice, its process is dead; not made for
-//! long enough, the machine is gone or cut off. A look costs the box nothing but the handshake.
+//! made: made, the media server lives (and says on it what ended meanwhile); refused twice, its process is dead; not
+//! made for
+//! long enough, the machine is gone or cut off. A look costs the media server nothing but the handshake.
 
 use std::collections::BTreeMap;
 
@@ -12,30 +14,30 @@
 use super::DialError;
 
 /// Silence after which a new connection is made.
-const QUIET: Micros = 2_000_000;
-/// From the first that was not made, a box that cannot be reached is taken for lost after this.
-const UNREACHED: Micros = 1_500_000;
+const CHECK_AFTER_SILENCE: Micros = 2_000_000;
+/// From the first that was not made, a media server that cannot be reached is taken for lost after this.
+const UNREACHABLE_AFTER: Micros = 1_500_000;
 /// Pause between two of them.
-const PAUSE: Micros = 150_000;
+const RETRY_PAUSE: Micros = 150_000;
 /// Refusals in a row by which a process is taken for dead.
-const REFUSALS: u32 = 2;
+const MAX_REFUSALS: u32 = 2;
 
 #[derive(Clone, Debug, Default)]
-struct Seen {
+struct ServerHealth {
     sessions: usize,
     heard: Micros,
     refused: u32,
     failing: Option<Micros>,
     /// When the next look is due, if one is.
-    look: Option<Micros>,
+    next_check: Option<Micros>,
 }
 
-/// What a failed dial means for what stands at the box.
+/// What a failed dial means for what stands at the media server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// Nothing yet, or nothing stands there.
     Fine,
-    /// Look again then.
+    /// Check again then.
     Again(Micros),
     /// It is lost.
     Lost,
@@ -43,85 +45,89 @@
 
 /// What a look asks for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Look {
+pub struct Check {
     /// Make a new connection.
     pub dial: bool,
-    /// Look again then.
+    /// Check again then.
     pub again: Option<Micros>,
 }
 
-/// The boxes that hold sessions.
+/// The servers that hold sessions.
 #[derive(Clone, Debug)]
 pub struct Health {
-    boxes: BTreeMap<ServerId, Seen>,
+    servers: BTreeMap<ServerId, ServerHealth>,
     connect_within: Micros,
 }
 
 impl Health {
     /// None yet. A dial that is not made within this time has failed.
     pub fn new(connect_within: Micros) -> Health {
-        Health { boxes: BTreeMap::new(), connect_within }
+        Health { servers: BTreeMap::new(), connect_within }
     }
 
-    /// A box holds one more session. Tells when to look, if no look is due.
-    pub fn holds(&mut self, now: Micros, server: ServerId) -> Option<Micros> {
-        let seen = self.boxes.entry(server).or_insert_with(|| Seen { heard: now, ..Seen::default() });
-        seen.sessions += 1;
-        if seen.look.is_some() {
+    /// A media server holds one more session. Tells when to look, if no look is due.
+    pub fn session_started(&mut self, now: Micros, server: ServerId) -> Option<Micros> {
+        let health = self
+            .servers
+            .entry(server)
+            .or_insert_with(|| ServerHealth { heard: now, ..ServerHealth::default() });
+        health.sessions += 1;
+        if health.next_check.is_some() {
             return None;
         }
-        seen.look = Some(now + QUIET);
-        seen.look
+        health.next_check = Some(now + CHECK_AFTER_SILENCE);
+        health.next_check
     }
 
     /// It holds one less.
-    pub fn released(&mut self, server: ServerId) {
-        if let Some(seen) = self.boxes.get_mut(&server) {
-            seen.sessions = seen.sessions.saturating_sub(1);
-            if seen.sessions == 0 {
-                self.boxes.remove(&server);
+    pub fn session_ended(&mut self, server: ServerId) {
+        if let Some(health) = self.servers.get_mut(&server) {
+            health.sessions = health.sessions.saturating_sub(1);
+            if health.sessions == 0 {
+                self.servers.remove(&server);
             }
         }
     }
 
     /// Something was heard of it, or a connection made.
     pub fn heard(&mut self, now: Micros, server: ServerId) {
-        if let Some(seen) = self.boxes.get_mut(&server) {
-            (seen.heard, seen.refused, seen.failing) = (now, 0, None);
+        if let Some(health) = self.servers.get_mut(&server) {
+            (health.heard, health.refused, health.failing) = (now, 0, None);
         }
     }
 
     /// A look is due, or `gone`: its last connection has ended, or there was none yet. One that was closed here to make
-    /// room says nothing of the box.
-    pub fn look(&mut self, now: Micros, server: ServerId, gone: bool) -> Look {
-        let Some(seen) = self.boxes.get_mut(&server) else { return Look::default() };
-        let quiet = seen.heard + QUIET <= now;
-        let dial = gone || quiet || seen.failing.is_some();
+    /// room says nothing of the media server.
+    pub fn check(&mut self, now: Micros, server: ServerId, gone: bool) -> Check {
+        let Some(health) = self.servers.get_mut(&server) else { return Check::default() };
+        let quiet = health.heard + CHECK_AFTER_SILENCE <= now;
+        let dial = gone || quiet || health.failing.is_some();
         // A dial under way ends by itself and is judged then.
-        let next = if dial { now + self.connect_within + PAUSE } else { seen.heard + QUIET };
-        if seen.look.is_some_and(|due| due > now && due <= next) {
-            return Look { dial, again: None };
+        let next =
+            if dial { now + self.connect_within + RETRY_PAUSE } else { health.heard + CHECK_AFTER_SILENCE };
+        if health.next_check.is_some_and(|due| due > now && due <= next) {
+            return Check { dial, again: None };
         }
-        seen.look = Some(next);
-        Look { dial, again: Some(next) }
+        health.next_check = Some(next);
+        Check { dial, again: Some(next) }
     }
 
     /// A dial has failed.
-    pub fn failed(&mut self, now: Micros, server: ServerId, error: DialError) -> Verdict {
-        let Some(seen) = self.boxes.get_mut(&server) else { return Verdict::Fine };
-        let since = *seen.failing.get_or_insert(now);
+    pub fn connect_failed(&mut self, now: Micros, server: ServerId, error: DialError) -> Verdict {
+        let Some(health) = self.servers.get_mut(&server) else { return Verdict::Fine };
+        let since = *health.failing.get_or_insert(now);
         if error == DialError::Refused {
-            seen.refused += 1;
+            health.refused += 1;
         }
-        if seen.refused >= REFUSALS || since + UNREACHED <= now {
+        if health.refused >= MAX_REFUSALS || since + UNREACHABLE_AFTER <= now {
             return Verdict::Lost;
         }
-        seen.look = Some(now + PAUSE);
-        Verdict::Again(now + PAUSE)
+        health.next_check = Some(now + RETRY_PAUSE);
+        Verdict::Again(now + RETRY_PAUSE)
     }
 
-    /// Sessions held and when the box was last heard of, by box.
-    pub fn believed(&self) -> impl Iterator<Item = (ServerId, usize, Micros)> + '_ {
-        self.boxes.iter().map(|(id, seen)| (*id, seen.sessions, seen.heard))
+    /// Sessions held and when the media server was last heard of, by media server.
+    pub fn states(&self) -> impl Iterator<Item = (ServerId, usize, Micros)> + '_ {
+        self.servers.iter().map(|(id, health)| (*id, health.sessions, health.heard))
     }
 }
--- a/crates/platform/src/core/list_watch.rs
+++ b/crates/platform/src/core/list_watch.rs
@@ -14,27 +14,27 @@
 use salttally::interface::Micros;
 use salttally_front::core::timers::Timers;
 
-use super::{Due, Level, Listed, Output};
-use crate::wire::frames::{Frame, Told};
+use super::{Command, Level, Listed, Timer};
+use crate::wire::frames::{Frame, Payload};
 
 /// The coordinator says something each second: it has stopped when nothing came for so long, and a call that has not
 /// come up by then will not.
-const SILENT: Micros = 2_200_000;
+const SILENCE_TIMEOUT: Micros = 2_200_000;
 /// The first pause before a new call after one that came to nothing; it doubles.
-const FIRST_PAUSE: Micros = 50_000;
+const BACKOFF_START: Micros = 50_000;
 /// Of the drain grace, the longest time between the beginnings of two calls: the rest is for the connection, the event
 /// and whatever is under way to the server.
-const GRACE_PART: Micros = 5;
+const GRACE_SHARE: Micros = 5;
 /// Bounds of that time. From the beginning of a silence to the third call it is 2.2 + 0.4 + 0.4 = 3.0 s at most, of the
 /// 4 s after which what a silent coordinator would have told counts.
-const BETWEEN_CALLS: (Micros, Micros) = (25_000, 400_000);
+const RECONNECT_INTERVAL: (Micros, Micros) = (25_000, 400_000);
 /// Calls under way at a time, each with a descriptor. The oldest is kept until it is given up, so that a network in
 /// which a connection takes longer than the time between two calls is got through.
-pub const MOST_CALLS: usize = 4;
+pub const MAX_CONNECTS: usize = 4;
 
 /// What is new of the list.
 #[derive(Clone, Debug, PartialEq)]
-pub enum News {
+pub enum Update {
     /// The whole list.
     Whole(Vec<Listed>),
     /// What has changed; empty where nothing has.
@@ -52,20 +52,21 @@
     /// The call that stands.
     standing: Option<u64>,
     /// Calls that are being made, the oldest first, and when each began.
-    dialing: VecDeque<(u64, Micros)>,
+    connecting: VecDeque<(u64, Micros)>,
     /// The call that stands has told something.
-    told_once: bool,
+    heard_on_call: bool,
     heard: Micros,
-    misses: u32,
-    fresh: bool,
+    failures: u32,
+    synced: bool,
     /// When it is looked at next.
     due: Option<Micros>,
-    between_calls: Micros,
+    reconnect_interval: Micros,
     draws: Pcg32,
 }
 
 impl ListWatch {
-    /// Follows nothing yet. No two calls begin further apart than a part of this grace while none stands; all nodes lose
+    /// Follows nothing yet. No two calls begin further apart than a part of this grace while none stands; all nodes
+    /// lose
     /// their coordinator at once, and the draws by `seed` keep them from coming back in step.
     pub fn new(drain_grace: Micros, seed: u64) -> ListWatch {
         ListWatch {
@@ -73,20 +74,20 @@
             last: 0,
             call: 0,
             standing: None,
-            dialing: VecDeque::new(),
-            told_once: false,
+            connecting: VecDeque::new(),
+            heard_on_call: false,
             heard: 0,
-            misses: 0,
-            fresh: false,
+            failures: 0,
+            synced: false,
             due: None,
-            between_calls: (drain_grace / GRACE_PART).clamp(BETWEEN_CALLS.0, BETWEEN_CALLS.1),
+            reconnect_interval: (drain_grace / GRACE_SHARE).clamp(RECONNECT_INTERVAL.0, RECONNECT_INTERVAL.1),
             draws: Pcg32::seed_from_u64(seed),
         }
     }
 
     /// Whether the coordinator was heard since the start.
-    pub fn fresh(&self) -> bool {
-        self.fresh
+    pub fn synced(&self) -> bool {
+        self.synced
     }
 
     /// Begins after this event.
@@ -95,141 +96,149 @@
         now: Micros,
         last: u64,
         at: SocketAddr,
-        timers: &mut Timers<Due>,
-        out: &mut Vec<Output>,
+        timers: &mut Timers<Timer>,
+        out: &mut Vec<Command>,
     ) {
         (self.last, self.at) = (last, Some(at));
-        self.call(now, timers, out);
+        self.connect(now, timers, out);
     }
 
     /// The list is told elsewhere from now on; the numbers carry on.
-    pub fn turn_to(&mut self, now: Micros, at: SocketAddr, timers: &mut Timers<Due>, out: &mut Vec<Output>) {
-        if self.at == Some(at) && (self.standing.is_some() || !self.dialing.is_empty()) {
+    pub fn follow(
+        &mut self,
+        now: Micros,
+        at: SocketAddr,
+        timers: &mut Timers<Timer>,
+        out: &mut Vec<Command>,
+    ) {
+        if self.at == Some(at) && (self.standing.is_some() || !self.connecting.is_empty()) {
             return;
         }
         self.at = Some(at);
-        self.misses = 0;
-        let calls = std::mem::take(&mut self.dialing);
-        out.extend(calls.into_iter().map(|(call, _)| Output::Unfollow(call)));
-        self.call(now, timers, out);
+        self.failures = 0;
+        let calls = std::mem::take(&mut self.connecting);
+        out.extend(calls.into_iter().map(|(call, _)| Command::CloseList(call)));
+        self.connect(now, timers, out);
     }
 
     /// Begins a call; the one that stood is over.
-    fn call(&mut self, now: Micros, timers: &mut Timers<Due>, out: &mut Vec<Output>) {
+    fn connect(&mut self, now: Micros, timers: &mut Timers<Timer>, out: &mut Vec<Command>) {
         let Some(at) = self.at else { return };
-        out.extend(self.standing.take().map(Output::Unfollow));
-        if self.dialing.len() >= MOST_CALLS {
-            out.extend(self.dialing.remove(1).map(|(call, _)| Output::Unfollow(call)));
+        out.extend(self.standing.take().map(Command::CloseList));
+        if self.connecting.len() >= MAX_CONNECTS {
+            out.extend(self.connecting.remove(1).map(|(call, _)| Command::CloseList(call)));
         }
         self.call += 1;
-        self.dialing.push_back((self.call, now));
+        self.connecting.push_back((self.call, now));
         let text = format!("list: call {} to {at} after event {}", self.call, self.last);
-        out.push(Output::Log(Level::Debug, text));
-        out.push(Output::Follow(self.call, at, self.last));
-        self.look_at(now + self.between_calls, timers);
+        out.push(Command::Log(Level::Debug, text));
+        out.push(Command::ConnectList(self.call, at, self.last));
+        self.arm(now + self.reconnect_interval, timers);
     }
 
-    fn look_at(&mut self, at: Micros, timers: &mut Timers<Due>) {
+    fn arm(&mut self, at: Micros, timers: &mut Timers<Timer>) {
         if let Some(before) = self.due.replace(at) {
-            timers.unset(before, Due::List);
+            timers.unset(before, Timer::ListWatch);
         }
-        timers.set(at, Due::List);
+        timers.set(at, Timer::ListWatch);
     }
 
     /// The call stands: the others are over.
-    pub fn up(&mut self, now: Micros, call: u64, timers: &mut Timers<Due>, out: &mut Vec<Output>) {
-        if self.dialing.iter().all(|(other, _)| *other != call) {
+    pub fn connected(&mut self, now: Micros, call: u64, timers: &mut Timers<Timer>, out: &mut Vec<Command>) {
+        if self.connecting.iter().all(|(other, _)| *other != call) {
             return;
         }
-        let calls = std::mem::take(&mut self.dialing);
+        let calls = std::mem::take(&mut self.connecting);
         let others = calls.into_iter().map(|(other, _)| other).filter(|other| *other != call);
-        out.extend(self.standing.replace(call).into_iter().chain(others).map(Output::Unfollow));
-        (self.heard, self.told_once) = (now, false);
-        self.look_at(now + SILENT, timers);
+        out.extend(self.standing.replace(call).into_iter().chain(others).map(Command::CloseList));
+        (self.heard, self.heard_on_call) = (now, false);
+        self.arm(now + SILENCE_TIMEOUT, timers);
     }
 
     /// It broke, came to nothing, or cannot be read.
-    pub fn down(&mut self, now: Micros, call: u64, timers: &mut Timers<Due>) {
-        let known = self.dialing.len();
-        self.dialing.retain(|(other, _)| *other != call);
+    pub fn disconnected(&mut self, now: Micros, call: u64, timers: &mut Timers<Timer>) {
+        let known = self.connecting.len();
+        self.connecting.retain(|(other, _)| *other != call);
         if self.standing.take_if(|standing| *standing == call).is_some() {
-            self.pause(now, timers);
-        } else if self.dialing.is_empty() && known > 0 {
+            self.back_off(now, timers);
+        } else if self.connecting.is_empty() && known > 0 {
             // Sooner than the next call would begin, where that is far off.
             let due = self.due.unwrap_or(Micros::MAX);
-            self.pause(now, timers);
+            self.back_off(now, timers);
             if due < self.due.unwrap_or(Micros::MAX) {
-                self.look_at(due, timers);
+                self.arm(due, timers);
             }
         }
     }
 
     /// The next call begins after a while, which doubles with each that came to nothing. Danger: a quarter of it is
     /// drawn, since all nodes whose coordinator has gone would call in the same instant, again and again.
-    fn pause(&mut self, now: Micros, timers: &mut Timers<Due>) {
-        let longest = (FIRST_PAUSE << self.misses.min(5)).min(self.between_calls);
-        self.misses += 1;
+    fn back_off(&mut self, now: Micros, timers: &mut Timers<Timer>) {
+        let longest = (BACKOFF_START << self.failures.min(5)).min(self.reconnect_interval);
+        self.failures += 1;
         let drawn = longest / 4 * Micros::from(self.draws.next_u32() % 1024) / 1024;
-        self.look_at(now + longest - drawn, timers);
+        self.arm(now + longest - drawn, timers);
     }
 
     /// The next call is due, or the coordinator may be silent.
-    pub fn due(&mut self, now: Micros, timers: &mut Timers<Due>, out: &mut Vec<Output>) {
+    pub fn timer_fired(&mut self, now: Micros, timers: &mut Timers<Timer>, out: &mut Vec<Command>) {
         self.due = None;
-        if self.standing.is_some() && self.heard + SILENT > now {
-            return self.look_at(self.heard + SILENT, timers);
+        if self.standing.is_some() && self.heard + SILENCE_TIMEOUT > now {
+            return self.arm(self.heard + SILENCE_TIMEOUT, timers);
         }
-        while let Some((call, _)) = self.dialing.front().filter(|(_, began)| began + SILENT <= now) {
-            out.push(Output::Unfollow(*call));
-            self.dialing.pop_front();
+        while let Some((call, _)) =
+            self.connecting.front().filter(|(_, began)| began + SILENCE_TIMEOUT <= now)
+        {
+            out.push(Command::CloseList(*call));
+            self.connecting.pop_front();
         }
-        self.call(now, timers, out);
+        self.connect(now, timers, out);
     }
 
     /// A frame came; what is new in it.
-    pub fn told(
+    pub fn frame_received(
         &mut self,
         now: Micros,
         call: u64,
         frame: Frame,
-        timers: &mut Timers<Due>,
-        out: &mut Vec<Output>,
-    ) -> Option<News> {
-        if self.dialing.iter().any(|(other, _)| *other == call) {
-            self.up(now, call, timers, out);
+        timers: &mut Timers<Timer>,
+        out: &mut Vec<Command>,
+    ) -> Option<Update> {
+        if self.connecting.iter().any(|(other, _)| *other == call) {
+            self.connected(now, call, timers, out);
         }
         if self.standing != Some(call) {
             return None;
         }
         self.heard = now;
-        let first_of_call = !std::mem::replace(&mut self.told_once, true);
-        let news = match frame.told {
-            Told::Nothing if frame.number > self.last => None,
-            Told::Nothing => Some(News::Changes(Vec::new())),
+        let first_of_call = !std::mem::replace(&mut self.heard_on_call, true);
+        let update = match frame.payload {
+            Payload::Nothing if frame.number > self.last => None,
+            Payload::Nothing => Some(Update::Changes(Vec::new())),
             // What a whole list says of the last event is the state after it, as good as that event.
-            Told::Whole(lines) if frame.number == self.last && first_of_call => Some(News::Whole(lines)),
+            Payload::Whole(lines) if frame.number == self.last && first_of_call => Some(Update::Whole(lines)),
             _ if frame.number <= self.last => return None,
-            Told::Whole(lines) => Some(News::Whole(lines)),
-            Told::Changes(lines) if frame.number == self.last + 1 => Some(News::Changes(lines)),
-            Told::Changes(_) => None,
+            Payload::Whole(lines) => Some(Update::Whole(lines)),
+            Payload::Changes(lines) if frame.number == self.last + 1 => Some(Update::Changes(lines)),
+            Payload::Changes(_) => None,
         };
-        let Some(news) = news else {
+        let Some(update) = update else {
             let text = format!("list: event {} after {}, asked again", frame.number, self.last);
-            out.push(Output::Log(Level::Warn, text));
-            if self.misses == 0 {
-                self.misses = 1;
-                self.call(now, timers, out);
+            out.push(Command::Log(Level::Warn, text));
+            if self.failures == 0 {
+                self.failures = 1;
+                self.connect(now, timers, out);
             } else {
                 // Danger: one that never tells what is missing would be called without a pause.
-                out.extend(self.standing.take().map(Output::Unfollow));
-                self.pause(now, timers);
+                out.extend(self.standing.take().map(Command::CloseList));
+                self.back_off(now, timers);
             }
             return None;
         };
-        self.misses = 0;
-        let empty = matches!(&news, News::Changes(lines) if lines.is_empty());
+        self.failures = 0;
+        let empty = matches!(&update, Update::Changes(lines) if lines.is_empty());
         self.last = self.last.max(frame.number);
-        let first = !std::mem::replace(&mut self.fresh, true);
-        (first || !empty).then_some(news)
+        let first = !std::mem::replace(&mut self.synced, true);
+        (first || !empty).then_some(update)
     }
 }
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -1,23 +1,23 @@
 //! A front node as state, with no I/O, clock or thread: told what comes, it answers with what is to be done.
 //!
-//! [`Core::handle`] takes the time and one [`Input`]; [`Core::next_due`] tells when it must be called again. All
+//! [`Core::handle`] takes the time and one [`NodeEvent`]; [`Core::next_due`] tells when it must be called again. All
 //! decisions are asked of a [`Decider`], which is [`salttally::brain::Brain`] in service. The lock on one answer, one
 //! attempt and single effects is the session's own, [`salttally_front::core::session`], as for every other entry.
 //!
 //! - [`mod@self`]: the state, and what the decider's actions become.
-//! - `viewers`: requests, give-ups and ends by viewers; the one answer.
-//! - `boxes`: what boxes say of set-ups and of what stands.
-//! - [`pool`]: connections to boxes, each with many set-ups; what the end of one proves.
-//! - [`health`]: whether a box that holds sessions is there.
+//! - `clients`: requests, give-ups and ends by clients; the one answer.
+//! - `servers`: what servers say of set-ups and of what stands.
+//! - [`pool`]: connections to servers, each with many set-ups; what the end of one proves.
+//! - [`health`]: whether a media server that holds sessions is there.
 //! - [`list_watch`]: the numbered events of the list.
-//! - [`admission`]: which viewer connections are kept, and which make room.
+//! - [`admission`]: which client connections are kept, and which make room.
 
 pub mod admission;
-mod boxes;
+mod clients;
 pub mod health;
 pub mod list_watch;
 pub mod pool;
-mod viewers;
+mod servers;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -34,117 +34,117 @@
 use crate::wire::{cause, code, kind, Message};
 use admission::Admission;
 use health::{Health, Verdict};
-use list_watch::{ListWatch, News};
+use list_watch::{ListWatch, Update};
 use pool::{Pool, Withdrawn};
 
 /// What a front node hears.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Input {
-    /// A viewer's connection was accepted.
-    Joined(ClientId),
+pub enum NodeEvent {
+    /// A client's connection was accepted.
+    ClientConnected(ClientId),
     /// A message on it.
-    Said(ClientId, Message),
+    ClientMessage(ClientId, Message),
     /// It cannot be read any further.
-    Garbled(ClientId),
+    ClientUnreadable(ClientId),
     /// It was broken or reset: nothing reaches its peer any more.
-    Left(ClientId),
+    ClientClosed(ClientId),
     /// Its peer writes no more, and perhaps reads on.
-    HalfClosed(ClientId),
+    ClientHalfClosed(ClientId),
     /// A dial ended.
-    Dialed(ConnId, Result<(), DialError>),
-    /// A box's message.
-    Heard(ConnId, Message),
-    /// Messages of a box that came in one read, in order.
-    HeardAll(ConnId, Vec<Message>),
-    /// A box's connection has closed.
-    Closed(ConnId),
+    ConnectEnded(ConnId, Result<(), DialError>),
+    /// A media server's message.
+    ServerMessage(ConnId, Message),
+    /// Messages of a media server that came in one read, in order.
+    ServerMessages(ConnId, Vec<Message>),
+    /// A media server's connection has closed.
+    ServerClosed(ConnId),
     /// It cannot be read any further.
-    Spoilt(ConnId),
+    ServerUnreadable(ConnId),
     /// It takes nothing now: of the message of this session a part was written, of these not a byte.
-    Stalled(ConnId, Option<u64>, Vec<Message>),
+    ServerBlocked(ConnId, Option<u64>, Vec<Message>),
     /// It takes something again.
-    Writable(ConnId),
+    ServerWritable(ConnId),
     /// A connection to the coordinator stands.
-    ListUp(u64),
+    ListConnected(u64),
     /// A frame on it.
-    Told(u64, Frame),
+    ListFrame(u64, Frame),
     /// It broke, or could not be made or read.
-    ListDown(u64),
+    ListClosed(u64),
     /// The list is told at another address from now on.
-    Coordinator(SocketAddr),
+    CoordinatorMoved(SocketAddr),
     /// The process is to end.
-    End,
+    Shutdown,
     /// Something may be due by this time, at which the sockets were looked at: all that lay in them was handed in.
     Tick,
 }
 
 /// What the edge is to do.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Output {
-    /// Write to a viewer.
-    Say(ClientId, Message),
-    /// Close a viewer's connection when all is written.
-    Close(ClientId),
-    /// Connect to a box.
-    Dial(ConnId, SocketAddr),
-    /// Write to a box.
-    Send(ConnId, Message),
-    /// Close a connection to a box: what it takes at once is written, nothing is waited for.
-    Disconnect(ConnId),
+pub enum Command {
+    /// Write to a client.
+    SendToClient(ClientId, Message),
+    /// Close a client's connection when all is written.
+    CloseClient(ClientId),
+    /// Connect to a media server.
+    Connect(ConnId, SocketAddr),
+    /// Write to a media server.
+    SendToServer(ConnId, Message),
+    /// Close a connection to a media server: what it takes at once is written, nothing is waited for.
+    CloseServer(ConnId),
     /// Connect to the coordinator, and write this number.
-    Follow(u64, SocketAddr, u64),
+    ConnectList(u64, SocketAddr, u64),
     /// Close that connection.
-    Unfollow(u64),
+    CloseList(u64),
     /// A line for the operators' log.
     Log(Level, String),
     /// All that was owed is answered, and the process may end.
-    Finished,
+    Exit,
 }
 
 /// What may be due.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Due {
+pub enum Timer {
     /// An attempt runs out of time.
-    Expire(u64, u32),
+    AttemptTimeout(u64, u32),
     /// The module wants to be woken with this tag.
     Wake(u64),
     /// A session's answer is overdue.
-    Overdue(u64),
-    /// A moved viewer is no longer waited for.
-    Moved(ViewerId),
-    /// A moved session has not ended at its box.
-    Linger(u64),
+    AnswerDeadline(u64),
+    /// A moved client is no longer waited for.
+    MovedKept(ViewerId),
+    /// A moved session has not ended at its media server.
+    MoveTimeout(u64),
     /// A connection is not made in time.
-    Dial(ConnId),
-    /// A connection to a box may have been idle long enough.
-    Idle(ConnId),
-    /// A connection to a box may have taken nothing for too long.
-    Stalled(ConnId),
+    ConnectTimeout(ConnId),
+    /// A connection to a media server may have been idle long enough.
+    IdleTimeout(ConnId),
+    /// A connection to a media server may have taken nothing for too long.
+    WriteTimeout(ConnId),
     /// A probe takes too long.
-    Probe(u64),
-    /// A box that holds sessions is to be looked at.
+    ProbeTimeout(u64),
+    /// A media server that holds sessions is to be looked at.
     HealthCheck(ServerId),
-    /// A viewer's connection may have been silent long enough.
-    Silent(ClientId),
+    /// A client's connection may have been silent long enough.
+    ClientIdle(ClientId),
     /// The coordinator may be silent, or is to be called again.
-    List,
+    ListWatch,
     /// The process ends, whatever stands.
-    Ending,
+    Shutdown,
 }
 
 /// A session and what the protocol needs of it.
 #[derive(Clone, Debug)]
 pub(crate) struct Entry {
     pub session: Session,
-    /// What goes on to boxes unchanged, until it plays.
+    /// What goes on to servers unchanged, until it plays.
     pub passed: Vec<(u8, Vec<u8>)>,
     /// The connection of the attempt that is out, or by which it plays.
-    pub link: Option<ConnId>,
+    pub conn: Option<ConnId>,
     /// The connections of the attempts before, on which late words on them may still come.
     pub before: Vec<ConnId>,
     /// Since when it plays.
     pub since: Micros,
-    /// It was taken off its box by a move.
+    /// It was taken off its media server by a move.
     pub moving: bool,
 }
 
@@ -167,37 +167,37 @@
     pub attempts: u64,
     /// Sessions moved.
     pub moved: u64,
-    /// Sessions lost with their boxes.
+    /// Sessions lost with their servers.
     pub lost: u64,
     /// Sessions handed over at a start.
     pub resumed: u64,
     /// Actions of the decider that the lock stopped.
     pub stopped: u64,
-    /// Connections to boxes that could not be read any further.
-    pub spoilt: u64,
-    /// Connections to boxes that were dialled: for set-ups, for anything else that is told, and for looks at boxes.
+    /// Connections to servers that could not be read any further.
+    pub unreadable: u64,
+    /// Connections to servers that were dialled: for set-ups, for anything else that is told, and for looks at servers.
     pub dials: [u64; 3],
 }
 
-/// A moved viewer is waited for so long.
-const MOVED_KEPT: Micros = 30_000_000;
-/// A moved session that its box has not ended by then is ended there.
-const MOVE_LINGERS: Micros = 400_000;
+/// A moved client is waited for so long.
+const MOVED_CLIENT_KEPT: Micros = 30_000_000;
+/// A moved session that its media server has not ended by then is ended there.
+const MOVE_TIMEOUT: Micros = 400_000;
 /// Requests go on coming for so long after the word to end.
-const STILL_COME: Micros = 800_000;
+const REQUESTS_STILL_COME: Micros = 800_000;
 /// The kill comes no sooner than so long after the longest patience.
-const KILL: Micros = 700_000;
+const KILL_AFTER_PATIENCE: Micros = 700_000;
 /// What is left of that for what was written last to reach its readers.
-const LAST_WORDS: Micros = 150_000;
+const FLUSH_BEFORE_KILL: Micros = 150_000;
 /// A front node that cannot reach its coordinator serves by the list that it was started with from then on.
-const READY_WITHOUT: Micros = 3_000_000;
-/// What a viewer is owed and no connection was there for is told on the next one, if it comes within this time.
-const UNTOLD_KEPT: Micros = 8_000_000;
+const READY_WITHOUT_LIST: Micros = 3_000_000;
+/// What a client is owed and no connection was there for is told on the next one, if it comes within this time.
+const UNDELIVERED_KEPT: Micros = 8_000_000;
 /// Ends that come before the hand-over of their sessions are remembered for so long after a start, and so many.
-const EARLY: Micros = 30_000_000;
-const EARLY_MOST: usize = 4_096;
+const EARLY_ENDS_KEPT: Micros = 30_000_000;
+const MAX_EARLY_ENDS: usize = 4_096;
 /// A shorter longest patience counts as this before the kill.
-const KILLED_AFTER: Micros = 3_000_000;
+const MIN_KILL_PATIENCE: Micros = 3_000_000;
 
 /// A front node's state.
 pub struct Core<D> {
@@ -209,24 +209,24 @@
     pool: Pool,
     health: Health,
     list_watch: ListWatch,
-    boxes: BTreeMap<ServerId, SocketAddr>,
-    /// Viewers that this front moved and that have not come back.
+    servers: BTreeMap<ServerId, SocketAddr>,
+    /// Clients that this front moved and that have not come back.
     moved: BTreeMap<ViewerId, Micros>,
     probes: BTreeMap<u64, (ServerId, ConnId)>,
     next_probe: u64,
-    timers: Timers<Due>,
+    timers: Timers<Timer>,
     events: VecDeque<Event>,
     /// What the list says, and what ended by it: heard ahead of all else.
     list_events: VecDeque<Event>,
     /// When the process began.
     began: Micros,
     /// What no connection was there for, and until when it is of use.
-    untold: VecDeque<(Micros, Message)>,
-    /// Sessions that their boxes ended before they were handed over.
-    early: BTreeMap<u64, (ServerId, Message)>,
-    ending: Option<Micros>,
+    undelivered: VecDeque<(Micros, Message)>,
+    /// Sessions that their servers ended before they were handed over.
+    early_ends: BTreeMap<u64, (ServerId, Message)>,
+    shutdown_since: Option<Micros>,
     /// Everything is released and this is waited for no longer, for what is released to go out.
-    closing: Option<Micros>,
+    releasing_until: Option<Micros>,
     finished: bool,
     counts: Counts,
 }
@@ -247,7 +247,7 @@
             pool,
             health,
             list_watch,
-            boxes: BTreeMap::new(),
+            servers: BTreeMap::new(),
             moved: BTreeMap::new(),
             probes: BTreeMap::new(),
             next_probe: 0,
@@ -255,10 +255,10 @@
             events: VecDeque::new(),
             list_events: VecDeque::new(),
             began: now,
-            untold: VecDeque::new(),
-            early: BTreeMap::new(),
-            ending: None,
-            closing: None,
+            undelivered: VecDeque::new(),
+            early_ends: BTreeMap::new(),
+            shutdown_since: None,
+            releasing_until: None,
             finished: false,
             counts: Counts::default(),
         }
@@ -271,12 +271,12 @@
         known: Vec<Listed>,
         index: u64,
         at: SocketAddr,
-        out: &mut Vec<Output>,
+        out: &mut Vec<Command>,
     ) {
         self.now = self.now.max(now);
-        self.list(ListKind::Remembered, known, out);
+        self.list_update(ListKind::Remembered, known, out);
         self.list_watch.begin(self.now, index, at, &mut self.timers, out);
-        self.settle(out);
+        self.deliver_events(out);
     }
 
     /// Who decides.
@@ -284,21 +284,22 @@
         &self.decider
     }
 
-    /// For each box of the list: its connections, sessions that play there, set-ups that are out, and when it was last
+    /// For each media server of the list: its connections, sessions that play there, set-ups that are out, and when
+    /// it was last
     /// heard of if it is watched. To be held against what crosses the sockets and what the module believes.
     pub fn ledger(&self) -> BTreeMap<ServerId, (Vec<ConnId>, i32, i32, Option<Micros>)> {
-        let mut boxes: BTreeMap<_, _> =
-            self.boxes.keys().map(|id| (*id, (self.pool.of(*id), 0, 0, None))).collect();
+        let mut servers: BTreeMap<_, _> =
+            self.servers.keys().map(|id| (*id, (self.pool.connections_to(*id), 0, 0, None))).collect();
         for entry in self.sessions.values() {
             let Some(at) = entry.session.at() else { continue };
-            let Some(row) = boxes.get_mut(&at.server) else { continue };
+            let Some(row) = servers.get_mut(&at.server) else { continue };
             let plays = i32::from(entry.session.playing().is_some());
             (row.1, row.2) = (row.1 + plays, row.2 + 1 - plays);
         }
-        for (id, _, heard) in self.health.believed() {
-            boxes.entry(id).and_modify(|row| row.3 = Some(heard));
+        for (id, _, heard) in self.health.states() {
+            servers.entry(id).and_modify(|row| row.3 = Some(heard));
         }
-        boxes
+        servers
     }
 
     /// When something is due next.
@@ -311,73 +312,77 @@
         Counts { dials: self.pool.dials(), ..self.counts }
     }
 
-    /// Sessions in hand, those that play, viewer connections, connections to boxes, timers.
+    /// Sessions in hand, those that play, client connections, connections to servers, timers.
     pub fn held(&self) -> [usize; 5] {
         let playing = self.sessions.values().filter(|entry| entry.session.playing().is_some()).count();
         [self.sessions.len(), playing, self.admission.len(), self.pool.len(), self.timers.len()]
     }
 
-    /// Whether it can serve: a server is known, and the list was heard or has not come for long. Danger: a start while the
+    /// Whether it can serve: a server is known, and the list was heard or has not come for long. Danger: a start
+    /// while the
     /// coordinator is down would be out of service for as long; one that knows no server would be given clients and
     /// serve none of them.
     pub fn ready(&self) -> bool {
-        let heard = self.list_watch.fresh() || self.now >= self.began + READY_WITHOUT;
-        heard && !self.boxes.is_empty() && self.ending.is_none()
+        let heard = self.list_watch.synced() || self.now >= self.began + READY_WITHOUT_LIST;
+        heard && !self.servers.is_empty() && self.shutdown_since.is_none()
     }
 
     /// Whether the process was told to end.
-    pub fn is_ending(&self) -> bool {
-        self.ending.is_some()
+    pub fn is_shutting_down(&self) -> bool {
+        self.shutdown_since.is_some()
     }
 
     /// Takes in one input; what is to be done is added to `out`, in order. The decider hears of it by [`Core::decide`],
-    /// or at the next tick. What is due is done at [`Input::Tick`] alone. Danger: a process that was stopped, or had no
+    /// or at the next tick. What is due is done at [`NodeEvent::Tick`] alone. Danger: a process that was stopped, or
+    /// had no
     /// processor for a while, finds answers in its sockets and time-outs in its queue; were the time-outs looked at
     /// between two inputs, set-ups that stand would be taken back. The edge hands in what waits in the sockets, and
     /// then a tick with the time of its look at them: it may be stopped between the two as well.
-    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+    pub fn handle(&mut self, now: Micros, input: NodeEvent, out: &mut Vec<Command>) {
         self.now = self.now.max(now);
         match input {
-            Input::Joined(client) => self.joined(client, out),
-            Input::Said(client, message) => self.said(client, message, out),
-            Input::Garbled(client) => self.cut(client, out),
-            Input::Left(client) => self.client_left(client, out),
+            NodeEvent::ClientConnected(client) => self.client_connected(client, out),
+            NodeEvent::ClientMessage(client, message) => self.client_message(client, message, out),
+            NodeEvent::ClientUnreadable(client) => self.close_client(client, out),
+            NodeEvent::ClientClosed(client) => self.client_closed(client, out),
             // Whoever asked has gone or waits for no more than what is owed: it is answered, and nothing is sent on.
-            Input::HalfClosed(client) => self.cut(client, out),
-            Input::Dialed(link, result) => self.dialed(link, result, out),
-            Input::Heard(link, message) => self.heard(link, message, out),
-            Input::HeardAll(link, messages) => self.heard_all(link, messages, out),
-            Input::Closed(link) => self.link_closed(link, out),
-            Input::Spoilt(link) => self.spoilt(link, out),
-            Input::Stalled(link, cut, unsent) => {
-                self.pool.stalled(self.now, link, cut, unsent, &mut self.timers);
+            NodeEvent::ClientHalfClosed(client) => self.close_client(client, out),
+            NodeEvent::ConnectEnded(conn, result) => self.connect_ended(conn, result, out),
+            NodeEvent::ServerMessage(conn, message) => self.server_message(conn, message, out),
+            NodeEvent::ServerMessages(conn, messages) => self.server_messages(conn, messages, out),
+            NodeEvent::ServerClosed(conn) => self.connection_closed(conn, out),
+            NodeEvent::ServerUnreadable(conn) => self.server_unreadable(conn, out),
+            NodeEvent::ServerBlocked(conn, cut, unsent) => {
+                self.pool.blocked(self.now, conn, cut, unsent, &mut self.timers);
             }
-            Input::Writable(link) => self.pool.takes_again(link, out),
-            Input::ListUp(number) => self.list_watch.up(self.now, number, &mut self.timers, out),
-            Input::Told(number, frame) => {
-                match self.list_watch.told(self.now, number, frame, &mut self.timers, out) {
-                    Some(News::Whole(lines)) => self.list(ListKind::Whole, lines, out),
-                    Some(News::Changes(lines)) => self.list(ListKind::Changes, lines, out),
+            NodeEvent::ServerWritable(conn) => self.pool.writable(conn, out),
+            NodeEvent::ListConnected(number) => {
+                self.list_watch.connected(self.now, number, &mut self.timers, out)
+            }
+            NodeEvent::ListFrame(number, frame) => {
+                match self.list_watch.frame_received(self.now, number, frame, &mut self.timers, out) {
+                    Some(Update::Whole(lines)) => self.list_update(ListKind::Whole, lines, out),
+                    Some(Update::Changes(lines)) => self.list_update(ListKind::Changes, lines, out),
                     None => {}
                 }
             }
-            Input::ListDown(number) => self.list_watch.down(self.now, number, &mut self.timers),
-            Input::Coordinator(at) => self.list_watch.turn_to(self.now, at, &mut self.timers, out),
-            Input::End => {
-                if self.ending.is_none() {
-                    self.ending = Some(self.now);
-                    self.timers.set(self.now + STILL_COME, Due::Ending);
-                    self.timers.set(self.ends_by(self.now), Due::Ending);
+            NodeEvent::ListClosed(number) => self.list_watch.disconnected(self.now, number, &mut self.timers),
+            NodeEvent::CoordinatorMoved(at) => self.list_watch.follow(self.now, at, &mut self.timers, out),
+            NodeEvent::Shutdown => {
+                if self.shutdown_since.is_none() {
+                    self.shutdown_since = Some(self.now);
+                    self.timers.set(self.now + REQUESTS_STILL_COME, Timer::Shutdown);
+                    self.timers.set(self.shutdown_deadline(self.now), Timer::Shutdown);
                 }
             }
-            Input::Tick => {
-                self.settle(out);
+            NodeEvent::Tick => {
+                self.deliver_events(out);
                 // By the time when the sockets were looked at, which may lie back.
                 while let Some(due) = self.timers.pop(now) {
-                    self.due(due, out);
-                    self.settle(out);
+                    self.timer_fired(due, out);
+                    self.deliver_events(out);
                 }
-                self.look_at_end(now, out);
+                self.check_shutdown(now, out);
             }
         }
     }
@@ -387,60 +392,61 @@
     /// or have cancelled on any connection, or have gone while a media server turned its request away, and what says so
     /// may lie unread behind other bytes, for as long as the process was stopped; and while the decider looks at all
     /// that it holds, a client waits on for an answer that has come.
-    pub fn decide(&mut self, now: Micros, out: &mut Vec<Output>) {
+    pub fn decide(&mut self, now: Micros, out: &mut Vec<Command>) {
         self.now = self.now.max(now);
-        self.settle(out);
+        self.deliver_events(out);
     }
 
     /// The process ends when no more requests come and none is owed its answer: all that stands is released, and when
     /// that has gone out it has ended. Looked at by ticks alone, when the sockets have been read. Danger: ended sooner,
     /// a request that waits in a socket is lost, or a session plays on for nobody; later, the kill finds it.
-    fn look_at_end(&mut self, now: Micros, out: &mut Vec<Output>) {
-        let Some(since) = self.ending.filter(|_| !self.finished) else { return };
+    fn check_shutdown(&mut self, now: Micros, out: &mut Vec<Command>) {
+        let Some(since) = self.shutdown_since.filter(|_| !self.finished) else { return };
         let owed = self.sessions.values().any(|entry| entry.session.owed());
-        let quiet = now >= since + STILL_COME && !owed;
-        if self.closing.is_none() && (quiet || now >= self.ends_by(since)) {
-            let by = (self.now + self.facts.connect_within).min(self.killed_at(since) - LAST_WORDS);
-            self.closing = Some(by);
-            self.timers.set(by, Due::Ending);
+        let quiet = now >= since + REQUESTS_STILL_COME && !owed;
+        if self.releasing_until.is_none() && (quiet || now >= self.shutdown_deadline(since)) {
+            let by =
+                (self.now + self.facts.connect_within).min(self.earliest_kill(since) - FLUSH_BEFORE_KILL);
+            self.releasing_until = Some(by);
+            self.timers.set(by, Timer::Shutdown);
         }
-        let Some(by) = self.closing else { return };
+        let Some(by) = self.releasing_until else { return };
         for id in self.sessions.keys().copied().collect::<Vec<_>>() {
-            self.end_at_end(id, out);
+            self.end_for_shutdown(id, out);
         }
-        self.settle(out);
-        if !self.pool.waits() || now >= by {
+        self.deliver_events(out);
+        if !self.pool.has_unsent() || now >= by {
             self.finished = true;
-            out.push(Output::Finished);
+            out.push(Command::Exit);
         }
     }
 
     /// The latest end of what is owed in a process that was told to end then.
-    fn ends_by(&self, since: Micros) -> Micros {
-        self.killed_at(since) - KILL + STILL_COME / 2
+    fn shutdown_deadline(&self, since: Micros) -> Micros {
+        self.earliest_kill(since) - KILL_AFTER_PATIENCE + REQUESTS_STILL_COME / 2
     }
 
     /// The kill comes no sooner than this.
-    fn killed_at(&self, since: Micros) -> Micros {
-        since + self.facts.longest_patience.max(KILLED_AFTER) + KILL
+    fn earliest_kill(&self, since: Micros) -> Micros {
+        since + self.facts.longest_patience.max(MIN_KILL_PATIENCE) + KILL_AFTER_PATIENCE
     }
 
     // ---- The decider's actions ----
 
-    fn settle(&mut self, out: &mut Vec<Output>) {
+    fn deliver_events(&mut self, out: &mut Vec<Command>) {
         let mut actions = Vec::new();
         while let Some(event) = self.list_events.pop_front().or_else(|| self.events.pop_front()) {
-            if let Some(text) = trouble(&event) {
-                out.push(Output::Log(Level::Debug, text));
+            if let Some(text) = log_line(&event) {
+                out.push(Command::Log(Level::Debug, text));
             }
             self.decider.handle(self.now, &event, &mut actions);
             for action in actions.drain(..) {
-                self.carry_out(action, out);
+                self.execute(action, out);
             }
         }
     }
 
-    fn carry_out(&mut self, action: Action, out: &mut Vec<Output>) {
+    fn execute(&mut self, action: Action, out: &mut Vec<Command>) {
         match action {
             Action::SetUp(id, server, time_out) => self.set_up(number(&id), server, time_out, out),
             Action::SetRung(id, rung) => self.set_rung(number(&id), rung, out),
@@ -450,14 +456,14 @@
             Action::Probe(server) => self.probe(server, out),
             // The list is followed from the start, whatever the module asks for.
             Action::FollowList => {}
-            Action::WakeAt(tag, at) => self.timers.set(at, Due::Wake(tag)),
-            Action::Log(text) => out.push(Output::Log(Level::Info, text)),
+            Action::WakeAt(tag, at) => self.timers.set(at, Timer::Wake(tag)),
+            Action::Log(text) => out.push(Command::Log(Level::Info, text)),
         }
     }
 
-    /// The decider is told that a viewer has gone. A request that it has not heard of, it never hears of; of an attempt
+    /// The decider is told that a client has gone. A request that it has not heard of, it never hears of; of an attempt
     /// whose end it has not heard of, it hears that no other is to follow.
-    fn gone(&mut self, id: u64) {
+    fn client_gone(&mut self, id: u64) {
         let of = name(id);
         let asked = |event: &Event| matches!(event, Event::Request(request) if request.session == of);
         if let Some(at) = self.events.iter().position(asked) {
@@ -475,13 +481,13 @@
         self.events.push_back(Event::Left(of));
     }
 
-    fn stopped(&mut self, what: &str, id: u64, out: &mut Vec<Output>) {
+    fn stopped(&mut self, what: &str, id: u64, out: &mut Vec<Command>) {
         self.counts.stopped += 1;
-        out.push(Output::Log(Level::Warn, format!("stopped {what} for session {id:016x}")));
+        out.push(Command::Log(Level::Warn, format!("stopped {what} for session {id:016x}")));
     }
 
-    fn set_up(&mut self, id: u64, server: ServerId, time_out: Micros, out: &mut Vec<Output>) {
-        let address = self.boxes.get(&server).copied();
+    fn set_up(&mut self, id: u64, server: ServerId, time_out: Micros, out: &mut Vec<Command>) {
+        let address = self.servers.get(&server).copied();
         let Some(entry) = self.sessions.get_mut(&id) else {
             return self.stopped("a set-up of no session here", id, out);
         };
@@ -500,7 +506,7 @@
             self.events.push_back(Event::Ended { session, attempt, server, outcome, last, report });
             return self.stopped("a set-up that must not be", id, out);
         };
-        // No time-out of the module's means until the viewer gives up; none reaches past that.
+        // No time-out of the module's means until the client gives up; none reaches past that.
         let whole = session.deadline - self.now;
         let time_out = if time_out == 0 { whole } else { time_out.min(whole) };
         let (expires, rung) = (self.now + time_out, session.wanted);
@@ -511,15 +517,15 @@
         let message =
             message.with(code::WAIT, (time_out / 1000).max(1).to_string()).with(code::RUNG, rung.to_string());
         self.counts.attempts += 1;
-        self.timers.set(expires, Due::Expire(id, number));
+        self.timers.set(expires, Timer::AttemptTimeout(id, number));
         let to = (server, address);
-        entry.link = self.pool.set_up(self.now, to, message, &entry.before, &mut self.timers, out);
-        if entry.link.is_none() {
+        entry.conn = self.pool.set_up(self.now, to, message, &entry.before, &mut self.timers, out);
+        if entry.conn.is_none() {
             self.attempt_ended(id, Outcome::NoConnection, Vec::new());
         }
     }
 
-    fn set_rung(&mut self, id: u64, rung: usize, out: &mut Vec<Output>) {
+    fn set_rung(&mut self, id: u64, rung: usize, out: &mut Vec<Command>) {
         let Some(entry) = self.sessions.get_mut(&id) else { return };
         let session = &mut entry.session;
         if !session.in_terms(rung, self.facts.settings.classes.get(session.opening.class)) {
@@ -531,11 +537,11 @@
             return;
         }
         playing.attempt.rung = rung;
-        self.tell_box(id, Message::new(kind::RUNG, id).with(code::RUNG, rung.to_string()), out);
+        self.tell_server(id, Message::new(kind::RUNG, id).with(code::RUNG, rung.to_string()), out);
     }
 
-    /// The viewer is told to come again, which ends the session at its box too.
-    fn move_away(&mut self, id: u64, out: &mut Vec<Output>) {
+    /// The client is told to come again, which ends the session at its media server too.
+    fn move_away(&mut self, id: u64, out: &mut Vec<Command>) {
         let playing = self.sessions.get_mut(&id).filter(|entry| entry.session.playing().is_some());
         let Some(entry) = playing.filter(|entry| !entry.moving) else {
             return self.stopped("a move of what does not play", id, out);
@@ -543,28 +549,28 @@
         entry.moving = true;
         self.counts.moved += 1;
         let (client, viewer) = (entry.session.client.map(|(client, _)| client), entry.session.opening.viewer);
-        let until = self.now + MOVED_KEPT;
+        let until = self.now + MOVED_CLIENT_KEPT;
         if let Some(before) = self.moved.insert(viewer, until) {
-            self.timers.unset(before, Due::Moved(viewer));
+            self.timers.unset(before, Timer::MovedKept(viewer));
         }
-        self.timers.set(until, Due::Moved(viewer));
-        self.timers.set(self.now + MOVE_LINGERS, Due::Linger(id));
-        self.say(client, Message::new(kind::MOVE, id), out);
+        self.timers.set(until, Timer::MovedKept(viewer));
+        self.timers.set(self.now + MOVE_TIMEOUT, Timer::MoveTimeout(id));
+        self.tell_client(client, Message::new(kind::MOVE, id), out);
     }
 
-    fn probe(&mut self, server: ServerId, out: &mut Vec<Output>) {
-        let Some(address) = self.boxes.get(&server).copied() else {
+    fn probe(&mut self, server: ServerId, out: &mut Vec<Command>) {
+        let Some(address) = self.servers.get(&server).copied() else {
             let (outcome, report) = (Outcome::NotSent, Vec::new());
             return self.events.push_back(Event::Probed { server, outcome, report });
         };
         self.next_probe += 1;
         let id = self.next_probe;
         let message = Message::new(kind::TEST, id).with(code::CAUSE, [1]);
-        let sent = self.pool.tell(self.now, (server, address), None, message, &mut self.timers, out);
+        let sent = self.pool.send(self.now, (server, address), None, message, &mut self.timers, out);
         match sent {
-            Some(link) => {
-                self.probes.insert(id, (server, link));
-                self.timers.set(self.now + self.facts.connect_within, Due::Probe(id));
+            Some(conn) => {
+                self.probes.insert(id, (server, conn));
+                self.timers.set(self.now + self.facts.connect_within, Timer::ProbeTimeout(id));
             }
             None => {
                 let (outcome, report) = (Outcome::NoConnection, Vec::new());
@@ -575,15 +581,16 @@
 
     // ---- List ----
 
-    /// Danger: a request, or a refusal that a further attempt follows, may be read ahead of a drain that was announced long
+    /// Danger: a request, or a refusal that a further attempt follows, may be read ahead of a drain that was
+    /// announced long
     /// before, when a process goes on after a stop or the list is long. The decider hears of the list before either.
-    fn list(&mut self, kind: ListKind, lines: Vec<Listed>, out: &mut Vec<Output>) {
+    fn list_update(&mut self, kind: ListKind, lines: Vec<Listed>, out: &mut Vec<Command>) {
         let lines = last_of_each(lines);
         let (ahead, behind): (Vec<_>, Vec<_>) =
             self.events.drain(..).partition(|event| !may_be_placed(event));
         self.events = std::mem::take(&mut self.list_events);
         self.events.extend(ahead);
-        let mut gone = gone(kind, &lines, self.boxes.keys());
+        let mut gone = gone(kind, &lines, self.servers.keys());
         let (mut draining, mut elsewhere) = (Vec::new(), Vec::new());
         for line in &lines {
             let id = line.entry.server;
@@ -593,26 +600,26 @@
             if line.entry.state == ServerState::Draining {
                 draining.push(id);
             }
-            let before = self.boxes.insert(id, line.address);
+            let before = self.servers.insert(id, line.address);
             if before.is_some_and(|before| before != line.address) {
                 elsewhere.push(id);
             }
             if let (Some(started), true) = (line.entry.started, kind != ListKind::Remembered) {
                 // Another process: what the one before played is cut.
-                self.lost_where(id, |entry| entry.since < started, out);
+                self.end_lost_sessions(id, |entry| entry.since < started, out);
             }
         }
         for id in &gone {
-            self.boxes.remove(id);
-            self.lost_where(*id, |_| true, out);
+            self.servers.remove(id);
+            self.end_lost_sessions(*id, |_| true, out);
         }
         let entries = lines.into_iter().map(|line| line.entry).collect();
         self.events.push_back(Event::Servers(kind, entries));
         self.list_events = std::mem::replace(&mut self.events, behind.into());
-        // What is taken off a box now must not be sent there again.
+        // What is taken off a media server now must not be sent there again.
         gone.extend(elsewhere);
         for id in gone {
-            self.forget_links(id, out);
+            self.drop_connections(id, out);
         }
         for id in draining.into_iter().flat_map(|id| self.pool.unsent(id)).collect::<Vec<_>>() {
             self.withdraw(id, false, out);
@@ -622,42 +629,42 @@
 
     // ---- Time ----
 
-    fn due(&mut self, due: Due, out: &mut Vec<Output>) {
+    fn timer_fired(&mut self, due: Timer, out: &mut Vec<Command>) {
         match due {
-            Due::Expire(id, number) => self.expire(id, number, out),
-            Due::Wake(tag) => self.events.push_back(Event::Wake(tag)),
-            Due::Overdue(id) => self.overdue(id, out),
-            Due::Moved(viewer) => {
+            Timer::AttemptTimeout(id, number) => self.expire(id, number, out),
+            Timer::Wake(tag) => self.events.push_back(Event::Wake(tag)),
+            Timer::AnswerDeadline(id) => self.overdue(id, out),
+            Timer::MovedKept(viewer) => {
                 self.moved.remove(&viewer);
             }
-            Due::Linger(id) => self.linger(id, out),
-            Due::Dial(link) => {
-                if self.pool.dialing(link) {
-                    out.push(Output::Disconnect(link));
-                    self.dialed(link, Err(DialError::TimedOut), out);
+            Timer::MoveTimeout(id) => self.move_timed_out(id, out),
+            Timer::ConnectTimeout(conn) => {
+                if self.pool.dialing(conn) {
+                    out.push(Command::CloseServer(conn));
+                    self.connect_ended(conn, Err(DialError::TimedOut), out);
                 }
             }
-            Due::Idle(link) => self.pool.idle(self.now, link, &mut self.timers, out),
-            Due::Stalled(link) => {
-                if self.pool.is_stalled(self.now, link) {
-                    self.disconnect(link, out);
+            Timer::IdleTimeout(conn) => self.pool.idle(self.now, conn, &mut self.timers, out),
+            Timer::WriteTimeout(conn) => {
+                if self.pool.is_blocked(self.now, conn) {
+                    self.disconnect(conn, out);
                 }
             }
-            Due::Probe(id) => {
-                if let Some((server, link)) = self.probes.remove(&id) {
-                    self.pool.doubt(link);
+            Timer::ProbeTimeout(id) => {
+                if let Some((server, conn)) = self.probes.remove(&id) {
+                    self.pool.mark_suspect(conn);
                     let (outcome, report) = (Outcome::TimedOut, Vec::new());
                     self.events.push_back(Event::Probed { server, outcome, report });
                 }
             }
-            Due::HealthCheck(server) => self.check_health(server, false, out),
-            Due::Silent(client) => self.silent(client, out),
-            Due::List => self.list_watch.due(self.now, &mut self.timers, out),
-            Due::Ending => {}
+            Timer::HealthCheck(server) => self.check_health(server, false, out),
+            Timer::ClientIdle(client) => self.client_idle(client, out),
+            Timer::ListWatch => self.list_watch.timer_fired(self.now, &mut self.timers, out),
+            Timer::Shutdown => {}
         }
     }
 
-    fn expire(&mut self, id: u64, number: u32, out: &mut Vec<Output>) {
+    fn expire(&mut self, id: u64, number: u32, out: &mut Vec<Command>) {
         let Some(entry) = self.sessions.get(&id) else { return };
         if entry.session.out().is_none_or(|attempt| attempt.number != number) {
             return;
@@ -668,14 +675,14 @@
 
     /// Takes the attempt that is out back from its connection; what is then known of it. Its give-up goes out ahead
     /// of whatever follows.
-    fn withdraw(&mut self, id: u64, timed_out: bool, out: &mut Vec<Output>) -> Outcome {
-        let link = self.sessions.get_mut(&id).and_then(|entry| entry.link.take());
-        let Some(link) = link else { return Outcome::NoConnection };
-        self.sessions.entry(id).and_modify(|entry| entry.before.push(link));
-        match self.pool.withdraw(link, id, timed_out, out) {
+    fn withdraw(&mut self, id: u64, timed_out: bool, out: &mut Vec<Command>) -> Outcome {
+        let conn = self.sessions.get_mut(&id).and_then(|entry| entry.conn.take());
+        let Some(conn) = conn else { return Outcome::NoConnection };
+        self.sessions.entry(id).and_modify(|entry| entry.before.push(conn));
+        match self.pool.withdraw(conn, id, timed_out, out) {
             Withdrawn::Unsent => Outcome::NoConnection,
             Withdrawn::Cut => {
-                self.disconnect(link, out);
+                self.disconnect(conn, out);
                 Outcome::NoConnection
             }
             Withdrawn::MayHaveRun if timed_out => Outcome::TimedOut,
@@ -687,8 +694,8 @@
     fn attempt_ended(&mut self, id: u64, outcome: Outcome, report: Vec<f64>) {
         let Some(entry) = self.sessions.get_mut(&id) else { return };
         let Some(attempt) = entry.session.out().cloned() else { return };
-        entry.before.extend(entry.link.take());
-        self.timers.unset(attempt.expires, Due::Expire(id, attempt.number));
+        entry.before.extend(entry.conn.take());
+        self.timers.unset(attempt.expires, Timer::AttemptTimeout(id, attempt.number));
         let last = entry.session.attempt_ended(outcome);
         if last {
             self.drop_session(id);
@@ -699,9 +706,9 @@
 
     fn drop_session(&mut self, id: u64) {
         let Some(entry) = self.sessions.remove(&id) else { return };
-        self.timers.unset(entry.session.overdue_at(self.facts.answer_slack), Due::Overdue(id));
+        self.timers.unset(entry.session.overdue_at(self.facts.answer_slack), Timer::AnswerDeadline(id));
         if let Some((client, _)) = entry.session.client {
-            self.admission.ended(self.now, client, id, &mut self.timers);
+            self.admission.session_ended(self.now, client, id, &mut self.timers);
         }
     }
 }
@@ -715,7 +722,8 @@
     lines.into_iter().enumerate().filter(is_last).map(|(_, line)| line).collect()
 }
 
-/// Whether the decider may send a session on by what it hears here. Events of one session keep their order: what is heard
+/// Whether the decider may send a session on by what it hears here. Events of one session keep their order: what is
+/// heard
 /// of it after one of these is about the attempt that follows.
 fn may_be_placed(event: &Event) -> bool {
     let is_over = |event: &Event| matches!(event, Event::Ended { last: true, .. } | Event::Left(_));
@@ -725,14 +733,14 @@
 }
 
 /// What of an event is worth a line at debug: attempts and probes that did not end well.
-fn trouble(event: &Event) -> Option<String> {
+fn log_line(event: &Event) -> Option<String> {
     match event {
         Event::Ended { session, attempt, server, outcome, last, .. } if *outcome != Outcome::Ok => {
             let more = if *last { ", over" } else { "" };
-            Some(format!("box s-{:08x}: {outcome:?}, attempt {attempt} of {}{more}", server.0, session.0))
+            Some(format!("server s-{:08x}: {outcome:?}, attempt {attempt} of {}{more}", server.0, session.0))
         }
         Event::Probed { server, outcome, .. } if *outcome != Outcome::Ok => {
-            Some(format!("box s-{:08x}: probe {outcome:?}", server.0))
+            Some(format!("server s-{:08x}: probe {outcome:?}", server.0))
         }
         _ => None,
     }
--- a/crates/platform/src/core/pool.rs
+++ b/crates/platform/src/core/pool.rs
@@ -1,4 +1,4 @@
-//! Connections to boxes. One carries many set-ups; what stands belongs to none. What the end of a connection proves
+//! Connections to servers. One carries many set-ups; what stands belongs to none. What the end of a connection proves
 //! of the set-ups on it is told here and nowhere else.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -8,18 +8,19 @@
 use salttally::interface::{Micros, ServerId};
 use salttally_front::core::timers::Timers;
 
-use super::{ConnId, Due, Output};
+use super::{Command, ConnId, Timer};
 use crate::wire::{cause, kind, Message};
 
-/// Of the box's own time, after which an idle connection is closed here: before the box does, so that no set-up is
+/// Of the media server's own time, after which an idle connection is closed here: before the media server does, so
+/// that no set-up is
 /// written into one that it is closing.
-const IDLE_PART: (Micros, Micros) = (1, 3);
-/// Connections to one box at most.
-const MOST_TO_A_BOX: usize = 6;
+const IDLE_SHARE: (Micros, Micros) = (1, 3);
+/// Connections to one media server at most.
+const MAX_PER_SERVER: usize = 6;
 /// Messages that wait for one connection at most; set-ups are bounded by what it carries.
-const MOST_WAITING: usize = 1_024;
+const MAX_UNSENT: usize = 1_024;
 /// A connection that takes nothing for this long is of no more use.
-const STALLED: Micros = 2_000_000;
+const WRITE_TIMEOUT: Micros = 2_000_000;
 
 /// Whether a connection takes what is to be written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,33 +30,33 @@
     /// It does.
     Open,
     /// Its peer reads nothing: this session's message is cut in the middle, and since when it is so.
-    Stalled(Option<u64>, Micros),
+    Blocked(Option<u64>, Micros),
 }
 
 #[derive(Clone, Debug)]
-struct Link {
+struct Connection {
     server: ServerId,
     address: SocketAddr,
     state: State,
     /// What no byte of which has been written, in order.
-    waiting: VecDeque<Message>,
+    unsent: VecDeque<Message>,
     /// Set-ups that are out on it.
-    out: BTreeSet<u64>,
+    in_flight: BTreeSet<u64>,
     heard: Micros,
     used: Micros,
     /// Something was awaited on it in vain: nothing new is put on it.
-    doubted: bool,
+    suspect: bool,
 }
 
-impl Link {
+impl Connection {
     /// Whether this session's set-up waits, with not a byte written.
     fn waits(&self, session: u64) -> bool {
-        self.waiting.iter().any(|message| message.kind == kind::SET_UP && message.session == session)
+        self.unsent.iter().any(|message| message.kind == kind::SET_UP && message.session == session)
     }
 
     /// Sessions whose set-ups wait.
     fn unsent(&self) -> Vec<u64> {
-        self.out.iter().copied().filter(|session| self.waits(*session)).collect()
+        self.in_flight.iter().copied().filter(|session| self.waits(*session)).collect()
     }
 }
 
@@ -63,7 +64,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ended {
     /// Which one.
-    pub link: ConnId,
+    pub conn: ConnId,
     /// Set-ups that may have run.
     pub set_ups: Vec<u64>,
     /// Set-ups of which not a byte was written.
@@ -83,16 +84,16 @@
 
 /// What a connection is dialled for.
 #[derive(Clone, Copy, Debug)]
-enum For {
+enum Purpose {
     SetUp,
-    Word,
+    Message,
     HealthCheck,
 }
 
-/// All connections to boxes.
+/// All connections to servers.
 #[derive(Clone, Debug)]
 pub struct Pool {
-    links: BTreeMap<ConnId, Link>,
+    connections: BTreeMap<ConnId, Connection>,
     last: u64,
     dials: [u64; 3],
     streams: usize,
@@ -102,27 +103,27 @@
 }
 
 impl Pool {
-    /// None yet. To them may go what the viewers' connections, open and closed, leave of the process's files.
+    /// None yet. To them may go what the clients' connections, open and closed, leave of the process's files.
     pub fn new(facts: &Facts, sockets: usize) -> Pool {
         Pool {
-            links: BTreeMap::new(),
+            connections: BTreeMap::new(),
             last: 0,
             dials: [0; 3],
             streams: facts.streams,
             most: (sockets * 5 / 12).max(1),
             connect_within: facts.connect_within,
-            idle_kept: (facts.idle_closed * IDLE_PART.0 / IDLE_PART.1).max(1),
+            idle_kept: (facts.idle_closed * IDLE_SHARE.0 / IDLE_SHARE.1).max(1),
         }
     }
 
     /// Number of connections.
     pub fn len(&self) -> usize {
-        self.links.len()
+        self.connections.len()
     }
 
     /// Whether there are none.
     pub fn is_empty(&self) -> bool {
-        self.links.is_empty()
+        self.connections.is_empty()
     }
 
     /// Connections dialled since the start: for set-ups, for anything else that is told, for looks.
@@ -131,46 +132,47 @@
     }
 
     /// Whose connection this is.
-    pub fn server(&self, link: ConnId) -> Option<ServerId> {
-        self.links.get(&link).map(|one| one.server)
+    pub fn server(&self, conn: ConnId) -> Option<ServerId> {
+        self.connections.get(&conn).map(|one| one.server)
     }
 
-    /// The connections of a box.
-    pub fn of(&self, server: ServerId) -> Vec<ConnId> {
-        self.links.iter().filter(|(_, one)| one.server == server).map(|(id, _)| *id).collect()
+    /// The connections of a media server.
+    pub fn connections_to(&self, server: ServerId) -> Vec<ConnId> {
+        self.connections.iter().filter(|(_, one)| one.server == server).map(|(id, _)| *id).collect()
     }
 
-    /// Whether a connection of the box stands and is not doubted.
+    /// Whether a connection of the media server stands and is not suspect.
     pub fn is_up(&self, server: ServerId) -> bool {
-        self.links.values().any(|one| one.server == server && one.state == State::Open && !one.doubted)
+        self.connections.values().any(|one| one.server == server && one.state == State::Open && !one.suspect)
     }
 
     /// Whether this connection is being made.
-    pub fn dialing(&self, link: ConnId) -> bool {
-        self.links.get(&link).is_some_and(|one| one.state == State::Dialing)
+    pub fn dialing(&self, conn: ConnId) -> bool {
+        self.connections.get(&conn).is_some_and(|one| one.state == State::Dialing)
     }
 
     /// Whether this connection is there, made or being made.
-    pub fn exists(&self, link: ConnId) -> bool {
-        self.links.contains_key(&link)
+    pub fn exists(&self, conn: ConnId) -> bool {
+        self.connections.contains_key(&conn)
     }
 
     /// Whether something waits for a connection to be made, or to take it.
-    pub fn waits(&self) -> bool {
-        self.links.values().any(|one| !one.waiting.is_empty())
+    pub fn has_unsent(&self) -> bool {
+        self.connections.values().any(|one| !one.unsent.is_empty())
     }
 
     /// Nothing new is put on this connection.
-    pub fn doubt(&mut self, link: ConnId) {
-        self.links.entry(link).and_modify(|one| one.doubted = true);
+    pub fn mark_suspect(&mut self, conn: ConnId) {
+        self.connections.entry(conn).and_modify(|one| one.suspect = true);
     }
 
     /// The connection to put something on, of those with fewer set-ups out than this: one that stands before one that
     /// is being made, the one used last; never one that takes nothing.
-    fn best(&self, to: (ServerId, SocketAddr), streams: usize, avoid: &[ConnId]) -> Option<ConnId> {
-        let takes = |one: &Link| !one.doubted && !matches!(one.state, State::Stalled(..));
-        let fits = |one: &Link| (one.server, one.address) == to && takes(one) && one.out.len() < streams;
-        let known = self.links.iter().filter(|(id, one)| fits(one) && !avoid.contains(id));
+    fn pick(&self, to: (ServerId, SocketAddr), streams: usize, avoid: &[ConnId]) -> Option<ConnId> {
+        let takes = |one: &Connection| !one.suspect && !matches!(one.state, State::Blocked(..));
+        let fits =
+            |one: &Connection| (one.server, one.address) == to && takes(one) && one.in_flight.len() < streams;
+        let known = self.connections.iter().filter(|(id, one)| fits(one) && !avoid.contains(id));
         known.max_by_key(|(_, one)| (one.state == State::Open, one.used)).map(|(id, _)| *id)
     }
 
@@ -178,47 +180,57 @@
         &mut self,
         now: Micros,
         to: (ServerId, SocketAddr),
-        why: For,
-        timers: &mut Timers<Due>,
-        out: &mut Vec<Output>,
+        purpose: Purpose,
+        timers: &mut Timers<Timer>,
+        out: &mut Vec<Command>,
     ) -> Option<ConnId> {
-        let of_box = self.links.values().filter(|one| one.server == to.0).count();
-        if of_box >= MOST_TO_A_BOX || (self.links.len() >= self.most && !self.make_room(out)) {
+        let of_server = self.connections.values().filter(|one| one.server == to.0).count();
+        if of_server >= MAX_PER_SERVER || (self.connections.len() >= self.most && !self.make_room(out)) {
             return None;
         }
         self.last += 1;
-        self.dials[why as usize] += 1;
+        self.dials[purpose as usize] += 1;
         let id = ConnId(self.last);
         let (server, address) = to;
-        let (state, waiting, open) = (State::Dialing, VecDeque::new(), BTreeSet::new());
-        let link = Link { server, address, state, waiting, out: open, heard: now, used: now, doubted: false };
-        self.links.insert(id, link);
-        timers.set(now + self.connect_within, Due::Dial(id));
-        out.push(Output::Dial(id, address));
+        let (state, unsent, open) = (State::Dialing, VecDeque::new(), BTreeSet::new());
+        let conn = Connection {
+            server,
+            address,
+            state,
+            unsent,
+            in_flight: open,
+            heard: now,
+            used: now,
+            suspect: false,
+        };
+        self.connections.insert(id, conn);
+        timers.set(now + self.connect_within, Timer::ConnectTimeout(id));
+        out.push(Command::Connect(id, address));
         Some(id)
     }
 
     /// Closes the connection that has carried nothing for the longest, of those that nothing waits for and is out on;
-    /// tells whether there was one. Danger: with more boxes than connections, those that were never called would be
+    /// tells whether there was one. Danger: with more servers than connections, those that were never called would be
     /// taken for dead.
-    fn make_room(&mut self, out: &mut Vec<Output>) -> bool {
-        let free = |one: &Link| one.state == State::Open && one.out.is_empty() && one.waiting.is_empty();
-        let idle = self.links.iter().filter(|(_, one)| free(one));
+    fn make_room(&mut self, out: &mut Vec<Command>) -> bool {
+        let free =
+            |one: &Connection| one.state == State::Open && one.in_flight.is_empty() && one.unsent.is_empty();
+        let idle = self.connections.iter().filter(|(_, one)| free(one));
         let Some(id) = idle.min_by_key(|(_, one)| one.used.max(one.heard)).map(|(id, _)| *id) else {
             return false;
         };
-        self.links.remove(&id);
-        out.push(Output::Disconnect(id));
+        self.connections.remove(&id);
+        out.push(Command::CloseServer(id));
         true
     }
 
-    fn put(&mut self, now: Micros, id: ConnId, message: Message, out: &mut Vec<Output>) {
-        let Some(link) = self.links.get_mut(&id) else { return };
-        link.used = now;
-        if link.state == State::Open {
-            out.push(Output::Send(id, message));
-        } else if link.waiting.len() < MOST_WAITING || message.kind == kind::SET_UP {
-            link.waiting.push_back(message);
+    fn enqueue(&mut self, now: Micros, id: ConnId, message: Message, out: &mut Vec<Command>) {
+        let Some(conn) = self.connections.get_mut(&id) else { return };
+        conn.used = now;
+        if conn.state == State::Open {
+            out.push(Command::SendToServer(id, message));
+        } else if conn.unsent.len() < MAX_UNSENT || message.kind == kind::SET_UP {
+            conn.unsent.push_back(message);
         }
     }
 
@@ -230,127 +242,134 @@
         to: (ServerId, SocketAddr),
         message: Message,
         avoid: &[ConnId],
-        timers: &mut Timers<Due>,
-        out: &mut Vec<Output>,
+        timers: &mut Timers<Timer>,
+        out: &mut Vec<Command>,
     ) -> Option<ConnId> {
         let id =
-            self.best(to, self.streams, avoid).or_else(|| self.dial(now, to, For::SetUp, timers, out))?;
+            self.pick(to, self.streams, avoid).or_else(|| self.dial(now, to, Purpose::SetUp, timers, out))?;
         let session = message.session;
-        self.put(now, id, message, out);
-        self.links.entry(id).and_modify(|link| {
-            link.out.insert(session);
+        self.enqueue(now, id, message, out);
+        self.connections.entry(id).and_modify(|conn| {
+            conn.in_flight.insert(session);
         });
         Some(id)
     }
 
-    /// Sends something else: on this connection, else on any other of the box, else on a new one.
-    pub fn tell(
+    /// Sends something else: on this connection, else on any other of the media server, else on a new one.
+    pub fn send(
         &mut self,
         now: Micros,
         to: (ServerId, SocketAddr),
         on: Option<ConnId>,
         message: Message,
-        timers: &mut Timers<Due>,
-        out: &mut Vec<Output>,
+        timers: &mut Timers<Timer>,
+        out: &mut Vec<Command>,
     ) -> Option<ConnId> {
         let fits = |id: &ConnId| {
-            let usable = |one: &Link| !one.doubted && !matches!(one.state, State::Stalled(..));
-            self.links.get(id).is_some_and(|one| (one.server, one.address) == to && usable(one))
+            let usable = |one: &Connection| !one.suspect && !matches!(one.state, State::Blocked(..));
+            self.connections.get(id).is_some_and(|one| (one.server, one.address) == to && usable(one))
         };
-        let on = on.filter(fits).or_else(|| self.best(to, usize::MAX, &[]));
-        let id = on.or_else(|| self.dial(now, to, For::Word, timers, out))?;
-        self.put(now, id, message, out);
+        let on = on.filter(fits).or_else(|| self.pick(to, usize::MAX, &[]));
+        let id = on.or_else(|| self.dial(now, to, Purpose::Message, timers, out))?;
+        self.enqueue(now, id, message, out);
         Some(id)
     }
 
-    /// Makes a new connection to see whether the box is there, unless one is being made. Returns whether one is.
+    /// Makes a new connection to see whether the media server is there, unless one is being made. Returns whether one
+    /// is.
     pub fn check(
         &mut self,
         now: Micros,
         to: (ServerId, SocketAddr),
-        timers: &mut Timers<Due>,
-        out: &mut Vec<Output>,
+        timers: &mut Timers<Timer>,
+        out: &mut Vec<Command>,
     ) -> bool {
-        let dialing = self.links.values().any(|one| one.server == to.0 && one.state == State::Dialing);
-        dialing || self.dial(now, to, For::HealthCheck, timers, out).is_some()
+        let dialing = self.connections.values().any(|one| one.server == to.0 && one.state == State::Dialing);
+        dialing || self.dial(now, to, Purpose::HealthCheck, timers, out).is_some()
     }
 
     /// A connection is made: what waited is written.
-    pub fn made(&mut self, now: Micros, id: ConnId, timers: &mut Timers<Due>, out: &mut Vec<Output>) {
-        let Some(link) = self.links.get_mut(&id) else { return };
-        (link.heard, link.used) = (now, now);
-        self.takes_again(id, out);
-        timers.set(now + self.idle_kept, Due::Idle(id));
+    pub fn established(
+        &mut self,
+        now: Micros,
+        id: ConnId,
+        timers: &mut Timers<Timer>,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(conn) = self.connections.get_mut(&id) else { return };
+        (conn.heard, conn.used) = (now, now);
+        self.writable(id, out);
+        timers.set(now + self.idle_kept, Timer::IdleTimeout(id));
     }
 
     /// The connection takes nothing now: of the message that `cut` names a part was written, of these not a byte.
     /// Danger: kept where they cannot be taken back, they would go out long after whoever asked has left.
-    pub fn stalled(
+    pub fn blocked(
         &mut self,
         now: Micros,
         id: ConnId,
         cut: Option<u64>,
         unsent: Vec<Message>,
-        timers: &mut Timers<Due>,
+        timers: &mut Timers<Timer>,
     ) {
-        let Some(link) = self.links.get_mut(&id) else { return };
-        link.state = State::Stalled(cut, now);
+        let Some(conn) = self.connections.get_mut(&id) else { return };
+        conn.state = State::Blocked(cut, now);
         // A set-up that was taken back meanwhile goes nowhere, nor does its give-up.
         let set_up = |message: &&Message| message.kind == kind::SET_UP;
-        let over = |message: &Message| !link.out.contains(&message.session);
+        let over = |message: &Message| !conn.in_flight.contains(&message.session);
         let sessions = unsent.iter().filter(set_up).filter(|m| over(m)).map(|m| m.session);
         let taken_back: BTreeSet<u64> = sessions.collect();
         let kept = unsent.into_iter().filter(|message| !taken_back.contains(&message.session));
-        kept.rev().for_each(|message| link.waiting.push_front(message));
-        timers.set(now + STALLED, Due::Stalled(id));
+        kept.rev().for_each(|message| conn.unsent.push_front(message));
+        timers.set(now + WRITE_TIMEOUT, Timer::WriteTimeout(id));
     }
 
     /// It takes something again, or for the first time: what waits goes out.
-    pub fn takes_again(&mut self, id: ConnId, out: &mut Vec<Output>) {
-        let Some(link) = self.links.get_mut(&id) else { return };
-        link.state = State::Open;
-        out.extend(link.waiting.drain(..).map(|message| Output::Send(id, message)));
+    pub fn writable(&mut self, id: ConnId, out: &mut Vec<Command>) {
+        let Some(conn) = self.connections.get_mut(&id) else { return };
+        conn.state = State::Open;
+        out.extend(conn.unsent.drain(..).map(|message| Command::SendToServer(id, message)));
     }
 
     /// Whether it has taken nothing for too long.
-    pub fn is_stalled(&self, now: Micros, id: ConnId) -> bool {
-        let state = self.links.get(&id).map(|link| link.state);
-        matches!(state, Some(State::Stalled(_, since)) if since + STALLED <= now)
+    pub fn is_blocked(&self, now: Micros, id: ConnId) -> bool {
+        let state = self.connections.get(&id).map(|conn| conn.state);
+        matches!(state, Some(State::Blocked(_, since)) if since + WRITE_TIMEOUT <= now)
     }
 
-    /// Set-ups to a box of which not a byte was written.
+    /// Set-ups to a media server of which not a byte was written.
     pub fn unsent(&self, server: ServerId) -> Vec<u64> {
-        self.links.values().filter(|one| one.server == server).flat_map(Link::unsent).collect()
+        self.connections.values().filter(|one| one.server == server).flat_map(Connection::unsent).collect()
     }
 
     /// A connection has closed, or could not be made.
     pub fn closed(&mut self, id: ConnId) -> Ended {
-        let mut ended = Ended { link: id, set_ups: Vec::new(), unsent: Vec::new() };
-        if let Some(mut link) = self.links.remove(&id) {
-            ended.unsent = link.unsent();
-            if let State::Stalled(Some(cut), _) = link.state {
+        let mut ended = Ended { conn: id, set_ups: Vec::new(), unsent: Vec::new() };
+        if let Some(mut conn) = self.connections.remove(&id) {
+            ended.unsent = conn.unsent();
+            if let State::Blocked(Some(cut), _) = conn.state {
                 // Half a message never runs.
-                ended.unsent.extend(Some(cut).filter(|session| link.out.contains(session)));
+                ended.unsent.extend(Some(cut).filter(|session| conn.in_flight.contains(session)));
             }
             ended.unsent.iter().for_each(|session| {
-                link.out.remove(session);
+                conn.in_flight.remove(session);
             });
-            ended.set_ups = link.out.into_iter().collect();
+            ended.set_ups = conn.in_flight.into_iter().collect();
         }
         ended
     }
 
     /// Something was heard on it: whose it is.
     pub fn heard(&mut self, now: Micros, id: ConnId) -> Option<ServerId> {
-        let link = self.links.get_mut(&id)?;
-        (link.heard, link.used) = (now, now);
-        Some(link.server)
+        let conn = self.connections.get_mut(&id)?;
+        (conn.heard, conn.used) = (now, now);
+        Some(conn.server)
     }
 
     /// A set-up has its answer: it has ended, or stands and belongs to no connection from here on.
     pub fn ended(&mut self, id: ConnId, session: u64) {
-        self.links.entry(id).and_modify(|link| {
-            link.out.remove(&session);
+        self.connections.entry(id).and_modify(|conn| {
+            conn.in_flight.remove(&session);
         });
     }
 
@@ -361,38 +380,38 @@
         id: ConnId,
         session: u64,
         timed_out: bool,
-        out: &mut Vec<Output>,
+        out: &mut Vec<Command>,
     ) -> Withdrawn {
-        let Some(link) = self.links.get_mut(&id) else { return Withdrawn::MayHaveRun };
-        link.out.remove(&session);
-        if link.waits(session) {
-            link.waiting.retain(|message| message.session != session);
+        let Some(conn) = self.connections.get_mut(&id) else { return Withdrawn::MayHaveRun };
+        conn.in_flight.remove(&session);
+        if conn.waits(session) {
+            conn.unsent.retain(|message| message.session != session);
             return Withdrawn::Unsent;
         }
-        if matches!(link.state, State::Stalled(Some(cut), _) if cut == session) {
+        if matches!(conn.state, State::Blocked(Some(cut), _) if cut == session) {
             return Withdrawn::Cut;
         }
-        link.doubted |= timed_out;
-        let used = link.used;
-        self.put(used, id, Message::release(session, cause::NORMAL), out);
+        conn.suspect |= timed_out;
+        let used = conn.used;
+        self.enqueue(used, id, Message::release(session, cause::NORMAL), out);
         Withdrawn::MayHaveRun
     }
 
     /// A connection may have been idle long enough, or be of no more use.
-    pub fn idle(&mut self, now: Micros, id: ConnId, timers: &mut Timers<Due>, out: &mut Vec<Output>) {
-        let Some(link) = self.links.get(&id) else { return };
-        let last = link.used.max(link.heard);
-        if link.out.is_empty() && (link.doubted || last + self.idle_kept <= now) {
-            self.links.remove(&id);
-            out.push(Output::Disconnect(id));
+    pub fn idle(&mut self, now: Micros, id: ConnId, timers: &mut Timers<Timer>, out: &mut Vec<Command>) {
+        let Some(conn) = self.connections.get(&id) else { return };
+        let last = conn.used.max(conn.heard);
+        if conn.in_flight.is_empty() && (conn.suspect || last + self.idle_kept <= now) {
+            self.connections.remove(&id);
+            out.push(Command::CloseServer(id));
         } else {
-            let again = if link.doubted { now + self.connect_within } else { last + self.idle_kept };
-            timers.set(again.max(now + self.connect_within), Due::Idle(id));
+            let again = if conn.suspect { now + self.connect_within } else { last + self.idle_kept };
+            timers.set(again.max(now + self.connect_within), Timer::IdleTimeout(id));
         }
     }
 
     /// Set-ups that are out on any connection.
     pub fn out(&self) -> BTreeSet<u64> {
-        self.links.values().flat_map(|link| link.out.iter().copied()).collect()
+        self.connections.values().flat_map(|conn| conn.in_flight.iter().copied()).collect()
     }
 }
--- a/crates/platform/src/core/boxes.rs
+++ b/crates/platform/src/core/servers.rs
@@ -1,4 +1,4 @@
-//! What boxes say: answers to set-ups, notes on and ends of what stands, load.
+//! What servers say: answers to set-ups, notes on and ends of what stands, load.
 
 use salttally_front::core::session::Playing;
 
@@ -7,49 +7,54 @@
 use crate::wire::words;
 
 impl<D: Decider> Core<D> {
-    pub(super) fn dialed(&mut self, link: ConnId, result: Result<(), DialError>, out: &mut Vec<Output>) {
-        let Some(server) = self.pool.server(link) else { return };
+    pub(super) fn connect_ended(
+        &mut self,
+        conn: ConnId,
+        result: Result<(), DialError>,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(server) = self.pool.server(conn) else { return };
         match result {
             Ok(()) => {
-                self.pool.made(self.now, link, &mut self.timers, out);
+                self.pool.established(self.now, conn, &mut self.timers, out);
                 self.health.heard(self.now, server);
             }
             Err(DialError::NotTried) => {
-                // Nothing is learnt of the box: this process has no room.
-                let ended = self.pool.closed(link);
-                self.link_ended(ended, Outcome::NotSent);
+                // Nothing is learnt of the media server: this process has no room.
+                let ended = self.pool.closed(conn);
+                self.end_attempts_on(ended, Outcome::NotSent);
             }
             Err(error) => {
-                let ended = self.pool.closed(link);
-                self.link_ended(ended, Outcome::NoConnection);
-                let verdict = self.health.failed(self.now, server, error);
-                self.judge(server, verdict, out);
+                let ended = self.pool.closed(conn);
+                self.end_attempts_on(ended, Outcome::NoConnection);
+                let verdict = self.health.connect_failed(self.now, server, error);
+                self.apply_verdict(server, verdict, out);
             }
         }
     }
 
-    pub(super) fn link_closed(&mut self, link: ConnId, out: &mut Vec<Output>) {
-        let Some(server) = self.pool.server(link) else { return };
-        let ended = self.pool.closed(link);
-        self.link_ended(ended, Outcome::Broken);
+    pub(super) fn connection_closed(&mut self, conn: ConnId, out: &mut Vec<Command>) {
+        let Some(server) = self.pool.server(conn) else { return };
+        let ended = self.pool.closed(conn);
+        self.end_attempts_on(ended, Outcome::Broken);
         // What stands there goes on, unless its process has died: a look tells.
         let gone = !self.pool.is_up(server);
         self.check_health(server, gone, out);
     }
 
     /// Nothing more of a connection can be trusted: it is hung up.
-    pub(super) fn spoilt(&mut self, link: ConnId, out: &mut Vec<Output>) {
-        self.counts.spoilt += 1;
-        self.disconnect(link, out);
+    pub(super) fn server_unreadable(&mut self, conn: ConnId, out: &mut Vec<Command>) {
+        self.counts.unreadable += 1;
+        self.disconnect(conn, out);
     }
 
     /// A connection is of no more use, with all that is out on it.
-    pub(super) fn disconnect(&mut self, link: ConnId, out: &mut Vec<Output>) {
-        out.push(Output::Disconnect(link));
-        self.link_closed(link, out);
+    pub(super) fn disconnect(&mut self, conn: ConnId, out: &mut Vec<Command>) {
+        out.push(Command::CloseServer(conn));
+        self.connection_closed(conn, out);
     }
 
-    fn link_ended(&mut self, ended: Ended, outcome: Outcome) {
+    fn end_attempts_on(&mut self, ended: Ended, outcome: Outcome) {
         for id in ended.set_ups {
             self.attempt_ended(id, outcome, Vec::new());
         }
@@ -57,7 +62,7 @@
         for id in ended.unsent {
             self.attempt_ended(id, never, Vec::new());
         }
-        let probes = self.probes.iter().filter(|(_, (_, on))| *on == ended.link).map(|(id, _)| *id);
+        let probes = self.probes.iter().filter(|(_, (_, on))| *on == ended.conn).map(|(id, _)| *id);
         for id in probes.collect::<Vec<_>>() {
             if let Some((server, _)) = self.probes.remove(&id) {
                 self.events.push_back(Event::Probed { server, outcome, report: Vec::new() });
@@ -65,24 +70,24 @@
         }
     }
 
-    /// The connections of a box are of no more use: it is gone, or listens elsewhere.
-    pub(super) fn forget_links(&mut self, server: ServerId, out: &mut Vec<Output>) {
-        for link in self.pool.of(server) {
-            out.push(Output::Disconnect(link));
-            let ended = self.pool.closed(link);
-            self.link_ended(ended, Outcome::Broken);
+    /// The connections of a media server are of no more use: it is gone, or listens elsewhere.
+    pub(super) fn drop_connections(&mut self, server: ServerId, out: &mut Vec<Command>) {
+        for conn in self.pool.connections_to(server) {
+            out.push(Command::CloseServer(conn));
+            let ended = self.pool.closed(conn);
+            self.end_attempts_on(ended, Outcome::Broken);
         }
     }
 
-    pub(super) fn heard(&mut self, link: ConnId, message: Message, out: &mut Vec<Output>) {
-        let Some(server) = self.pool.heard(self.now, link) else { return };
+    pub(super) fn server_message(&mut self, conn: ConnId, message: Message, out: &mut Vec<Command>) {
+        let Some(server) = self.pool.heard(self.now, conn) else { return };
         self.health.heard(self.now, server);
         let id = message.session;
         match message.kind {
-            kind::ANSWER => self.answered(server, link, message, out),
+            kind::ANSWER => self.answered(server, conn, message, out),
             kind::RELEASE => {
-                out.push(Output::Send(link, Message::new(kind::HEARD, id)));
-                self.box_released(server, link, message, out);
+                out.push(Command::SendToServer(conn, Message::new(kind::HEARD, id)));
+                self.server_released(server, conn, message, out);
             }
             kind::NOTE => {
                 let Some(note) = note(&message) else { return };
@@ -105,14 +110,14 @@
                 }
             }
             kind::PROGRESS | kind::HEARD => {}
-            // No box says this.
-            _ => self.spoilt(link, out),
+            // No media server says this.
+            _ => self.server_unreadable(conn, out),
         }
     }
 
     /// What came in one read. Danger: a session that was ended on purpose before its answer has left here would be told
-    /// to play, and its viewer, which is owed no release then, would never hear anything that is still true.
-    pub(super) fn heard_all(&mut self, link: ConnId, messages: Vec<Message>, out: &mut Vec<Output>) {
+    /// to play, and its client, which is owed no release then, would never hear anything that is still true.
+    pub(super) fn server_messages(&mut self, conn: ConnId, messages: Vec<Message>, out: &mut Vec<Command>) {
         let ends = |message: &Message, id: u64| {
             message.kind == kind::RELEASE && message.session == id && end_of(message.cause()).1.is_none()
         };
@@ -121,25 +126,25 @@
         let over: Vec<u64> = over.map(|(_, answer)| answer.session).collect();
         for message in messages {
             if message.kind == kind::ANSWER && over.contains(&message.session) {
-                self.over_unheard(link, message.session, out);
+                self.fail_unanswered(conn, message.session, out);
             } else {
-                self.heard(link, message, out);
+                self.server_message(conn, message, out);
             }
         }
     }
 
-    /// The attempt that is out stood and is over again: it has failed for its viewer.
-    fn over_unheard(&mut self, link: ConnId, id: u64, out: &mut Vec<Output>) {
+    /// The attempt that is out stood and is over again: it has failed for its client.
+    fn fail_unanswered(&mut self, conn: ConnId, id: u64, out: &mut Vec<Command>) {
         let Some(entry) = self.sessions.get_mut(&id) else { return };
-        if entry.link != Some(link) || !matches!(entry.session.stage, Stage::Trying(_)) {
+        if entry.conn != Some(conn) || !matches!(entry.session.stage, Stage::Trying(_)) {
             return;
         }
         entry.session.settled();
         if let Some((client, _)) = entry.session.client {
-            out.push(Output::Say(client, Message::release(id, FAILED)));
+            out.push(Command::SendToClient(client, Message::release(id, FAILED)));
         }
         self.counts.failed += 1;
-        self.pool.ended(link, id);
+        self.pool.ended(conn, id);
         self.attempt_ended(id, Outcome::Withdrawn, Vec::new());
     }
 
@@ -148,15 +153,15 @@
     }
 
     /// The session stands, if this answers the attempt that is out; anything else is a copy, late, or nobody's.
-    fn answered(&mut self, server: ServerId, link: ConnId, message: Message, out: &mut Vec<Output>) {
+    fn answered(&mut self, server: ServerId, conn: ConnId, message: Message, out: &mut Vec<Command>) {
         let id = message.session;
         let waits = |entry: &&mut Entry| match &entry.session.stage {
-            Stage::Trying(attempt) => attempt.server == server && entry.link == Some(link),
+            Stage::Trying(attempt) => attempt.server == server && entry.conn == Some(conn),
             _ => false,
         };
         let Some(entry) = self.sessions.get_mut(&id).filter(waits) else {
-            let text = format!("box s-{:08x}: an answer for {id:016x} that nobody waits for", server.0);
-            out.push(Output::Log(Level::Debug, text));
+            let text = format!("server s-{:08x}: an answer for {id:016x} that nobody waits for", server.0);
+            out.push(Command::Log(Level::Debug, text));
             return;
         };
         let overdue = entry.session.overdue_at(self.facts.answer_slack);
@@ -165,40 +170,40 @@
             return self.overdue(id, out);
         }
         let Some(description) = message.get(code::DESCRIPTION).map(<[u8]>::to_vec) else {
-            return self.spoilt(link, out);
+            return self.server_unreadable(conn, out);
         };
         let Some(attempt) = entry.session.out().cloned() else { return };
         let client = entry.session.client.map(|(client, _)| client);
-        self.pool.ended(link, id);
-        self.timers.unset(attempt.expires, Due::Expire(id, attempt.number));
-        self.timers.unset(overdue, Due::Overdue(id));
+        self.pool.ended(conn, id);
+        self.timers.unset(attempt.expires, Timer::AttemptTimeout(id, attempt.number));
+        self.timers.unset(overdue, Timer::AnswerDeadline(id));
         let took = self.now - attempt.sent;
         let answer = Message::new(kind::ANSWER, id).with(code::DESCRIPTION, description);
         if let Some(client) = client {
-            out.push(Output::Say(client, answer));
-            self.admission.stands(client, id);
+            out.push(Command::SendToClient(client, answer));
+            self.admission.session_started(client, id);
         }
         entry.passed = Vec::new();
         entry.since = self.now;
         entry.session.may_have_run = true;
         entry.session.stage = Stage::Playing(Playing { attempt, changing: None, missed: 0 });
         self.counts.played += 1;
-        self.holds(server);
+        self.watch_health(server);
         self.events.push_back(Event::Started { session: name(id), server, took });
     }
 
-    fn box_released(&mut self, server: ServerId, link: ConnId, message: Message, out: &mut Vec<Output>) {
+    fn server_released(&mut self, server: ServerId, conn: ConnId, message: Message, out: &mut Vec<Command>) {
         let id = message.session;
         let Some(entry) = self.sessions.get(&id) else {
-            // Its viewer may hand it over yet, and its box tells the end only once more.
-            if self.now < self.began + EARLY && self.early.len() < EARLY_MOST {
-                self.early.insert(id, (server, message));
+            // Its client may hand it over yet, and its media server tells the end only once more.
+            if self.now < self.began + EARLY_ENDS_KEPT && self.early_ends.len() < MAX_EARLY_ENDS {
+                self.early_ends.insert(id, (server, message));
             }
             return;
         };
-        let own = entry.link == Some(link);
+        let own = entry.conn == Some(conn);
         // Danger: a late word on an attempt before, taken for one on this, would leave two out, or end what plays.
-        let late = !own && entry.before.contains(&link) && entry.link.is_some_and(|on| self.pool.exists(on));
+        let late = !own && entry.before.contains(&conn) && entry.conn.is_some_and(|on| self.pool.exists(on));
         if entry.session.at().is_none_or(|at| at.server != server) || late {
             return;
         }
@@ -206,12 +211,12 @@
         if entry.session.playing().is_some() {
             let moving = entry.moving;
             let (outcome, told) = end_of(cause);
-            return self.over(id, outcome, report, told.filter(|_| !moving), out);
+            return self.end_session(id, outcome, report, told.filter(|_| !moving), out);
         }
         if !own {
             return;
         }
-        self.pool.ended(link, id);
+        self.pool.ended(conn, id);
         let outcome = match cause {
             Some(cause::FULL) => Outcome::Full,
             Some(cause::ERROR) => Outcome::Failed,
@@ -223,90 +228,93 @@
 
     // ---- What stands ----
 
-    /// A box holds one more session: it is watched.
-    pub(super) fn holds(&mut self, server: ServerId) {
-        if let Some(at) = self.health.holds(self.now, server) {
-            self.timers.set(at, Due::HealthCheck(server));
+    /// A media server holds one more session: it is watched.
+    pub(super) fn watch_health(&mut self, server: ServerId) {
+        if let Some(at) = self.health.session_started(self.now, server) {
+            self.timers.set(at, Timer::HealthCheck(server));
         }
     }
 
-    pub(super) fn check_health(&mut self, server: ServerId, gone: bool, out: &mut Vec<Output>) {
-        let look = self.health.look(self.now, server, gone);
+    pub(super) fn check_health(&mut self, server: ServerId, gone: bool, out: &mut Vec<Command>) {
+        let look = self.health.check(self.now, server, gone);
         if let Some(at) = look.again {
-            self.timers.set(at, Due::HealthCheck(server));
+            self.timers.set(at, Timer::HealthCheck(server));
         }
         if !look.dial {
             return;
         }
-        match self.boxes.get(&server).copied() {
+        match self.servers.get(&server).copied() {
             Some(address) => {
                 if !self.pool.check(self.now, (server, address), &mut self.timers, out) {
-                    out.push(Output::Log(Level::Warn, format!("box {}: no room to look at it", server.0)));
+                    out.push(Command::Log(
+                        Level::Warn,
+                        format!("server s-{:08x}: no connection left to check it", server.0),
+                    ));
                 }
             }
             None => {
-                let verdict = self.health.failed(self.now, server, DialError::TimedOut);
-                self.judge(server, verdict, out);
+                let verdict = self.health.connect_failed(self.now, server, DialError::TimedOut);
+                self.apply_verdict(server, verdict, out);
             }
         }
     }
 
-    fn judge(&mut self, server: ServerId, verdict: Verdict, out: &mut Vec<Output>) {
+    fn apply_verdict(&mut self, server: ServerId, verdict: Verdict, out: &mut Vec<Command>) {
         match verdict {
             Verdict::Fine => {}
-            Verdict::Again(at) => self.timers.set(at, Due::HealthCheck(server)),
-            Verdict::Lost => self.lost_where(server, |_| true, out),
+            Verdict::Again(at) => self.timers.set(at, Timer::HealthCheck(server)),
+            Verdict::Lost => self.end_lost_sessions(server, |_| true, out),
         }
     }
 
-    /// Sessions at a box that its end has cut.
-    pub(super) fn lost_where(
+    /// Sessions at a media server that its end has cut.
+    pub(super) fn end_lost_sessions(
         &mut self,
         server: ServerId,
         cut: impl Fn(&Entry) -> bool,
-        out: &mut Vec<Output>,
+        out: &mut Vec<Command>,
     ) {
         let there = |entry: &Entry| {
             entry.session.playing().is_some_and(|playing| playing.attempt.server == server) && cut(entry)
         };
         let lost: Vec<u64> = self.sessions.iter().filter(|(_, e)| there(e)).map(|(id, _)| *id).collect();
         if !lost.is_empty() {
-            let text = format!("box {}: {} sessions lost with it", server.0, lost.len());
-            out.push(Output::Log(Level::Info, text));
+            let text = format!("server s-{:08x}: {} sessions lost with it", server.0, lost.len());
+            out.push(Command::Log(Level::Info, text));
         }
         for id in lost {
             self.counts.lost += 1;
             let moving = self.sessions.get(&id).is_some_and(|entry| entry.moving);
-            self.over(id, Outcome::Broken, Vec::new(), Some(cause::BROKEN).filter(|_| !moving), out);
+            self.end_session(id, Outcome::Broken, Vec::new(), Some(cause::BROKEN).filter(|_| !moving), out);
         }
     }
 
-    /// Ends a session at its box.
-    pub(super) fn release_at_box(&mut self, id: u64, cause: u8, out: &mut Vec<Output>) {
-        self.tell_box(id, Message::release(id, cause), out);
+    /// Ends a session at its media server.
+    pub(super) fn release_at_server(&mut self, id: u64, cause: u8, out: &mut Vec<Command>) {
+        self.tell_server(id, Message::release(id, cause), out);
     }
 
-    /// Tells a box something of a session that it holds.
-    pub(super) fn tell_box(&mut self, id: u64, message: Message, out: &mut Vec<Output>) {
+    /// Tells a media server something of a session that it holds.
+    pub(super) fn tell_server(&mut self, id: u64, message: Message, out: &mut Vec<Command>) {
         let Some(entry) = self.sessions.get(&id) else { return };
         let Some(at) = entry.session.at() else { return };
-        // A box that has gone took it along, and another one may listen at its address.
-        let Some(address) = self.boxes.get(&at.server).copied() else { return };
+        // A media server that has gone took it along, and another one may listen at its address.
+        let Some(address) = self.servers.get(&at.server).copied() else { return };
         let to = (at.server, address);
-        self.pool.tell(self.now, to, entry.link, message, &mut self.timers, out);
+        self.pool.send(self.now, to, entry.conn, message, &mut self.timers, out);
     }
 
-    /// A moved session that its box has not ended is ended there.
-    pub(super) fn linger(&mut self, id: u64, out: &mut Vec<Output>) {
+    /// A moved session that its media server has not ended is ended there.
+    pub(super) fn move_timed_out(&mut self, id: u64, out: &mut Vec<Command>) {
         if self.sessions.get(&id).is_some_and(|entry| entry.moving) {
-            out.push(Output::Log(Level::Debug, format!("session {id:016x} was moved and still stands")));
-            self.release_at_box(id, cause::ON_PURPOSE, out);
-            self.over(id, Outcome::Withdrawn, Vec::new(), None, out);
+            out.push(Command::Log(Level::Debug, format!("session {id:016x} was moved and still stands")));
+            self.release_at_server(id, cause::ON_PURPOSE, out);
+            self.end_session(id, Outcome::Withdrawn, Vec::new(), None, out);
         }
     }
 }
 
-/// What the end of a session that stands means, and the cause that its viewer is told, if that is owed.
+/// What the end of a session that stands means, and the cause that its client is told, if that is owed.
 pub(super) fn end_of(told: Option<u8>) -> (Outcome, Option<u8>) {
     match told {
         Some(cause::NORMAL) => (Outcome::Ok, Some(cause::NORMAL)),
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -7,7 +7,7 @@
 use salttally::interface::*;
 
 use super::*;
-use crate::wire::frames::Told;
+use crate::wire::frames::Payload;
 
 const SECOND: Micros = 1_000_000;
 const START: Micros = 1_000 * SECOND;
@@ -55,7 +55,7 @@
 struct Bench<D> {
     core: Core<D>,
     now: Micros,
-    out: Vec<Output>,
+    out: Vec<Command>,
 }
 
 impl Bench<Brain> {
@@ -70,47 +70,47 @@
         let mut bench = Bench { core, now: START, out: Vec::new() };
         let known = (0..LISTED).map(line).collect();
         bench.core.begin(START, known, 5, address(200), &mut bench.out);
-        bench.told(1, 5, Told::Nothing);
-        bench.tell(Input::Joined(ClientId(1)));
+        bench.told(1, 5, Payload::Nothing);
+        bench.tell(NodeEvent::ClientConnected(ClientId(1)));
         bench
     }
 
-    fn tell(&mut self, input: Input) -> Vec<Output> {
+    fn tell(&mut self, input: NodeEvent) -> Vec<Command> {
         self.core.handle(self.now, input, &mut self.out);
         // As the edge does it when nothing more lies in the sockets.
         self.core.decide(self.now, &mut self.out);
         std::mem::take(&mut self.out)
     }
 
-    fn told(&mut self, call: u64, number: u64, told: Told) -> Vec<Output> {
-        self.tell(Input::Told(call, Frame { number, told }))
+    fn told(&mut self, call: u64, number: u64, payload: Payload) -> Vec<Command> {
+        self.tell(NodeEvent::ListFrame(call, Frame { number, payload }))
     }
 
     /// Time goes on, stopping at all that is due.
-    fn after(&mut self, span: Micros) -> Vec<Output> {
+    fn after(&mut self, span: Micros) -> Vec<Command> {
         let (until, mut all) = (self.now + span, Vec::new());
         while let Some(due) = self.core.next_due().filter(|due| *due <= until) {
             self.now = self.now.max(due);
-            all.extend(self.tell(Input::Tick));
+            all.extend(self.tell(NodeEvent::Tick));
         }
         self.now = until;
         all
     }
 
-    fn ask(&mut self, id: u64, class: &str) -> Vec<Output> {
-        self.tell(Input::Said(ClientId(1), request(id, class, "")))
+    fn ask(&mut self, id: u64, class: &str) -> Vec<Command> {
+        self.tell(NodeEvent::ClientMessage(ClientId(1), request(id, class, "")))
     }
 
     /// The dials among these, made; and what is sent by that.
-    fn made(&mut self, out: &[Output]) -> Vec<Output> {
+    fn made(&mut self, out: &[Command]) -> Vec<Command> {
         let dials: Vec<ConnId> = out
             .iter()
             .filter_map(|o| match o {
-                Output::Dial(link, _) => Some(*link),
+                Command::Connect(conn, _) => Some(*conn),
                 _ => None,
             })
             .collect();
-        dials.into_iter().flat_map(|link| self.tell(Input::Dialed(link, Ok(())))).collect()
+        dials.into_iter().flat_map(|conn| self.tell(NodeEvent::ConnectEnded(conn, Ok(())))).collect()
     }
 
     /// A session that is asked for and stands; where its set-up went.
@@ -118,11 +118,11 @@
         let out = self.ask(id, class);
         let mut all = out.clone();
         all.extend(self.made(&out));
-        let (link, _) = set_up(&all).expect("set up");
+        let (conn, _) = set_up(&all).expect("set up");
         let at = self.core.sessions[&id].session.at().unwrap().address;
-        let answered = self.tell(Input::Heard(link, answer(id)));
+        let answered = self.tell(NodeEvent::ServerMessage(conn, answer(id)));
         assert!(said(&answered).any(|message| message.kind == kind::ANSWER));
-        (link, at)
+        (conn, at)
     }
 }
 
@@ -139,22 +139,22 @@
     Message::new(kind::ANSWER, id).with(code::DESCRIPTION, "made by a box")
 }
 
-fn said(out: &[Output]) -> impl Iterator<Item = &Message> {
+fn said(out: &[Command]) -> impl Iterator<Item = &Message> {
     out.iter().filter_map(|o| match o {
-        Output::Say(_, message) => Some(message),
+        Command::SendToClient(_, message) => Some(message),
         _ => None,
     })
 }
 
-fn sent(out: &[Output], kind: u8) -> Vec<(ConnId, &Message)> {
+fn sent(out: &[Command], kind: u8) -> Vec<(ConnId, &Message)> {
     let all = out.iter().filter_map(|o| match o {
-        Output::Send(link, message) => Some((*link, message)),
+        Command::SendToServer(conn, message) => Some((*conn, message)),
         _ => None,
     });
     all.filter(|(_, message)| message.kind == kind).collect()
 }
 
-fn set_up(out: &[Output]) -> Option<(ConnId, &Message)> {
+fn set_up(out: &[Command]) -> Option<(ConnId, &Message)> {
     sent(out, kind::SET_UP).pop()
 }
 
@@ -167,13 +167,17 @@
     let mut bench = Bench::new();
     let out = bench.ask(9, "clip");
     let out = bench.made(&out);
-    let (link, message) = set_up(&out).unwrap();
+    let (conn, message) = set_up(&out).unwrap();
     assert_eq!(message.text(code::DESCRIPTION), Some("offer"));
     assert_eq!(message.text(code::TITLE), Some("7f3a9c21e0b4d655"));
-    assert_eq!(said(&bench.tell(Input::Heard(link, answer(77)))).count(), 0, "under an unknown id");
-    let out = bench.tell(Input::Heard(link, answer(9)));
+    assert_eq!(
+        said(&bench.tell(NodeEvent::ServerMessage(conn, answer(77)))).count(),
+        0,
+        "under an unknown id"
+    );
+    let out = bench.tell(NodeEvent::ServerMessage(conn, answer(9)));
     assert_eq!(said(&out).next(), Some(&answer(9)));
-    assert_eq!(said(&bench.tell(Input::Heard(link, answer(9)))).count(), 0);
+    assert_eq!(said(&bench.tell(NodeEvent::ServerMessage(conn, answer(9)))).count(), 0);
     assert_eq!(bench.core.counts().played, 1);
 }
 
@@ -185,16 +189,16 @@
     let (first, _) = set_up(&out).unwrap();
     let out = bench.after(SECOND);
     let gave_up = out.iter().position(
-        |o| matches!(o, Output::Send(on, m) if *on == first && m.kind == kind::RELEASE && m.cause() == Some(16)),
+        |o| matches!(o, Command::SendToServer(on, m) if *on == first && m.kind == kind::RELEASE && m.cause() == Some(16)),
     );
-    let again = out.iter().position(|o| matches!(o, Output::Dial(..)));
+    let again = out.iter().position(|o| matches!(o, Command::Connect(..)));
     assert!(gave_up.unwrap() < again.unwrap(), "{out:?}");
     let second = bench.made(&out);
     let (second, _) = set_up(&second).unwrap();
     assert_ne!(first, second);
     // The answer to the first comes after its time: it is nobody's.
-    assert_eq!(said(&bench.tell(Input::Heard(first, answer(9)))).count(), 0);
-    assert_eq!(said(&bench.tell(Input::Heard(second, answer(9)))).count(), 1);
+    assert_eq!(said(&bench.tell(NodeEvent::ServerMessage(first, answer(9)))).count(), 0);
+    assert_eq!(said(&bench.tell(NodeEvent::ServerMessage(second, answer(9)))).count(), 1);
 }
 
 #[test]
@@ -205,13 +209,13 @@
         let out = bench.ask(id, "clip");
         let mut all = out.clone();
         all.extend(bench.made(&out));
-        set_up(&all).map(|(link, _)| link).expect("sent")
+        set_up(&all).map(|(conn, _)| conn).expect("sent")
     };
     let first = asks(&mut bench, 1);
-    bench.tell(Input::Heard(first, answer(1)));
+    bench.tell(NodeEvent::ServerMessage(first, answer(1)));
     assert_eq!(asks(&mut bench, 2), first, "one that works is kept");
     bench.after(SECOND / 4);
-    bench.tell(Input::Heard(first, Message::new(kind::NOTE, 1).with(24, "port").with(39, "0.5")));
+    bench.tell(NodeEvent::ServerMessage(first, Message::new(kind::NOTE, 1).with(24, "port").with(39, "0.5")));
     bench.after(SECOND / 2);
     assert_ne!(asks(&mut bench, 3), first);
 }
@@ -221,31 +225,31 @@
     let mut bench = Bench::new();
     let out = bench.ask(9, "paid");
     let out = bench.made(&out);
-    let (link, _) = set_up(&out).unwrap();
-    let out = bench.tell(Input::Spoilt(link));
-    assert!(out.contains(&Output::Disconnect(link)) && said(&out).any(|m| m.cause() == Some(FAILED)));
-    assert_eq!(bench.core.counts().spoilt, 1);
+    let (conn, _) = set_up(&out).unwrap();
+    let out = bench.tell(NodeEvent::ServerUnreadable(conn));
+    assert!(out.contains(&Command::CloseServer(conn)) && said(&out).any(|m| m.cause() == Some(FAILED)));
+    assert_eq!(bench.core.counts().unreadable, 1);
 }
 
 #[test]
-fn a_late_answer_of_the_same_box_is_not_taken_for_the_answer_to_the_next_attempt() {
+fn a_late_answer_of_the_same_server_is_not_taken_for_the_answer_to_the_next_attempt() {
     let mut bench = Bench::with(Puppet::default());
-    let asks = |bench: &mut Bench<Puppet>, input: Input| {
+    let asks = |bench: &mut Bench<Puppet>, input: NodeEvent| {
         let out = bench.tell(input);
         let mut all = out.clone();
         all.extend(bench.made(&out));
-        set_up(&all).map(|(link, _)| link).expect("sent")
+        set_up(&all).map(|(conn, _)| conn).expect("sent")
     };
     let again = Action::SetUp(name(9), ServerId(0), SECOND / 2);
     bench.core.decider.0.push_back(again.clone());
-    let first = asks(&mut bench, Input::Said(ClientId(1), request(9, "clip", "")));
-    // The time-out, and another attempt at the same box.
+    let first = asks(&mut bench, NodeEvent::ClientMessage(ClientId(1), request(9, "clip", "")));
+    // The time-out, and another attempt at the same media server.
     bench.now += SECOND / 2;
     bench.core.decider.0.push_back(again);
-    let second = asks(&mut bench, Input::Tick);
+    let second = asks(&mut bench, NodeEvent::Tick);
     assert_ne!(first, second);
-    assert_eq!(said(&bench.tell(Input::Heard(first, answer(9)))).count(), 0);
-    assert_eq!(said(&bench.tell(Input::Heard(second, answer(9)))).count(), 1);
+    assert_eq!(said(&bench.tell(NodeEvent::ServerMessage(first, answer(9)))).count(), 0);
+    assert_eq!(said(&bench.tell(NodeEvent::ServerMessage(second, answer(9)))).count(), 1);
 }
 
 #[test]
@@ -254,20 +258,20 @@
     for error in [DialError::Refused, DialError::TimedOut] {
         let mut bench = Bench::new();
         let out = bench.ask(9, "paid");
-        let Some(Output::Dial(link, _)) = out.iter().find(|o| matches!(o, Output::Dial(..))) else {
+        let Some(Command::Connect(conn, _)) = out.iter().find(|o| matches!(o, Command::Connect(..))) else {
             panic!()
         };
-        let out = bench.tell(Input::Dialed(*link, Err(error)));
-        assert!(out.iter().any(|o| matches!(o, Output::Dial(..))), "{out:?}");
+        let out = bench.tell(NodeEvent::ConnectEnded(*conn, Err(error)));
+        assert!(out.iter().any(|o| matches!(o, Command::Connect(..))), "{out:?}");
     }
     // Turned away unseen, and moot.
     for (cause, again) in [(cause::FULL, true), (cause::MOOT, true), (cause::ERROR, false), (99, false)] {
         let mut bench = Bench::new();
         let out = bench.ask(9, "paid");
         let out = bench.made(&out);
-        let (link, _) = set_up(&out).unwrap();
-        let out = bench.tell(Input::Heard(link, Message::release(9, cause)));
-        assert_eq!(out.iter().any(|o| matches!(o, Output::Dial(..))), again, "{cause}: {out:?}");
+        let (conn, _) = set_up(&out).unwrap();
+        let out = bench.tell(NodeEvent::ServerMessage(conn, Message::release(9, cause)));
+        assert_eq!(out.iter().any(|o| matches!(o, Command::Connect(..))), again, "{cause}: {out:?}");
         let failed = said(&out).any(|m| m.kind == kind::RELEASE && m.cause() == Some(FAILED));
         assert_eq!(failed, !again, "{cause}");
     }
@@ -275,29 +279,32 @@
     let mut bench = Bench::new();
     let out = bench.ask(9, "paid");
     let out = bench.made(&out);
-    let (link, _) = set_up(&out).unwrap();
-    let out = bench.tell(Input::Closed(link));
+    let (conn, _) = set_up(&out).unwrap();
+    let out = bench.tell(NodeEvent::ServerClosed(conn));
     assert!(said(&out).any(|m| m.cause() == Some(FAILED)) && set_up(&out).is_none());
 }
 
 #[test]
 fn a_connection_that_ends_takes_the_open_set_ups_and_leaves_what_stands() {
     let mut bench = Bench::new();
-    let (link, at) = bench.playing(1, "clip");
+    let (conn, at) = bench.playing(1, "clip");
     let mut open = None;
     for id in 2..40 {
         let out = bench.ask(id, "clip");
-        if set_up(&out).is_some_and(|(on, _)| on == link) {
+        if set_up(&out).is_some_and(|(on, _)| on == conn) {
             open = Some(id);
             break;
         }
         bench.made(&out);
     }
     let open = open.expect("a second one on the same connection");
-    let out = bench.tell(Input::Closed(link));
+    let out = bench.tell(NodeEvent::ServerClosed(conn));
     assert!(bench.core.sessions[&1].session.playing().is_some());
     assert!(!bench.core.pool.out().contains(&open) || bench.core.sessions[&open].session.attempts > 1);
-    assert!(out.iter().any(|o| matches!(o, Output::Dial(_, to) if *to == at)), "it is looked at: {out:?}");
+    assert!(
+        out.iter().any(|o| matches!(o, Command::Connect(_, to) if *to == at)),
+        "it is looked at: {out:?}"
+    );
 }
 
 #[test]
@@ -310,7 +317,7 @@
     }
     let mut on = BTreeMap::new();
     for entry in bench.core.sessions.values() {
-        *on.entry(entry.link).or_insert(0) += 1;
+        *on.entry(entry.conn).or_insert(0) += 1;
     }
     assert_eq!(on.remove(&None), Some(6), "six connections to a box, four set-ups on each");
     assert_eq!(on.into_values().collect::<Vec<_>>(), [4; 6]);
@@ -330,16 +337,16 @@
     };
     let (mut bench, out) = asked();
     let out = bench.made(&out);
-    let (link, message) = sent(&out, kind::TEST)[0];
+    let (conn, message) = sent(&out, kind::TEST)[0];
     let passed = Message::new(kind::TESTED, message.session).with(code::CAUSE, [1]);
-    bench.tell(Input::Heard(link, passed.with(code::REPORT, "active:3;x0:0.5")));
+    bench.tell(NodeEvent::ServerMessage(conn, passed.with(code::REPORT, "active:3;x0:0.5")));
     bench.after(SECOND);
     let heard: Vec<_> = bench.core.decider.1.iter().filter_map(probed).collect();
     assert_eq!(heard, [(Outcome::Ok, vec![3.0, 0.5])]);
     // Not made, it is failed at once; not answered, in time.
     let (mut bench, out) = asked();
-    let Some(Output::Dial(link, _)) = out.last() else { panic!("{out:?}") };
-    bench.tell(Input::Dialed(*link, Err(DialError::Refused)));
+    let Some(Command::Connect(conn, _)) = out.last() else { panic!("{out:?}") };
+    bench.tell(NodeEvent::ConnectEnded(*conn, Err(DialError::Refused)));
     assert_eq!(bench.core.decider.1.iter().find_map(probed), Some((Outcome::NoConnection, vec![])));
     let (mut bench, out) = asked();
     bench.made(&out);
@@ -348,26 +355,26 @@
 }
 
 #[test]
-fn a_dead_process_is_told_from_a_broken_connection_and_its_viewers_come_again_at_once() {
+fn a_dead_process_is_told_from_a_broken_connection_and_its_clients_come_again_at_once() {
     let mut bench = Bench::new();
-    let (link, at) = bench.playing(1, "clip");
-    let out = bench.tell(Input::Closed(link));
+    let (conn, at) = bench.playing(1, "clip");
+    let out = bench.tell(NodeEvent::ServerClosed(conn));
     assert_eq!(said(&out).count(), 0, "a reset cuts nothing that stands");
-    let dial = |out: &[Output]| {
+    let dial = |out: &[Command]| {
         out.iter().find_map(|o| match o {
-            Output::Dial(link, to) if *to == at => Some(*link),
+            Command::Connect(conn, to) if *to == at => Some(*conn),
             _ => None,
         })
     };
     let look = dial(&out).expect("a look");
-    let mut out = bench.tell(Input::Dialed(look, Err(DialError::Refused)));
+    let mut out = bench.tell(NodeEvent::ConnectEnded(look, Err(DialError::Refused)));
     assert_eq!(said(&out).count(), 0);
     out.extend(bench.after(SECOND / 5));
     let look = dial(&out).expect("a second look");
-    let out = bench.tell(Input::Dialed(look, Err(DialError::Refused)));
+    let out = bench.tell(NodeEvent::ConnectEnded(look, Err(DialError::Refused)));
     let released: Vec<_> = said(&out).map(|m| (m.kind, m.session, m.cause())).collect();
     assert_eq!(released, [(kind::RELEASE, 1, Some(cause::BROKEN))]);
-    assert!(bench.core.sessions.is_empty() && bench.core.health.believed().next().is_none());
+    assert!(bench.core.sessions.is_empty() && bench.core.health.states().next().is_none());
 }
 
 #[test]
@@ -385,7 +392,7 @@
 }
 
 #[test]
-fn a_box_that_lives_and_says_nothing_keeps_its_sessions() {
+fn a_server_that_lives_and_says_nothing_keeps_its_sessions() {
     let mut bench = Bench::new();
     bench.playing(1, "clip");
     for _ in 0..600 {
@@ -394,70 +401,74 @@
         bench.made(&out);
     }
     assert_eq!(bench.core.held()[1], 1);
-    assert!(bench.core.pool.of(ServerId(0)).len() <= 4, "looks do not pile up");
+    assert!(bench.core.pool.connections_to(ServerId(0)).len() <= 4, "looks do not pile up");
 }
 
 #[test]
-fn a_new_box_at_an_old_address_is_another_and_sessions_of_the_old_one_are_over() {
+fn a_new_server_at_an_old_address_is_another_and_sessions_of_the_old_one_are_over() {
     let mut bench = Bench::new();
-    let (link, at) = bench.playing(1, "clip");
+    let (conn, at) = bench.playing(1, "clip");
     let old = bench.core.sessions[&1].session.at().unwrap().server;
     let gone = ServerEntry { server: old, state: ServerState::Gone, ..ServerEntry::default() };
     let new = ServerEntry { server: ServerId(90), cell: old.0, units: 1.0, ..ServerEntry::default() };
     let lines = vec![Listed { entry: gone, address: at }, Listed { entry: new, address: at }];
-    let out = bench.told(1, 6, Told::Changes(lines));
-    assert!(out.contains(&Output::Disconnect(link)), "the old one's connection is never the new one's");
+    let out = bench.told(1, 6, Payload::Changes(lines));
+    assert!(out.contains(&Command::CloseServer(conn)), "the old one's connection is never the new one's");
     assert!(said(&out).any(|m| m.kind == kind::RELEASE && m.session == 1));
-    assert!(bench.core.pool.of(ServerId(90)).is_empty());
+    assert!(bench.core.pool.connections_to(ServerId(90)).is_empty());
 }
 
 #[test]
-fn a_restarted_box_has_cut_what_was_set_up_before_and_nothing_since() {
+fn a_restarted_server_has_cut_what_was_set_up_before_and_nothing_since() {
     let mut bench = Bench::new();
     bench.playing(1, "clip");
     let server = bench.core.sessions[&1].session.at().unwrap().server;
     bench.after(SECOND);
     let mut again = line(server.0);
     again.entry.started = Some(bench.now - SECOND / 2);
-    let out = bench.told(1, 6, Told::Changes(vec![again.clone()]));
+    let out = bench.told(1, 6, Payload::Changes(vec![again.clone()]));
     assert!(said(&out).any(|m| m.kind == kind::RELEASE && m.session == 1));
     bench.playing(2, "clip");
     let server = bench.core.sessions[&2].session.at().unwrap().server;
     let mut told = line(server.0);
     told.entry.started = Some(bench.now - SECOND);
-    let out = bench.told(1, 7, Told::Changes(vec![told]));
+    let out = bench.told(1, 7, Payload::Changes(vec![told]));
     assert_eq!(said(&out).count(), 0);
 }
 
 #[test]
-fn viewers_end_sessions_on_any_connection_and_are_owed_no_release() {
+fn clients_end_sessions_on_any_connection_and_are_owed_no_release() {
     let mut bench = Bench::new();
-    let (link, _) = bench.playing(1, "clip");
-    bench.tell(Input::Left(ClientId(1)));
+    let (conn, _) = bench.playing(1, "clip");
+    bench.tell(NodeEvent::ClientClosed(ClientId(1)));
     assert_eq!(bench.core.held()[1], 1, "what stands belongs to no connection");
-    bench.tell(Input::Joined(ClientId(2)));
-    let out = bench.tell(Input::Said(ClientId(2), Message::release(1, 16)));
+    bench.tell(NodeEvent::ClientConnected(ClientId(2)));
+    let out = bench.tell(NodeEvent::ClientMessage(ClientId(2), Message::release(1, 16)));
     let kinds: Vec<u8> = said(&out).map(|m| m.kind).collect();
     assert_eq!(kinds, [kind::HEARD]);
     assert_eq!(sent(&out, kind::RELEASE).len(), 1);
-    assert_eq!(said(&bench.tell(Input::Heard(link, Message::release(1, 31)))).count(), 0);
+    assert_eq!(said(&bench.tell(NodeEvent::ServerMessage(conn, Message::release(1, 31)))).count(), 0);
     assert!(bench.core.sessions.is_empty());
 }
 
 #[test]
-fn a_viewer_that_gives_up_is_answered_no_more_and_its_set_up_is_taken_back() {
+fn a_client_that_gives_up_is_answered_no_more_and_its_set_up_is_taken_back() {
     let mut bench = Bench::new();
     let out = bench.ask(9, "paid");
     let out = bench.made(&out);
-    let (link, _) = set_up(&out).unwrap();
-    let out = bench.tell(Input::Said(ClientId(1), Message::release(9, 16)));
-    assert_eq!(sent(&out, kind::RELEASE), [(link, &Message::release(9, 16))]);
-    assert_eq!(said(&bench.tell(Input::Heard(link, answer(9)))).count(), 0, "the answer crossed it");
+    let (conn, _) = set_up(&out).unwrap();
+    let out = bench.tell(NodeEvent::ClientMessage(ClientId(1), Message::release(9, 16)));
+    assert_eq!(sent(&out, kind::RELEASE), [(conn, &Message::release(9, 16))]);
+    assert_eq!(
+        said(&bench.tell(NodeEvent::ServerMessage(conn, answer(9)))).count(),
+        0,
+        "the answer crossed it"
+    );
     assert!(bench.core.sessions.is_empty());
     // The same by a connection that goes.
     let out = bench.ask(10, "paid");
     bench.made(&out);
-    let out = bench.tell(Input::Left(ClientId(1)));
+    let out = bench.tell(NodeEvent::ClientClosed(ClientId(1)));
     assert_eq!(sent(&out, kind::RELEASE).len(), 1);
     assert!(bench.core.sessions.is_empty());
 }
@@ -467,9 +478,9 @@
     let mut bench = Bench::new();
     let out = bench.ask(9, "clip");
     bench.made(&out);
-    bench.tell(Input::Said(ClientId(1), Message::release(9, 16)));
+    bench.tell(NodeEvent::ClientMessage(ClientId(1), Message::release(9, 16)));
     let out = bench.after(9 * SECOND);
-    assert!(out.contains(&Output::Close(ClientId(1))), "nobody is served on it");
+    assert!(out.contains(&Command::CloseClient(ClientId(1))), "nobody is served on it");
 }
 
 #[test]
@@ -497,7 +508,7 @@
     ];
     bench.core.decider.0.extend(actions);
     let out = bench.ask(9, "paid");
-    assert_eq!(out.iter().filter(|o| matches!(o, Output::Dial(..))).count(), 1);
+    assert_eq!(out.iter().filter(|o| matches!(o, Command::Connect(..))).count(), 1);
     let answers: Vec<_> = said(&out).map(|m| m.cause()).collect();
     assert_eq!(answers, [Some(FAILED)], "one answer, and no refusal while it may run");
     assert!(bench.core.counts().stopped >= 4);
@@ -527,7 +538,7 @@
     .into_iter()
     .enumerate()
     {
-        let out = bench.tell(Input::Said(ClientId(1), message));
+        let out = bench.tell(NodeEvent::ClientMessage(ClientId(1), message));
         let answers: Vec<_> = said(&out).map(|m| (m.kind, m.cause())).collect();
         assert_eq!(answers, [(kind::RELEASE, Some(cause::UNUSABLE))], "{n}");
     }
@@ -539,16 +550,16 @@
     let mut bench = Bench::new();
     let out = bench.ask(9, "clip");
     let out = bench.made(&out);
-    let (link, _) = set_up(&out).unwrap();
-    bench.tell(Input::Joined(ClientId(2)));
-    let out = bench.tell(Input::Said(ClientId(2), request(9, "paid", "")));
-    assert_eq!(out, [Output::Close(ClientId(2))]);
-    let out = bench.tell(Input::Heard(link, answer(9)));
-    assert!(matches!(out[0], Output::Say(ClientId(1), _)));
+    let (conn, _) = set_up(&out).unwrap();
+    bench.tell(NodeEvent::ClientConnected(ClientId(2)));
+    let out = bench.tell(NodeEvent::ClientMessage(ClientId(2), request(9, "paid", "")));
+    assert_eq!(out, [Command::CloseClient(ClientId(2))]);
+    let out = bench.tell(NodeEvent::ServerMessage(conn, answer(9)));
+    assert!(matches!(out[0], Command::SendToClient(ClientId(1), _)));
     // On the same connection, the first is answered before it closes.
     bench.ask(10, "clip");
     let out = bench.ask(10, "clip");
-    assert!(said(&out).any(|m| m.session == 10) && out.contains(&Output::Close(ClientId(1))));
+    assert!(said(&out).any(|m| m.session == 10) && out.contains(&Command::CloseClient(ClientId(1))));
 }
 
 #[test]
@@ -557,39 +568,41 @@
     bench.playing(1, "clip");
     let mut closed = Vec::new();
     for id in 2..400 {
-        closed.extend(bench.tell(Input::Joined(ClientId(id))));
+        closed.extend(bench.tell(NodeEvent::ClientConnected(ClientId(id))));
     }
     assert!(bench.core.held()[2] <= 128);
-    assert!(!closed.contains(&Output::Close(ClientId(1))), "a viewer keeps its connection");
+    assert!(!closed.contains(&Command::CloseClient(ClientId(1))), "a viewer keeps its connection");
     bench.after(3 * SECOND);
     assert_eq!(bench.core.held()[2], 1);
 }
 
 #[test]
-fn sessions_handed_over_twice_are_taken_in_once_and_looked_for_at_their_box() {
+fn sessions_handed_over_twice_are_taken_in_once_and_looked_for_at_their_server() {
     let mut bench = Bench::new();
     let handed = request(5, "paid", ";at:s-00000001");
-    let out = bench.tell(Input::Said(ClientId(1), handed.clone()));
+    let out = bench.tell(NodeEvent::ClientMessage(ClientId(1), handed.clone()));
     assert_eq!(said(&out).count(), 0, "it wants no answer");
-    assert!(out.iter().any(|o| matches!(o, Output::Dial(_, to) if *to == address(1))));
-    assert_eq!(bench.tell(Input::Said(ClientId(1), handed)), []);
+    assert!(out.iter().any(|o| matches!(o, Command::Connect(_, to) if *to == address(1))));
+    assert_eq!(bench.tell(NodeEvent::ClientMessage(ClientId(1), handed)), []);
     assert_eq!((bench.core.counts().resumed, bench.core.held()[1]), (1, 1));
 }
 
 #[test]
-fn a_session_handed_over_at_a_high_rung_is_stepped_down_to_the_lowest_at_its_box() {
+fn a_session_handed_over_at_a_high_rung_is_stepped_down_to_the_lowest_at_its_server() {
     let steps = |told: Option<usize>, to: usize| {
         let mut bench = Bench::with(Puppet::default());
-        let out = bench.tell(Input::Said(ClientId(1), request(5, "clip", ";at:s-00000001")));
+        let out = bench.tell(NodeEvent::ClientMessage(ClientId(1), request(5, "clip", ";at:s-00000001")));
         bench.made(&out);
-        let link = bench.core.pool.of(ServerId(1))[0];
+        let conn = bench.core.pool.connections_to(ServerId(1))[0];
         if let Some(rung) = told {
             let note = Message::new(kind::NOTE, 5).with(24, "level").with(39, rung.to_string());
-            bench.tell(Input::Heard(link, note));
+            bench.tell(NodeEvent::ServerMessage(conn, note));
         }
         bench.core.decider.0.push_back(Action::SetRung(name(5), to));
-        let out =
-            bench.tell(Input::Heard(link, Message::new(kind::NOTE, 5).with(24, "port").with(39, "1.5")));
+        let out = bench.tell(NodeEvent::ServerMessage(
+            conn,
+            Message::new(kind::NOTE, 5).with(24, "port").with(39, "1.5"),
+        ));
         sent(&out, kind::RUNG).into_iter().filter_map(|(_, m)| m.text(code::RUNG)?.parse().ok()).next()
     };
     assert_eq!(steps(Some(2), 0), Some(0), "the front believed it there already");
@@ -598,22 +611,23 @@
 }
 
 #[test]
-fn a_moved_session_ends_at_its_box_and_its_viewer_is_known_when_it_comes_back() {
+fn a_moved_session_ends_at_its_server_and_its_client_is_known_when_it_comes_back() {
     let mut bench = Bench::with(Puppet::default());
     bench.core.decider.0.push_back(Action::SetUp(name(1), ServerId(0), 0));
-    let (link, _) = bench.playing(1, "clip");
+    let (conn, _) = bench.playing(1, "clip");
     bench.core.decider.0.push_back(Action::Move(name(1)));
-    let out = bench.tell(Input::Heard(link, Message::new(kind::NOTE, 1).with(24, "port").with(39, "0.5")));
+    let out = bench
+        .tell(NodeEvent::ServerMessage(conn, Message::new(kind::NOTE, 1).with(24, "port").with(39, "0.5")));
     assert_eq!(said(&out).map(|m| m.kind).collect::<Vec<_>>(), [kind::MOVE]);
     let out = bench.after(SECOND);
     assert_eq!(sent(&out, kind::RELEASE).len(), 1, "the box did not end it by itself");
     assert!(bench.core.sessions.is_empty() && bench.core.moved.len() == 1);
-    bench.tell(Input::Said(ClientId(1), request(2, "clip", "").with(33, "5")));
+    bench.tell(NodeEvent::ClientMessage(ClientId(1), request(2, "clip", "").with(33, "5")));
     assert_eq!(bench.core.moved.len(), 1, "another viewer");
     let mut back = request(3, "clip", "");
     back.parameters.retain(|(code, _)| *code != code::FIGURES);
     let figures = format!("home:0;copies:3;top:2;viewer:{:016x};again:1", 1);
-    bench.tell(Input::Said(ClientId(1), back.with(code::FIGURES, figures)));
+    bench.tell(NodeEvent::ClientMessage(ClientId(1), back.with(code::FIGURES, figures)));
     assert!(bench.core.moved.is_empty());
 }
 
@@ -623,42 +637,43 @@
     let gone = |id: u32| {
         let mut line = line(id);
         line.entry.state = ServerState::Gone;
-        Told::Changes(vec![line])
+        Payload::Changes(vec![line])
     };
     bench.told(1, 6, gone(0));
-    assert_eq!(bench.core.boxes.len(), 2);
+    assert_eq!(bench.core.servers.len(), 2);
     bench.told(1, 6, gone(1));
-    assert_eq!(bench.core.boxes.len(), 2, "the same number again");
+    assert_eq!(bench.core.servers.len(), 2, "the same number again");
     let out = bench.told(1, 8, gone(1));
-    assert!(out.contains(&Output::Follow(2, address(200), 6)), "{out:?}");
+    assert!(out.contains(&Command::ConnectList(2, address(200), 6)), "{out:?}");
     assert!(bench.told(1, 7, gone(1)).is_empty(), "the earlier call is over");
     bench.told(2, 7, gone(1));
-    assert_eq!(bench.core.boxes.len(), 1);
-    bench.tell(Input::ListDown(2));
+    assert_eq!(bench.core.servers.len(), 1);
+    bench.tell(NodeEvent::ListClosed(2));
     let out = bench.after(SECOND / 5);
-    assert!(out.contains(&Output::Follow(3, address(200), 7)), "{out:?}");
-    bench.tell(Input::ListUp(3));
+    assert!(out.contains(&Command::ConnectList(3, address(200), 7)), "{out:?}");
+    bench.tell(NodeEvent::ListConnected(3));
     let out = bench.after(5 * SECOND / 2);
-    assert!(out.contains(&Output::Follow(4, address(200), 7)), "silent: {out:?}");
-    let out = bench.tell(Input::Coordinator(address(201)));
-    assert!(out.contains(&Output::Follow(5, address(201), 7)), "{out:?}");
+    assert!(out.contains(&Command::ConnectList(4, address(200), 7)), "silent: {out:?}");
+    let out = bench.tell(NodeEvent::CoordinatorMoved(address(201)));
+    assert!(out.contains(&Command::ConnectList(5, address(201), 7)), "{out:?}");
 }
 
 #[test]
 fn a_test_is_passed_only_once_the_list_was_heard_and_not_while_it_ends() {
     let passes = |bench: &mut Bench<Brain>| {
-        let out = bench.tell(Input::Said(ClientId(1), Message::new(kind::TEST, 0).with(code::CAUSE, [0])));
+        let out = bench
+            .tell(NodeEvent::ClientMessage(ClientId(1), Message::new(kind::TEST, 0).with(code::CAUSE, [0])));
         let cause = said(&out).next().and_then(Message::cause);
         cause == Some(1)
     };
     let core = Core::new(Brain::new(facts().settings, 7), facts(), 256, START);
     let mut bench = Bench { core, now: START, out: Vec::new() };
     bench.core.begin(START, (0..LISTED).map(line).collect(), 5, address(200), &mut bench.out);
-    bench.tell(Input::Joined(ClientId(1)));
+    bench.tell(NodeEvent::ClientConnected(ClientId(1)));
     assert!(!passes(&mut bench));
-    bench.told(1, 5, Told::Nothing);
+    bench.told(1, 5, Payload::Nothing);
     assert!(passes(&mut bench));
-    bench.tell(Input::End);
+    bench.tell(NodeEvent::Shutdown);
     assert!(!passes(&mut bench));
 }
 
@@ -666,19 +681,19 @@
 fn an_ending_process_serves_what_still_comes_and_leaves_nothing_unanswered() {
     let mut bench = Bench::new();
     bench.playing(1, "clip");
-    bench.tell(Input::End);
+    bench.tell(NodeEvent::Shutdown);
     bench.after(SECOND / 2);
     let out = bench.ask(2, "clip");
     let mut all = out.clone();
     all.extend(bench.made(&out));
-    let (link, _) = set_up(&all).expect("still served");
+    let (conn, _) = set_up(&all).expect("still served");
     let out = bench.after(SECOND / 2);
-    assert!(!out.contains(&Output::Finished), "an answer is owed");
-    let mut out = bench.tell(Input::Heard(link, answer(2)));
+    assert!(!out.contains(&Command::Exit), "an answer is owed");
+    let mut out = bench.tell(NodeEvent::ServerMessage(conn, answer(2)));
     assert!(said(&out).any(|m| m.kind == kind::ANSWER && m.session == 2));
-    assert!(!out.contains(&Output::Finished), "not before the sockets were read");
-    out.extend(bench.tell(Input::Tick));
-    assert!(out.contains(&Output::Finished));
+    assert!(!out.contains(&Command::Exit), "not before the sockets were read");
+    out.extend(bench.tell(NodeEvent::Tick));
+    assert!(out.contains(&Command::Exit));
     let released = said(&out).filter(|m| m.kind == kind::RELEASE).map(|m| m.session);
     assert_eq!(released.collect::<Vec<_>>(), [1, 2], "their viewers go elsewhere at once");
 }
@@ -690,14 +705,14 @@
         let out = bench.ask(id, if id % 3 == 0 { "paid" } else { "clip" });
         let mut all = out.clone();
         all.extend(bench.made(&out));
-        if let Some((link, _)) = set_up(&all) {
+        if let Some((conn, _)) = set_up(&all) {
             match id % 5 {
-                0 => drop(bench.tell(Input::Heard(link, Message::release(id, cause::FULL)))),
-                1 => drop(bench.tell(Input::Said(ClientId(1), Message::release(id, 16)))),
-                2 => drop(bench.tell(Input::Closed(link))),
+                0 => drop(bench.tell(NodeEvent::ServerMessage(conn, Message::release(id, cause::FULL)))),
+                1 => drop(bench.tell(NodeEvent::ClientMessage(ClientId(1), Message::release(id, 16)))),
+                2 => drop(bench.tell(NodeEvent::ServerClosed(conn))),
                 _ => {
-                    bench.tell(Input::Heard(link, answer(id)));
-                    bench.tell(Input::Heard(link, Message::release(id, cause::NORMAL)));
+                    bench.tell(NodeEvent::ServerMessage(conn, answer(id)));
+                    bench.tell(NodeEvent::ServerMessage(conn, Message::release(id, cause::NORMAL)));
                 }
             }
         }
@@ -708,8 +723,8 @@
         let out = bench.after(SECOND / 10);
         bench.made(&out);
     }
-    let [sessions, playing, doors, links, timers] = bench.core.held();
-    assert_eq!((sessions, playing, links), (0, 0, 0));
+    let [sessions, playing, doors, connections, timers] = bench.core.held();
+    assert_eq!((sessions, playing, connections), (0, 0, 0));
     assert!(doors <= 1 && timers < 12, "{doors} {timers}");
     assert!(bench.core.probes.is_empty() && bench.core.pool.out().is_empty());
 }
@@ -722,7 +737,7 @@
         line.entry.state = ServerState::Draining;
         line
     });
-    bench.told(1, 6, Told::Changes(lines.collect()));
+    bench.told(1, 6, Payload::Changes(lines.collect()));
     let out = bench.ask(9, "paid");
     let answer = said(&out).next().expect("at once");
     assert_eq!((answer.cause(), answer.text(code::HOLD_OFF)), (Some(cause::FULL), Some("1000")));
@@ -734,12 +749,12 @@
     let mut bench = Bench::new();
     let out = bench.ask(1, "clip");
     let out = bench.made(&out);
-    let (link, _) = set_up(&out).unwrap();
+    let (conn, _) = set_up(&out).unwrap();
     let drains = bench.core.sessions[&1].session.at().unwrap().server;
     let mut told = line(drains.0);
     told.entry.state = ServerState::Draining;
-    bench.told(1, 6, Told::Changes(vec![told]));
-    let out = bench.tell(Input::Heard(link, answer(1)));
+    bench.told(1, 6, Payload::Changes(vec![told]));
+    let out = bench.tell(NodeEvent::ServerMessage(conn, answer(1)));
     assert!(said(&out).any(|m| m.kind == kind::ANSWER));
     for id in 2..12 {
         let (_, at) = bench.playing(id, "clip");
@@ -748,20 +763,20 @@
 }
 
 #[test]
-fn a_release_that_comes_twice_and_on_another_connection_is_told_the_viewer_once() {
+fn a_release_that_comes_twice_and_on_another_connection_is_told_the_client_once() {
     let mut bench = Bench::new();
-    let (link, at) = bench.playing(1, "clip");
-    let out = bench.tell(Input::Closed(link));
+    let (conn, at) = bench.playing(1, "clip");
+    let out = bench.tell(NodeEvent::ServerClosed(conn));
     let look = out.iter().find_map(|o| match o {
-        Output::Dial(link, to) if *to == at => Some(*link),
+        Command::Connect(conn, to) if *to == at => Some(*conn),
         _ => None,
     });
     let other = look.expect("a new connection");
-    bench.tell(Input::Dialed(other, Ok(())));
+    bench.tell(NodeEvent::ConnectEnded(other, Ok(())));
     let released = Message::release(1, cause::NORMAL);
-    let out = bench.tell(Input::Heard(other, released.clone()));
+    let out = bench.tell(NodeEvent::ServerMessage(other, released.clone()));
     assert_eq!(said(&out).collect::<Vec<_>>(), [&released]);
-    let out = bench.tell(Input::Heard(other, released));
+    let out = bench.tell(NodeEvent::ServerMessage(other, released));
     assert_eq!(said(&out).count(), 0);
     assert_eq!(sent(&out, kind::HEARD).len(), 1);
 }
@@ -769,16 +784,16 @@
 #[test]
 fn a_request_that_crossed_a_close_is_taken_on_a_new_connection() {
     let mut bench = Bench::new();
-    bench.tell(Input::Joined(ClientId(2)));
-    bench.tell(Input::Said(ClientId(2), request(9, "paid", "")));
-    bench.tell(Input::Left(ClientId(2)));
+    bench.tell(NodeEvent::ClientConnected(ClientId(2)));
+    bench.tell(NodeEvent::ClientMessage(ClientId(2), request(9, "paid", "")));
+    bench.tell(NodeEvent::ClientClosed(ClientId(2)));
     assert!(bench.core.sessions.is_empty(), "whoever asked is gone");
     let out = bench.ask(9, "paid");
     let mut all = out.clone();
     all.extend(bench.made(&out));
-    let (link, _) = set_up(&all).expect("asked again");
-    let out = bench.tell(Input::Heard(link, answer(9)));
-    assert_eq!(out[0], Output::Say(ClientId(1), answer(9)));
+    let (conn, _) = set_up(&all).expect("asked again");
+    let out = bench.tell(NodeEvent::ServerMessage(conn, answer(9)));
+    assert_eq!(out[0], Command::SendToClient(ClientId(1), answer(9)));
 }
 
 #[test]
@@ -788,15 +803,15 @@
         bench.core.decider.0.push_back(Action::SetUp(name(1), ServerId(0), SECOND));
         let out = bench.ask(1, "paid");
         let made = bench.made(&out);
-        let (link, _) = set_up(&made).expect("set up");
+        let (conn, _) = set_up(&made).expect("set up");
         // The process stands still, past the set-up's time-out of a second; both answers wait in its sockets.
         bench.now += stopped;
-        bench.tell(Input::Told(1, Frame { number: 5, told: Told::Nothing }));
-        let out = bench.tell(Input::Heard(link, answer(1)));
+        bench.tell(NodeEvent::ListFrame(1, Frame { number: 5, payload: Payload::Nothing }));
+        let out = bench.tell(NodeEvent::ServerMessage(conn, answer(1)));
         let kinds: Vec<u8> = said(&out).map(|message| message.kind).collect();
         assert_eq!(kinds, [if plays { kind::ANSWER } else { kind::RELEASE }], "{stopped}");
         let ended = sent(&out, kind::RELEASE).len();
         assert_eq!(ended, usize::from(!plays), "what nobody may be told is ended at its box");
-        assert_eq!(said(&bench.tell(Input::Tick)).count(), 0, "one answer");
+        assert_eq!(said(&bench.tell(NodeEvent::Tick)).count(), 0, "one answer");
     }
 }
--- a/crates/platform/src/core/tests/gone.rs
+++ b/crates/platform/src/core/tests/gone.rs
@@ -3,12 +3,12 @@
 use super::*;
 
 /// Each way of going, on the connection of the request.
-fn ways(id: u64) -> [Input; 4] {
+fn ways(id: u64) -> [NodeEvent; 4] {
     [
-        Input::Left(ClientId(1)),
-        Input::HalfClosed(ClientId(1)),
-        Input::Said(ClientId(1), Message::release(id, cause::NORMAL)),
-        Input::Garbled(ClientId(1)),
+        NodeEvent::ClientClosed(ClientId(1)),
+        NodeEvent::ClientHalfClosed(ClientId(1)),
+        NodeEvent::ClientMessage(ClientId(1), Message::release(id, cause::NORMAL)),
+        NodeEvent::ClientUnreadable(ClientId(1)),
     ]
 }
 
@@ -28,12 +28,15 @@
 fn of_a_request_whose_client_has_gone_in_the_same_look_nothing_is_heard_or_sent() {
     for way in ways(9) {
         let mut bench = Bench::with(Puppet::default());
-        let asks = Input::Said(ClientId(1), request(9, "clip", ""));
+        let asks = NodeEvent::ClientMessage(ClientId(1), request(9, "clip", ""));
         bench.core.decider.0.push_back(Action::SetUp(name(9), ServerId(0), SECOND));
         bench.core.handle(bench.now, asks, &mut bench.out);
         let out = bench.tell(way.clone());
         assert!(heard_of(&bench, 9).is_empty(), "{way:?}: {:?}", heard_of(&bench, 9));
-        assert!(!out.iter().any(|o| matches!(o, Output::Dial(..) | Output::Send(..))), "{way:?}: {out:?}");
+        assert!(
+            !out.iter().any(|o| matches!(o, Command::Connect(..) | Command::SendToServer(..))),
+            "{way:?}: {out:?}"
+        );
         assert!(bench.core.sessions.is_empty());
     }
 }
@@ -45,11 +48,11 @@
         let mut bench = Bench::new();
         let out = bench.ask(9, "clip");
         let out = bench.made(&out);
-        let (link, _) = set_up(&out).unwrap();
-        let turned_away = Input::Heard(link, Message::release(9, cause::MOOT));
+        let (conn, _) = set_up(&out).unwrap();
+        let turned_away = NodeEvent::ServerMessage(conn, Message::release(9, cause::MOOT));
         bench.core.handle(bench.now, turned_away, &mut bench.out);
         let out = bench.tell(way.clone());
-        assert!(!out.iter().any(|o| matches!(o, Output::Dial(..))), "{way:?}: {out:?}");
+        assert!(!out.iter().any(|o| matches!(o, Command::Connect(..))), "{way:?}: {out:?}");
         assert!(set_up(&out).is_none(), "{way:?}: {out:?}");
         let later = bench.after(5 * SECOND);
         assert!(set_up(&later).is_none() && bench.core.sessions.is_empty(), "{way:?}");
@@ -69,8 +72,8 @@
         bench.core.decider.0.push_back(Action::SetUp(name(9), ServerId(0), SECOND));
         let out = bench.ask(9, "clip");
         let out = bench.made(&out);
-        let (link, _) = set_up(&out).unwrap();
-        let turned_away = Input::Heard(link, Message::release(9, cause::FULL));
+        let (conn, _) = set_up(&out).unwrap();
+        let turned_away = NodeEvent::ServerMessage(conn, Message::release(9, cause::FULL));
         bench.core.handle(bench.now, turned_away, &mut bench.out);
         bench.tell(way.clone());
         assert_eq!(heard_of(&bench, 9), ["request", "ended, over"], "{way:?}");
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,9 +1,9 @@
-//! The platform's protocol as a second entry and exit of the session front: viewers, boxes and the list of boxes
+//! The platform's protocol as a second entry and exit of the session front: clients, servers and the list of servers
 //! over its binary messages, one process on a small machine. Every decision on placement, rungs, moves, refusals,
 //! further attempts and health is [`salttally`]'s, as everywhere.
 //!
 //! - [`wire`]: messages, figures and list frames; pure decoders and encoders, bounded.
-//! - [`core`]: sessions, links, watch over boxes, list and end of the process as state, with no I/O and no clock.
+//! - [`core`]: sessions, connections, health checks, list watch and shutdown as state, with no I/O and no clock.
 //! - [`config`]: the platform's JSON.
 //! - [`node`]: one thread that reads, writes and waits.
 #![forbid(unsafe_code)]
--- a/crates/platform/src/node/port.rs
+++ b/crates/platform/src/node/connection.rs
@@ -1,4 +1,4 @@
-//! One connection of a viewer or a box: what was read of it and what waits to be written.
+//! One connection of a client or a media server: what was read of it and what waits to be written.
 
 use std::net::TcpStream;
 
@@ -10,7 +10,7 @@
 
 use crate::wire::{kind, Decoder, Message};
 
-/// A viewer that takes nothing for this long is cut off.
+/// A client that takes nothing for this long is cut off.
 pub(super) const STALLED: Micros = 2_000_000;
 
 /// What a connection that is read is watched for: bytes, and that its peer writes no more.
@@ -32,10 +32,10 @@
     Broken,
 }
 
-pub(super) struct Port {
+pub(super) struct Connection {
     pub stream: TcpStream,
     pub decoder: Decoder,
-    pub fresh: Vec<u8>,
+    pub outgoing: Vec<u8>,
     pub connecting: bool,
     pub watched: EventFlags,
     /// Closed when all is written.
@@ -53,32 +53,32 @@
 
 /// What the socket did not take.
 enum Kept {
-    /// A viewer's answers wait here, up to a limit.
+    /// A client's answers wait here, up to a limit.
     Backlog(Backlog),
-    /// Of what goes to a box no more waits here than the rest of one message; nothing once it is written.
+    /// Of what goes to a media server no more waits here than the rest of one message; nothing once it is written.
     Rest(Option<Vec<u8>>),
 }
 
-impl Port {
-    /// A viewer's connection, for which so many bytes may wait.
-    pub fn viewer(stream: TcpStream, most: usize) -> Port {
-        Port::new(stream, false, Kept::Backlog(Backlog::new(most, STALLED)))
+impl Connection {
+    /// A client's connection, for which so many bytes may wait.
+    pub fn client(stream: TcpStream, most: usize) -> Connection {
+        Connection::new(stream, false, Kept::Backlog(Backlog::new(most, STALLED)))
     }
 
-    /// A connection to a box, which is being made.
-    pub fn dialed(stream: TcpStream) -> Port {
-        Port::new(stream, true, Kept::Rest(None))
+    /// A connection to a media server, which is being made.
+    pub fn dialed(stream: TcpStream) -> Connection {
+        Connection::new(stream, true, Kept::Rest(None))
     }
 
-    fn new(stream: TcpStream, connecting: bool, kept: Kept) -> Port {
-        let (decoder, fresh) = (Decoder::default(), Vec::new());
+    fn new(stream: TcpStream, connecting: bool, kept: Kept) -> Connection {
+        let (decoder, outgoing) = (Decoder::default(), Vec::new());
         let watched = if connecting { EventFlags::OUT } else { READS };
         let (closing, half_closed, stalled) = (false, false, false);
         let (discarded, crossed) = (0, [0; 3]);
-        Port {
+        Connection {
             stream,
             decoder,
-            fresh,
+            outgoing,
             connecting,
             watched,
             closing,
@@ -104,8 +104,8 @@
             return Flushed::All;
         }
         let flushed = match &mut self.kept {
-            Kept::Backlog(backlog) => through_backlog(&self.stream, &mut self.fresh, backlog, now),
-            Kept::Rest(rest) => by_message(&self.stream, &mut self.fresh, rest),
+            Kept::Backlog(backlog) => through_backlog(&self.stream, &mut self.outgoing, backlog, now),
+            Kept::Rest(rest) => by_message(&self.stream, &mut self.outgoing, rest),
         };
         flushed.map_or(Flushed::Broken, |(flushed, sent)| {
             self.crossed[2] += sent;
@@ -116,15 +116,15 @@
 
 fn through_backlog(
     stream: &TcpStream,
-    fresh: &mut Vec<u8>,
+    outgoing: &mut Vec<u8>,
     backlog: &mut Backlog,
     now: Micros,
 ) -> Result<(Flushed, usize), ()> {
     let mut sent = 0;
     if backlog.is_clear() {
-        sent = send_all(stream, fresh)?;
+        sent = send_all(stream, outgoing)?;
     }
-    let rest = std::mem::take(fresh).split_off(sent);
+    let rest = std::mem::take(outgoing).split_off(sent);
     if backlog.add(&rest, now) == Step::Cut {
         return Err(());
     }
@@ -142,7 +142,7 @@
 
 fn by_message(
     stream: &TcpStream,
-    fresh: &mut Vec<u8>,
+    outgoing: &mut Vec<u8>,
     rest: &mut Option<Vec<u8>>,
 ) -> Result<(Flushed, usize), ()> {
     if let Some(bytes) = rest {
@@ -154,7 +154,7 @@
         *rest = None;
         return Ok((Flushed::Resumed, sent));
     }
-    let bytes = std::mem::take(fresh);
+    let bytes = std::mem::take(outgoing);
     let sent = send_all(stream, &bytes)?;
     if sent == bytes.len() {
         return Ok((Flushed::All, sent));
--- a/crates/platform/src/wire/frames.rs
+++ b/crates/platform/src/wire/frames.rs
@@ -1,4 +1,4 @@
-//! Frames of the coordinator, which tells the list of boxes: length, number of the event, kind, records.
+//! Frames of the coordinator, which tells the list of servers: length, number of the event, kind, records.
 
 use std::net::{Ipv4Addr, SocketAddr};
 
@@ -8,12 +8,12 @@
 
 const HEAD: usize = 4 + 8 + 1;
 const RECORD: usize = 27;
-/// Boxes that one frame tells of at most; more is no list.
+/// Media servers that one frame tells of at most; more is no list.
 const MOST: usize = 20_000;
 
 /// What a frame tells.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Told {
+pub enum Payload {
     /// Nothing new.
     Nothing,
     /// The whole list.
@@ -25,10 +25,10 @@
 /// A numbered frame.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Frame {
-    /// Number of the event; with [`Told::Nothing`], of the last one.
+    /// Number of the event; with [`Payload::Nothing`], of the last one.
     pub number: u64,
     /// What it tells.
-    pub told: Told,
+    pub payload: Payload,
 }
 
 /// Why the coordinator's bytes cannot be read.
@@ -40,7 +40,7 @@
     /// An unknown kind.
     #[error("frame kind {0} is none")]
     Kind(u8),
-    /// An unknown state of a box.
+    /// An unknown state of a media server.
     #[error("state {0} is none")]
     State(u8),
 }
@@ -64,21 +64,21 @@
     pub fn take(&mut self) -> Result<Option<Frame>, BadFrame> {
         let Some(head) = self.bytes.get(..HEAD) else { return Ok(None) };
         let size = number(&head[..4]) as usize;
-        let payload = size.checked_sub(HEAD - 4).ok_or(BadFrame::Length(size))?;
-        if payload % RECORD != 0 || payload / RECORD > MOST {
+        let length = size.checked_sub(HEAD - 4).ok_or(BadFrame::Length(size))?;
+        if length % RECORD != 0 || length / RECORD > MOST {
             return Err(BadFrame::Length(size));
         }
         let (event, kind) = (number(&head[4..12]), head[12]);
-        let Some(records) = self.bytes.get(HEAD..HEAD + payload) else { return Ok(None) };
+        let Some(records) = self.bytes.get(HEAD..HEAD + length) else { return Ok(None) };
         let lines = records.chunks_exact(RECORD).map(line).collect::<Result<Vec<_>, _>>()?;
-        let told = match kind {
-            0 => Told::Nothing,
-            1 => Told::Whole(lines),
-            2 => Told::Changes(lines),
+        let payload = match kind {
+            0 => Payload::Nothing,
+            1 => Payload::Whole(lines),
+            2 => Payload::Changes(lines),
             other => return Err(BadFrame::Kind(other)),
         };
-        self.bytes.drain(..HEAD + payload);
-        Ok(Some(Frame { number: event, told }))
+        self.bytes.drain(..HEAD + length);
+        Ok(Some(Frame { number: event, payload }))
     }
 }
 
--- a/crates/platform/src/wire/mod.rs
+++ b/crates/platform/src/wire/mod.rs
@@ -1,4 +1,4 @@
-//! What crosses the sockets, read and written: [`Message`]s with viewers and boxes, [`frames`] of the list,
+//! What crosses the sockets, read and written: [`Message`]s with clients and servers, [`frames`] of the list,
 //! [`words`] inside the parameters. Nothing here allocates by what a peer claims, waits, or panics.
 
 pub mod frames;
@@ -68,7 +68,7 @@
 pub mod cause {
     /// The normal end; before the answer: given up.
     pub const NORMAL: u8 = 16;
-    /// Ended on purpose: moved, or by its viewer.
+    /// Ended on purpose: moved, or by its client.
     pub const ON_PURPOSE: u8 = 31;
     /// Full; never ran.
     pub const FULL: u8 = 34;
--- a/crates/platform/src/wire/tests.rs
+++ b/crates/platform/src/wire/tests.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use salttally::interface::{ReportField, ServerState};
 
-use super::frames::{BadFrame, Frames, Told};
+use super::frames::{BadFrame, Frames, Payload};
 use super::words::{self, Figures, Unusable};
 use super::*;
 
@@ -134,7 +134,7 @@
     assert_eq!(frames.take(), Ok(None));
     frames.feed(&bytes[bytes.len() - 1..]);
     let got = frames.take().unwrap().unwrap();
-    let Told::Changes(lines) = got.told else { panic!("{got:?}") };
+    let Payload::Changes(lines) = got.payload else { panic!("{got:?}") };
     let line = &lines[0];
     assert_eq!(
         (got.number, line.entry.server.0, line.address.to_string()),
--- a/crates/platform/src/wire/words.rs
+++ b/crates/platform/src/wire/words.rs
@@ -29,18 +29,18 @@
     pub home: u32,
     /// Cells in a row that hold it.
     pub copies: u32,
-    /// Highest rung that the viewer can use.
+    /// Highest rung that the client can use.
     pub top: usize,
-    /// The viewer's own number.
+    /// The client's own number.
     pub viewer: u64,
-    /// The viewer comes again.
+    /// The client comes again.
     pub again: bool,
-    /// The box where the session plays already.
+    /// The media server where the session plays already.
     pub at: Option<u32>,
 }
 
 impl Figures {
-    /// Reads `home:4;copies:3;top:4;viewer:00000000b4d65521`, with `again:1` and `at:s-00c41f7a` where they apply.
+    /// Reads `home:4;copies:3;top:4;client:00000000b4d65521`, with `again:1` and `at:s-00c41f7a` where they apply.
     ///
     /// # Errors
     /// The first figure that is missing or cannot be used.
@@ -60,7 +60,7 @@
                 Some("1") => true,
                 Some(_) => return Err(Unusable::Figure("again")),
             },
-            at: find("at").map(|at| box_id(at).ok_or(Unusable::Figure("at"))).transpose()?,
+            at: find("at").map(|at| server_id(at).ok_or(Unusable::Figure("at"))).transpose()?,
         })
     }
 }
@@ -88,8 +88,8 @@
     fits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
 }
 
-/// A box, written `s-` and 8 hex digits.
-pub fn box_id(text: &str) -> Option<u32> {
+/// A media server, written `s-` and 8 hex digits.
+pub fn server_id(text: &str) -> Option<u32> {
     let digits = text.strip_prefix("s-")?;
     let fits = digits.len() == 8 && digits.bytes().all(|byte| byte.is_ascii_hexdigit());
     fits.then(|| u32::from_str_radix(digits, 16).ok()).flatten()
