Nothing is decided by a look at the sockets that a stop or a flood has made old

Traces of the looks: the process was stopped in the middle of a turn, not in its wait. In one run the look of 40.435 had one event, the next one of 41.445 the request and the listener; the set-up went out at 41.4477 and the cancellation on the accepted connection was read at 41.44783. In the other the list was read for 16 kB at 10.2493, and the request sent on at 10.2501. Causes, crates/platform/src/node/mod.rs: poll_all took its end for the time of the last look (last_poll), so what lay there since the stop counted as recent and was decided in steps; the time for reading (READ_BUDGET) counted from before the stop, so a single turn was made after it; a flood that used that time up in one turn kept what was accepted in that turn unheard; the list was read for 16 kB a turn. Excluded: the kernel's order of events and EINTR (shown by the traces); a lack of room for newcomers (no such line). Change: a look is as old as its beginning; one that began over 50 ms ago is repeated before anything is decided, and the time for reading begins anew, once a call; at least two turns, four while newcomers are accepted; one read a turn for who floods, so that turns are shorter; the list is read for up to 1 MB a turn. The one of departed clients has room for all its clients now: five were closed for room before they were stopped.

--- a/crates/daemon/tests/front_node_gone.rs
+++ b/crates/daemon/tests/front_node_gone.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use node::hand::{wait_for, Hands};
+use node::hand::{behind_others, wait_for, Hands};
 use node::{answer, ask, Node, CELLS, SECOND};
 use rustix::process::Signal;
 use salttally_platform::wire::{cause, code, kind, Message};
@@ -20,19 +20,12 @@
     came.filter(|message| message.kind == kind::SET_UP && ids(message.session)).map(|m| m.session).collect()
 }
 
-/// As many bytes of tests as one look at a socket does not read, then the request.
-fn behind_others(viewer: &Viewer, id: u64) {
-    let mut bytes = Vec::new();
-    (0..10_000).for_each(|test| Message::new(kind::TEST, test).with(code::CAUSE, [0]).write(&mut bytes));
-    Viewer::request(id, "clip", CELLS).write(&mut bytes);
-    (&viewer.stream).write_all(&bytes).unwrap();
-}
-
 // Caught requests that were sent on as soon as they were read, ahead of the close or cancellation behind them.
 #[test]
 fn whoever_left_while_the_process_was_stopped_is_not_sent_on() {
     let platform = Platform::start(CELLS).unwrap();
-    let node = Node::start(&platform, "gone-unread", 256);
+    // Room for all of them: none is closed to make room for another.
+    let node = Node::start(&platform, "gone-unread", 512);
     let mut proper = node.viewer();
     // Connections to all media servers are open, so that nothing waits for a dial.
     for id in 1..=12 {
@@ -93,6 +86,56 @@
     assert!(sent.is_empty(), "{} of 60 sent on: {sent:?}", sent.len());
 }
 
+/// A node with connections to all media servers, and ten clients that ask and cancel on a new connection each while it is
+/// stopped, beside a flood that lies unread or that it is in the middle of; which of them were sent on.
+fn sent_on_beside_a_flood(name: &str, stopped_within: bool) -> Vec<u64> {
+    let platform = Platform::start(CELLS).unwrap();
+    let node = Node::start(&platform, name, 512);
+    let mut proper = node.viewer();
+    for id in 1..=12 {
+        assert_eq!(ask(&mut proper, id, "clip").kind, kind::ANSWER);
+    }
+    let viewers: Vec<Viewer> = (0..10).map(|_| node.viewer()).collect();
+    let floods: Vec<Viewer> = (0..30).map(|_| node.viewer()).collect();
+    proper.say(&Message::new(kind::TEST, 1).with(code::CAUSE, [0]));
+    assert!(proper.next(SECOND).is_some());
+    node.stop();
+    floods.iter().zip(2_000..).for_each(|(flood, id)| behind_others(flood, id));
+    if stopped_within {
+        node.signal(Signal::CONT);
+        thread::sleep(5 * MS);
+        node.stop();
+    }
+    let mut kept = Vec::new();
+    for (viewer, id) in viewers.iter().zip(1_000..) {
+        viewer.say(&Viewer::request(id, "clip", CELLS));
+        let new = node.viewer();
+        new.say(&Message::release(id, cause::NORMAL));
+        kept.push(new);
+    }
+    thread::sleep(SECOND / 2);
+    node.signal(Signal::CONT);
+    for (line, id) in kept.iter_mut().zip(1_000..) {
+        wait_for(line, kind::HEARD, id);
+    }
+    thread::sleep(300 * MS);
+    set_ups(&platform, |id| (1_000..1_010).contains(&id))
+}
+
+// Caught the time for reading, which a flood used up in the first turn: what was said on connections that were accepted in
+// it was read after the decision.
+#[test]
+fn a_cancellation_on_a_new_connection_is_heard_though_others_flood_the_node() {
+    assert_eq!(sent_on_beside_a_flood("gone-flood", false), Vec::<u64>::new());
+}
+
+// Caught a stop in the middle of a turn, which was taken for a look at the sockets just before: what was asked meanwhile was
+// decided before what took it back was read.
+#[test]
+fn a_cancellation_is_heard_though_the_process_was_stopped_in_the_middle_of_its_work() {
+    assert_eq!(sent_on_beside_a_flood("gone-within", true), Vec::<u64>::new());
+}
+
 // Caught the refusal that was read ahead of the close of the client that had waited for it.
 #[test]
 fn no_further_attempt_begins_for_who_left_while_the_process_was_stopped() {
--- a/crates/daemon/tests/front_node_list.rs
+++ b/crates/daemon/tests/front_node_list.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use node::hand::{plays, refusing, request_at, wait_for, with, Hands};
+use node::hand::{accept_within, behind_others, plays, refusing, request_at, wait_for, with, Hands};
 use node::{Node, SECOND};
 use rustix::process::{prlimit, Pid, Resource, Rlimit, Signal};
 use salttally_platform::wire::{cause, code, kind, Message};
@@ -88,7 +88,7 @@
 
 /// Takes the next call of the front node and reads the number of the last event from it.
 fn hello(coordinator: &TcpListener) -> (TcpStream, u64) {
-    let (mut stream, _) = coordinator.accept().unwrap();
+    let mut stream = accept_within(coordinator, 10 * SECOND);
     let mut bytes = [0; 8];
     stream.set_read_timeout(Some(5 * SECOND)).unwrap();
     stream.read_exact(&mut bytes).expect("the number of the last event");
@@ -151,7 +151,7 @@
         drop(fillers);
         let announced = Instant::now();
         let list = loop {
-            let (mut stream, _) = deaf.accept().unwrap();
+            let mut stream = accept_within(&deaf, 10 * SECOND);
             stream.set_read_timeout(Some(SECOND)).unwrap();
             if stream.read_exact(&mut [0; 8]).is_ok() {
                 break stream;
@@ -311,12 +311,11 @@
     }
 }
 
-// Caught a look at the list that ended after 16 kB: a request that lay beside it was sent on to a server whose drain was
-// still unread.
-#[test]
-fn a_drain_that_lies_unread_behind_much_else_is_heard_before_a_request_is_sent_on() {
+/// A drain lies unread behind 26 kB of frames, and a request beside it, while the node is stopped: at rest, or in the middle
+/// of its work.
+fn drain_behind_much_else(name: &str, stopped_within: bool) {
     let mut hands = Hands::new(2);
-    let node = hands.node("drain-behind", grace(350));
+    let node = hands.node_within(name, 512, grace(350));
     let mut viewer = node.viewer();
     // A connection to the server is open, so that a set-up waits for no dial.
     viewer.say(&request_at(1, "clip", 0));
@@ -325,6 +324,13 @@
     plays(&line, 1);
     assert_eq!(viewer.next(SECOND).map(|answer| answer.kind), Some(kind::ANSWER));
     node.stop();
+    let floods: Vec<Viewer> = (0..30 * usize::from(stopped_within)).map(|_| node.viewer()).collect();
+    if stopped_within {
+        floods.iter().zip(2_000..).for_each(|(flood, id)| behind_others(flood, id));
+        node.signal(Signal::CONT);
+        thread::sleep(5 * MS);
+        node.stop();
+    }
     let nothing = hands.record(1, 0, &[]);
     hands.list().write_all(&nothing.repeat(2_000)).unwrap();
     hands.frame(2, &[(0, 1)]);
@@ -343,3 +349,16 @@
     let mut other = hands.accept(1);
     wait_for(&mut other, kind::SET_UP, 3);
 }
+
+// Caught a look at the list that ended after 16 kB: a request that lay beside it was sent on to a server whose drain was
+// still unread.
+#[test]
+fn a_drain_that_lies_unread_behind_much_else_is_heard_before_a_request_is_sent_on() {
+    drain_behind_much_else("drain-behind", false);
+}
+
+// Caught the time for reading, which was over when the process went on: of the list 16 kB had been read.
+#[test]
+fn a_drain_is_heard_before_a_request_though_the_process_was_stopped_in_the_middle_of_its_work() {
+    drain_behind_much_else("drain-within", true);
+}
--- a/crates/daemon/tests/node/hand.rs
+++ b/crates/daemon/tests/node/hand.rs
@@ -3,13 +3,13 @@
 
 use std::fs;
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rustix::process::Signal;
 use salttally_platform::wire::{code, kind, Message};
-use salttally_standin::platform::{Platform, Viewer};
+use salttally_standin::platform::{own_host, Platform, Viewer};
 use serde_json::{json, Value};
 use socket2::{Domain, SockRef, Socket, Type};
 
@@ -25,7 +25,8 @@
 
 impl Hands {
     pub fn new(boxes: usize) -> Hands {
-        let listener = |_| TcpListener::bind("127.0.0.1:0").unwrap();
+        let host = own_host();
+        let listener = |_| TcpListener::bind((host, 0)).unwrap();
         let coordinator = listener(0);
         Hands { boxes: (0..boxes).map(listener).collect(), coordinator, list: None, told: 1 }
     }
@@ -57,7 +58,7 @@
             change(&mut config);
             config
         });
-        let (mut list, _) = self.coordinator.accept().unwrap();
+        let mut list = accept_within(&self.coordinator, 10 * SECOND);
         list.read_exact(&mut [0; 8]).unwrap();
         self.list = Some(list);
         self.frame(0, &[]);
@@ -113,7 +114,10 @@
         bytes.push(kind);
         for (at, state) in records {
             bytes.extend((*at as u32 + 1).to_be_bytes());
-            bytes.extend(Ipv4Addr::LOCALHOST.octets());
+            match self.address(*at).ip() {
+                IpAddr::V4(host) => bytes.extend(host.octets()),
+                IpAddr::V6(host) => panic!("{host} fits no record"),
+            }
             bytes.extend(self.address(*at).port().to_be_bytes());
             bytes.extend([*state, 0, 0]);
             bytes.extend((*at as u16).to_be_bytes());
@@ -125,16 +129,7 @@
 
     /// The next connection that is made to a media server, which has to come within 10 s.
     pub fn accept(&self, at: usize) -> Viewer {
-        self.boxes[at].set_nonblocking(true).unwrap();
-        let until = Instant::now() + 10 * SECOND;
-        let stream = loop {
-            match self.boxes[at].accept() {
-                Ok((stream, _)) => break stream,
-                Err(error) => assert!(Instant::now() < until, "nobody connects: {error}"),
-            }
-            thread::sleep(Duration::from_millis(1));
-        };
-        stream.set_nonblocking(false).unwrap();
+        let stream = accept_within(&self.boxes[at], 10 * SECOND);
         stream.set_nodelay(true).unwrap();
         Viewer::over(stream)
     }
@@ -153,14 +148,38 @@
     }
 }
 
+/// The next connection, which has to come within this time. Danger: a test that waits for one that never comes, since
+/// the process has ended, hangs for ever and says nothing.
+pub fn accept_within(listener: &TcpListener, within: Duration) -> TcpStream {
+    listener.set_nonblocking(true).unwrap();
+    let until = Instant::now() + within;
+    let stream = loop {
+        match listener.accept() {
+            Ok((stream, _)) => break stream,
+            Err(error) => assert!(Instant::now() < until, "nobody connects: {error}"),
+        }
+        thread::sleep(Duration::from_millis(1));
+    };
+    stream.set_nonblocking(false).unwrap();
+    stream
+}
+
 /// An address at which calls are refused until this socket listens, and which nobody else can take meanwhile.
 pub fn refusing() -> (Socket, SocketAddr) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).unwrap();
+    socket.bind(&SocketAddr::from((own_host(), 0)).into()).unwrap();
     let at = socket.local_addr().unwrap().as_socket().unwrap();
     (socket, at)
 }
 
+/// As many bytes of tests as one look at a socket does not read, then a request.
+pub fn behind_others(viewer: &Viewer, id: u64) {
+    let mut bytes = Vec::new();
+    (0..10_000).for_each(|test| Message::new(kind::TEST, test).with(code::CAUSE, [0]).write(&mut bytes));
+    Viewer::request(id, "clip", 1).write(&mut bytes);
+    (&viewer.stream).write_all(&bytes).unwrap();
+}
+
 /// Reads until a message of this kind; what else comes meanwhile is dropped.
 pub fn wait_for(line: &mut Viewer, kind: u8, id: u64) -> Message {
     let until = Instant::now() + 5 * SECOND;
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -32,8 +32,11 @@
 
 /// Read at once from one connection; the others have their turn in between.
 const READ_SIZE: usize = 16 * 1024;
-/// Times that a connection with more to read is read on in its turn.
+/// Times that a connection whose peer writes no more is read on in its turn; others with more to read wait for the next.
+/// Danger: the longer a flood's turn, the longer all others wait for theirs.
 const READS_PER_TURN: usize = 4;
+/// The same for the list, which is read ahead of all else.
+const LIST_READS_PER_TURN: usize = 64;
 /// Sockets that one look tells of.
 const POLL_EVENTS: usize = 512;
 /// What waits in the sockets is read to its end within this time, before it is looked at what is due.
@@ -43,6 +46,12 @@
 /// steps of this length, and does not wait until a flood by others is read.
 const RECENT_POLL: Micros = 50_000;
 const DECIDE_INTERVAL: Micros = 10_000;
+/// Looks at the sockets before anything is decided, however long they take. Danger: what a client says on a new
+/// connection, that its request is taken back or that it asks, is accepted in one turn and read in the next; a flood by
+/// others that takes all of the time to read would keep it unheard.
+const TURNS_AT_LEAST: usize = 2;
+/// The same while newcomers are accepted: no turn takes more than [`ACCEPTS_PER_TURN`] of them.
+const TURNS_FOR_NEWCOMERS: usize = 4;
 /// Without room for another connection none is accepted for so long.
 const ACCEPT_PAUSE: Micros = 20_000;
 /// Descriptors that are neither clients' nor servers': the calls to the coordinator, and about a dozen of the process.
@@ -129,7 +138,7 @@
     finished: bool,
     /// More may lie in the sockets than the last look at them has shown.
     unread: bool,
-    /// When the sockets were last looked at to the end of a turn.
+    /// When the last look at the sockets began.
     last_poll: Micros,
     /// When what is believed is told next.
     next_log: Micros,
@@ -209,7 +218,7 @@
                 // what lies in them from the time of the stop be acted on before the rest of it is read.
                 continue;
             }
-            self.poll_all(&mut events, &mut out);
+            self.poll_all(now, &mut events, &mut out);
             self.decide(&mut out);
             self.core.handle(now, NodeEvent::Tick, &mut out);
             self.carry_out(&mut out);
@@ -224,15 +233,18 @@
         Ok(self.core.counts())
     }
 
-    /// Hands in what is ready, and looks again where a look has not shown all: more sockets than it tells of, more
-    /// bytes
-    /// than one turn reads, the first words on connections that it accepted. A flood is not read to its end.
-    fn poll_all(&mut self, events: &mut Vec<epoll::Event>, out: &mut Vec<Command>) {
-        let began = self.clock.now();
-        let recent = began.saturating_sub(self.last_poll) < RECENT_POLL;
-        let mut decides = began + DECIDE_INTERVAL;
+    /// Hands in what is ready, and looks again where a look has not shown all: more sockets than it tells of, more bytes
+    /// than one turn reads, the first words on connections that it accepted, and whatever came since a look that began
+    /// some time ago. A flood is not read to its end, but no flood keeps newcomers from being heard. The look that
+    /// showed these events began at `looked`: where the process was stopped or had no processor, nobody knows when it
+    /// ended.
+    fn poll_all(&mut self, mut looked: Micros, events: &mut Vec<epoll::Event>, out: &mut Vec<Command>) {
+        let mut began = self.clock.now();
+        let mut recent = looked.saturating_sub(self.last_poll) < RECENT_POLL;
+        let (mut decides, mut turns, mut was_late) = (began + DECIDE_INTERVAL, 0, false);
         while !events.is_empty() {
             self.unread = events.len() >= POLL_EVENTS;
+            let accepted = self.clients;
             // What has ended or was taken back goes ahead of what begins, and that ahead of what is sent on new
             // connections; each connection's own order stays.
             events.sort_by_key(|event| self.rank(event.data.u64()));
@@ -240,17 +252,26 @@
                 self.socket_ready(event.data.u64(), event.flags);
                 self.work(out);
             }
+            turns += 1;
             let now = self.clock.now();
-            if !self.unread || now >= began + READ_BUDGET {
+            let is_recent = now.saturating_sub(looked) < RECENT_POLL;
+            recent &= is_recent;
+            if !is_recent && !std::mem::replace(&mut was_late, true) {
+                // What lies there came while nobody looked: it has its time to be read, once.
+                (began, turns) = (now, 0);
+            }
+            let whole = if self.clients > accepted { TURNS_FOR_NEWCOMERS } else { TURNS_AT_LEAST };
+            if is_recent && !self.unread || now >= began + READ_BUDGET && turns >= whole {
                 break;
             }
             if recent && now >= decides {
                 decides = now + DECIDE_INTERVAL;
                 self.decide(out);
             }
+            looked = self.clock.now();
             let _ = epoll::wait(&self.poll, spare_capacity(events), Some(&timespec(0)));
         }
-        self.last_poll = self.clock.now();
+        self.last_poll = looked;
     }
 
     fn rank(&self, token: u64) -> u32 {
@@ -612,20 +633,25 @@
                 false => self.list_down(number),
             };
         }
-        let mut bytes = [0; READ_SIZE];
-        match (&call.stream).read(&mut bytes) {
-            Ok(0) => return self.list_down(number),
-            Ok(count) => {
-                call.frames.feed(&bytes[..count]);
-                // Danger: a drain that lies behind as much is read after requests were sent on to that server.
-                self.unread |= count == READ_SIZE;
+        // Danger: a drain that lies behind as much is read after requests were sent on to that server.
+        let (mut bytes, mut more, mut over) = ([0; READ_SIZE], true, false);
+        for _ in 0..LIST_READS_PER_TURN {
+            match (&call.stream).read(&mut bytes) {
+                Ok(count) => {
+                    call.frames.feed(&bytes[..count]);
+                    (more, over) = (count == READ_SIZE, count == 0);
+                }
+                Err(error) => (more, over) = (false, !again(&error)),
+            }
+            if !more || over {
+                break;
             }
-            Err(error) if again(&error) => return,
-            Err(_) => return self.list_down(number),
         }
+        self.unread |= more;
         loop {
             match call.frames.take() {
                 Ok(Some(frame)) => self.events_in.push_back(NodeEvent::ListFrame(number, frame)),
+                Ok(None) if over => return self.list_down(number),
                 Ok(None) => return,
                 Err(error) => {
                     tracing::warn!(%error, "the list cannot be read");
@@ -698,6 +724,9 @@
             if over || !(more || has_left) {
                 return;
             }
+            if !has_left {
+                break;
+            }
         }
         self.unread = true;
     }
