One look at the clock for pauses and for what is due, so that no sleep goes unseen

Cause, crates/front/src/engine.rs: the loop looked at the clock for pauses before it took a message in, and input() looked again for the ledger. Stopped between the two, as in the middle of a batch or of a request that came just before the stop, the front handed the ledger a time that lies after the stop without the word that it had slept: the silence of all boxes was over at once, and with it what they play. Excluded: boxes, which keep their event streams open to a stopped front; the heir's claim, which ends nothing at the front before (read in the stand-in and in the ledger); a full write buffer (a few kB in 3 s). Change: input() takes the time once, asks for pauses by it, tells the ledger first that it slept.

--- a/crates/daemon/tests/stopped.rs
+++ b/crates/daemon/tests/stopped.rs
@@ -89,6 +89,35 @@
     assert_eq!(end["method"], "session.ended", "{end}");
 }
 
+// Caught two looks at the clock, one for pauses and one for what is due: stopped between them, in the middle of a batch, the
+// front took its own sleep for silence of all boxes.
+#[test]
+fn sessions_of_a_front_that_was_stopped_in_the_middle_of_its_work_play_on() {
+    let day = Day::start(script(&head(8, 5), "")).unwrap();
+    let front = Front::start(&day, "stopped-busy");
+    let mut line = Line::connect(day.front_address(0), 3 * SECOND).unwrap();
+    wait(10 * SECOND, || opened(&mut line, "first").is_some(), || "the front never has a box".into());
+    let sessions: Vec<String> =
+        (0..30).filter_map(|number| opened(&mut line, &format!("viewer-{number}"))).collect();
+    assert!(sessions.len() >= 28, "{} of 30 play", sessions.len());
+    let mut other = Line::connect(day.front_address(0), 3 * SECOND).unwrap();
+    let question = |id: u64| {
+        json!({"jsonrpc": "2.0", "id": id, "method": "session.status",
+            "params": {"session": format!("f0-00000000-{id:010}"), "viewer": "nobody"}})
+    };
+    let batch = Value::from((0..64).map(question).collect::<Vec<_>>()).to_string();
+    for stop in 1..=6 {
+        thread::sleep(SECOND / 2);
+        other.send(&batch).unwrap();
+        // In the middle of the batch, at one of these moments.
+        thread::sleep(Duration::from_micros(250 * stop));
+        front.stopped(5 * SECOND / 2);
+        other.next(Instant::now() + SECOND).unwrap();
+    }
+    let ended: Vec<Value> = std::iter::from_fn(|| line.next(Instant::now() + SECOND / 2).ok()).collect();
+    assert!(ended.is_empty(), "of {}: {ended:?}", sessions.len());
+}
+
 #[test]
 fn answers_that_came_while_a_front_was_stopped_are_passed_on_in_time_and_never_late() {
     let day = Day::start(script(&head(4, 150), "")).unwrap();
--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -62,14 +62,7 @@
         let mut waits: Vec<Sender<Counts>> = Vec::new();
         loop {
             // The ledger looks at its timers with every input, so a flood of messages holds none of them up.
-            let heard = self.hear();
-            let now = self.clock.now();
-            if let Some(lost) = self.pauses.called(now) {
-                tracing::warn!(ms = lost / 1000, "this process was not running");
-                self.input(Input::Woke);
-            }
-            self.pauses.ask(now + LOOK_AROUND);
-            let finished = match heard {
+            let finished = match self.hear() {
                 Err(RecvTimeoutError::Timeout) => self.input(Input::Tick),
                 Err(RecvTimeoutError::Disconnected) | Ok(Msg::Die) => return self.die(),
                 Ok(Msg::ShutDown(done)) => {
@@ -179,7 +172,15 @@
             touched.insert(*client);
         }
         self.ledger.lease_clock(salttally_accord::edge::now);
-        self.ledger.handle(self.clock.now(), input, &mut out);
+        // Danger: stopped between a look at the clock for pauses and another one for this input, the process would not know
+        // that it was, and take its own sleep for silence of the boxes: all that they play would be lost. So both go by one.
+        let now = self.clock.now();
+        if let Some(lost) = self.pauses.called(now) {
+            tracing::warn!(ms = lost / 1000, "this process was not running");
+            self.ledger.handle(now, Input::Woke, &mut out);
+        }
+        self.pauses.ask(now + LOOK_AROUND);
+        self.ledger.handle(now, input, &mut out);
         let mut finished = false;
         for output in out.drain(..) {
             if let Output::Answer(client, ..) | Output::Reply(client, ..) | Output::Tell(client, ..) = &output
