What a media server says as its idle connection is ended here is still heard

Lines: Pool::idle (crates/platform/src/core/pool.rs), which closed a connection by what was out on it and not by what might come; Node::shut_down, which drops a media server's connection at once. Excluded: health checks and silence (the media server was heard of all the time), the hand-over (the note on it was read), the release to the client (no such line). Change: an idle connection is finished: nothing more is written, it is read until its peer closes or for 0.3 s, and what comes counts; its end brings no look at the media server. The log tells at trace when connections are dialled and closed.

--- a/crates/daemon/tests/front_node_crossings.rs
+++ b/crates/daemon/tests/front_node_crossings.rs
@@ -4,7 +4,7 @@
 mod node;
 
 use std::fs;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -251,6 +251,28 @@
     assert!(set_ups.len() > 10 && !set_ups.contains(&last), "{last}: {:?}", set_ups.last());
 }
 
+// Caught the close of an idle connection: what the media server had written on it by then was never read, and the client
+// waited by a session that was over.
+#[test]
+fn an_end_that_crosses_the_close_of_an_idle_connection_is_told() {
+    let mut hands = Hands::new(1);
+    let node = hands.node("idle-end", |config| {
+        config["settings"]["policy_limits"]["conn_idle_ms"] = json!(3_000);
+    });
+    let mut viewer = node.viewer();
+    viewer.say(&request_at(1, "clip", 0));
+    let mut line = hands.accept(0);
+    wait_for(&mut line, kind::SET_UP, 1);
+    plays(&line, 1);
+    wait_for(&mut viewer, kind::ANSWER, 1);
+    // Closed after a third of the time in which the media server would.
+    let mut byte = [0];
+    line.stream.set_read_timeout(Some(5 * SECOND)).unwrap();
+    assert_eq!((&line.stream).read(&mut byte).unwrap(), 0, "the node closes it");
+    line.say(&Message::release(1, cause::NORMAL));
+    wait_for(&mut viewer, kind::RELEASE, 1);
+}
+
 // ---- Attempts ----
 
 // Caught `box_released`, which looked at the box and not at the connection.
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -91,6 +91,9 @@
     SendToServer(ConnId, Message),
     /// Close a connection to a media server: what it takes at once is written, nothing is waited for.
     CloseServer(ConnId),
+    /// Write nothing more to a media server, and hand in what it says until it closes too, for a while at most; then that
+    /// it has closed.
+    FinishServer(ConnId),
     /// Connect to the coordinator, and write this number.
     ConnectList(u64, SocketAddr, u64),
     /// Close that connection.
--- a/crates/platform/src/core/pool.rs
+++ b/crates/platform/src/core/pool.rs
@@ -31,6 +31,8 @@
     Open,
     /// Its peer reads nothing: this session's message is cut in the middle, and since when it is so.
     Blocked(Option<u64>, Micros),
+    /// Nothing more is written on it; what its peer had written by then is still heard.
+    Finishing,
 }
 
 #[derive(Clone, Debug)]
@@ -49,6 +51,11 @@
 }
 
 impl Connection {
+    /// Whether something new may be put on it, as soon as it is made.
+    fn takes(&self) -> bool {
+        !self.suspect && matches!(self.state, State::Dialing | State::Open)
+    }
+
     /// Whether this session's set-up waits, with not a byte written.
     fn waits(&self, session: u64) -> bool {
         self.unsent.iter().any(|message| message.kind == kind::SET_UP && message.session == session)
@@ -161,6 +168,11 @@
         self.connections.values().any(|one| !one.unsent.is_empty())
     }
 
+    /// Whether this connection was ended here, and its peer has not closed it yet.
+    pub fn is_finishing(&self, conn: ConnId) -> bool {
+        self.connections.get(&conn).is_some_and(|one| one.state == State::Finishing)
+    }
+
     /// Nothing new is put on this connection.
     pub fn mark_suspect(&mut self, conn: ConnId) {
         self.connections.entry(conn).and_modify(|one| one.suspect = true);
@@ -169,9 +181,9 @@
     /// The connection to put something on, of those with fewer set-ups out than this: one that stands before one that
     /// is being made, the one used last; never one that takes nothing.
     fn pick(&self, to: (ServerId, SocketAddr), streams: usize, avoid: &[ConnId]) -> Option<ConnId> {
-        let takes = |one: &Connection| !one.suspect && !matches!(one.state, State::Blocked(..));
-        let fits =
-            |one: &Connection| (one.server, one.address) == to && takes(one) && one.in_flight.len() < streams;
+        let fits = |one: &Connection| {
+            (one.server, one.address) == to && one.takes() && one.in_flight.len() < streams
+        };
         let known = self.connections.iter().filter(|(id, one)| fits(one) && !avoid.contains(id));
         known.max_by_key(|(_, one)| (one.state == State::Open, one.used)).map(|(id, _)| *id)
     }
@@ -184,7 +196,8 @@
         timers: &mut Timers<Timer>,
         out: &mut Vec<Command>,
     ) -> Option<ConnId> {
-        let of_server = self.connections.values().filter(|one| one.server == to.0).count();
+        let counts = |one: &&Connection| one.server == to.0 && one.state != State::Finishing;
+        let of_server = self.connections.values().filter(counts).count();
         if of_server >= MAX_PER_SERVER || (self.connections.len() >= self.most && !self.make_room(out)) {
             return None;
         }
@@ -266,8 +279,7 @@
         out: &mut Vec<Command>,
     ) -> Option<ConnId> {
         let fits = |id: &ConnId| {
-            let usable = |one: &Connection| !one.suspect && !matches!(one.state, State::Blocked(..));
-            self.connections.get(id).is_some_and(|one| (one.server, one.address) == to && usable(one))
+            self.connections.get(id).is_some_and(|one| (one.server, one.address) == to && one.takes())
         };
         let on = on.filter(fits).or_else(|| self.pick(to, usize::MAX, &[]));
         let id = on.or_else(|| self.dial(now, to, Purpose::Message, timers, out))?;
@@ -397,14 +409,19 @@
         Withdrawn::MayHaveRun
     }
 
-    /// A connection may have been idle long enough, or be of no more use.
+    /// A connection may have been idle long enough, or be of no more use. Danger: what stands belongs to no connection,
+    /// and its media server may say on this one, as it is closed, that it is over; closed at once, its clients would
+    /// never hear of it.
     pub fn idle(&mut self, now: Micros, id: ConnId, timers: &mut Timers<Timer>, out: &mut Vec<Command>) {
-        let Some(conn) = self.connections.get(&id) else { return };
+        let Some(conn) = self.connections.get_mut(&id) else { return };
         let last = conn.used.max(conn.heard);
-        if conn.in_flight.is_empty() && (conn.suspect || last + self.idle_kept <= now) {
-            self.connections.remove(&id);
-            out.push(Command::CloseServer(id));
-        } else {
+        if conn.state == State::Open
+            && conn.in_flight.is_empty()
+            && (conn.suspect || last + self.idle_kept <= now)
+        {
+            conn.state = State::Finishing;
+            out.push(Command::FinishServer(id));
+        } else if conn.state != State::Finishing {
             let again = if conn.suspect { now + self.connect_within } else { last + self.idle_kept };
             timers.set(again.max(now + self.connect_within), Timer::IdleTimeout(id));
         }
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -35,7 +35,12 @@
 
     pub(super) fn connection_closed(&mut self, conn: ConnId, out: &mut Vec<Command>) {
         let Some(server) = self.pool.server(conn) else { return };
+        let was_finishing = self.pool.is_finishing(conn);
         let ended = self.pool.closed(conn);
+        if was_finishing {
+            // Ended here: it says nothing of the media server.
+            return;
+        }
         self.end_attempts_on(ended, Outcome::Broken);
         // What stands there goes on, unless its process has died: a look tells.
         let gone = !self.pool.is_up(server);
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -79,7 +79,16 @@
         self.core.handle(self.now, input, &mut self.out);
         // As the edge does it when nothing more lies in the sockets.
         self.core.decide(self.now, &mut self.out);
-        std::mem::take(&mut self.out)
+        let mut all = std::mem::take(&mut self.out);
+        // A media server closes a connection that is ended here.
+        let finished = |command: &Command| match command {
+            Command::FinishServer(conn) => Some(*conn),
+            _ => None,
+        };
+        for conn in all.iter().filter_map(finished).collect::<Vec<_>>() {
+            all.extend(self.tell(NodeEvent::ServerClosed(conn)));
+        }
+        all
     }
 
     fn told(&mut self, call: u64, number: u64, payload: Payload) -> Vec<Command> {
@@ -404,6 +413,30 @@
     assert!(bench.core.pool.connections_to(ServerId(0)).len() <= 4, "looks do not pile up");
 }
 
+// Danger: closed at once, an idle connection takes along what its media server says on it in that instant.
+#[test]
+fn what_a_server_says_as_its_idle_connection_is_ended_is_heard_and_the_end_proves_nothing() {
+    let mut bench = Bench::new();
+    let (conn, _) = bench.playing(1, "clip");
+    bench.playing(2, "clip");
+    let mut out = Vec::new();
+    while !out.contains(&Command::FinishServer(conn)) {
+        bench.now = bench.core.next_due().expect("it ends").max(bench.now);
+        out.clear();
+        bench.core.handle(bench.now, NodeEvent::Tick, &mut out);
+        let dials: Vec<Command> = out.iter().filter(|o| matches!(o, Command::Connect(..))).cloned().collect();
+        bench.made(&dials);
+    }
+    // Nothing new is put on it, and what comes on it counts.
+    let out = bench.ask(3, "clip");
+    assert!(!out.iter().any(|o| matches!(o, Command::SendToServer(on, _) if *on == conn)), "{out:?}");
+    let out = bench.tell(NodeEvent::ServerMessage(conn, Message::release(1, cause::NORMAL)));
+    assert!(said(&out).any(|m| m.kind == kind::RELEASE && m.session == 1), "{out:?}");
+    let out = bench.tell(NodeEvent::ServerClosed(conn));
+    assert_eq!(out, [], "no look at a media server for a connection that was ended here");
+    assert!(!bench.core.pool.exists(conn));
+}
+
 #[test]
 fn a_new_server_at_an_old_address_is_another_and_sessions_of_the_old_one_are_over() {
     let mut bench = Bench::new();
--- a/crates/platform/src/node/connection.rs
+++ b/crates/platform/src/node/connection.rs
@@ -42,6 +42,8 @@
     pub closing: bool,
     /// Its peer writes no more.
     pub half_closed: bool,
+    /// Nothing more is written here, and it is read on.
+    pub finishing: bool,
     /// It takes nothing, and is tried again by a time that is set.
     pub stalled: bool,
     /// Bytes read after it was closed.
@@ -73,7 +75,7 @@
     fn new(stream: TcpStream, connecting: bool, kept: Kept) -> Connection {
         let (decoder, outgoing) = (Decoder::default(), Vec::new());
         let watched = if connecting { EventFlags::OUT } else { READS };
-        let (closing, half_closed, stalled) = (false, false, false);
+        let (closing, half_closed, finishing, stalled) = (false, false, false, false);
         let (discarded, crossed) = (0, [0; 3]);
         Connection {
             stream,
@@ -83,6 +85,7 @@
             watched,
             closing,
             half_closed,
+            finishing,
             stalled,
             discarded,
             crossed,
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -131,7 +131,7 @@
     /// for what waits may have gone.
     writable: VecDeque<NodeEvent>,
     to_flush: VecDeque<u64>,
-    /// When connections go that are closed and wait for their peers.
+    /// When connections go that are closed and wait for their peers, clients' and media servers'.
     lingering: BTreeSet<(Micros, u64)>,
     /// When clients' connections are tried again that take nothing, each once.
     stalled: BTreeSet<(Micros, u64)>,
@@ -353,6 +353,7 @@
                 Command::SendToServer(conn, message) => self.write(SERVER | conn.0, &message),
                 Command::CloseClient(client) => self.close(CLIENT | client.0),
                 Command::CloseServer(conn) => self.close(SERVER | conn.0),
+                Command::FinishServer(conn) => self.finish(SERVER | conn.0),
                 Command::Connect(conn, to) => self.dial(conn, to),
                 Command::ConnectList(number, to, last) => self.follow(number, to, last),
                 Command::CloseList(number) => {
@@ -368,7 +369,8 @@
 
     fn write(&mut self, token: u64, message: &Message) {
         trace_message("out", token, message);
-        let Some(connection) = self.connections.get_mut(&token) else { return };
+        let open = self.connections.get_mut(&token).filter(|connection| !connection.finishing);
+        let Some(connection) = open else { return };
         if connection.outgoing.is_empty() {
             self.to_flush.push_back(token);
         }
@@ -382,6 +384,17 @@
         }
     }
 
+    /// Nothing more is written to a media server; what it wrote by then and as it closes is read.
+    fn finish(&mut self, token: u64) {
+        self.flush(token);
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        if connection.waits() || connection.stream.shutdown(Shutdown::Write).is_err() {
+            return self.connection_lost(token);
+        }
+        connection.finishing = true;
+        self.lingering.insert((self.clock.now() + LINGER, token));
+    }
+
     fn flush(&mut self, token: u64) {
         let now = self.clock.now();
         let Some(connection) = self.connections.get_mut(&token) else { return };
@@ -425,6 +438,7 @@
     /// All is written: a client is read on for a while, a media server's connection just closes.
     fn shut_down(&mut self, token: u64) {
         let Some(connection) = self.connections.remove(&token) else { return };
+        trace_close(token, "closed here");
         let _ = epoll::delete(&self.poll, &connection.stream);
         let over = token & KINDS != CLIENT || connection.half_closed;
         if over || connection.stream.shutdown(Shutdown::Write).is_err() {
@@ -444,7 +458,7 @@
                 break;
             }
             self.lingering.pop_first();
-            self.connections.remove(&token);
+            self.connection_lost(token);
         }
         while let Some((_, token)) = self.stalled.first().copied().filter(|(due, _)| *due <= now) {
             self.stalled.pop_first();
@@ -462,7 +476,8 @@
     /// Lets the connection go that was closed first and waits for its peer; tells whether there was one.
     fn drop_lingering(&mut self) -> bool {
         while let Some((_, token)) = self.lingering.pop_first() {
-            if self.connections.remove(&token).is_some() {
+            if self.connections.contains_key(&token) {
+                self.connection_lost(token);
                 return true;
             }
         }
@@ -505,6 +520,7 @@
 
     fn dial(&mut self, conn: ConnId, to: SocketAddr) {
         let token = SERVER | conn.0;
+        tracing::trace!(number = conn.0, %to, "dialled");
         match self.watched_dial(to, token) {
             Ok(stream) => {
                 self.connections.insert(token, Connection::dialed(stream));
@@ -702,6 +718,7 @@
                     connection::READS,
                 );
             }
+            tracing::trace!(number = conn.0, ?result, "dial ended");
             return match result {
                 Ok(()) => self.writable.push_back(NodeEvent::ConnectEnded(conn, result)),
                 Err(_) => self.events_in.push_back(NodeEvent::ConnectEnded(conn, result)),
@@ -796,6 +813,7 @@
     /// A connection is of no more use.
     fn connection_lost(&mut self, token: u64) {
         let Some(connection) = self.connections.remove(&token) else { return };
+        trace_close(token, "closed by its peer");
         let id = token & !KINDS;
         if connection.closing {
             return;
@@ -816,5 +834,11 @@
     }
 }
 
+/// At `trace`, the end of a connection with clients and servers.
+fn trace_close(token: u64, how: &'static str) {
+    let peer = if token & KINDS == CLIENT { "client" } else { "server" };
+    tracing::trace!(peer, number = token & !KINDS, "{how}");
+}
+
 #[cfg(test)]
 mod tests;
