--- a/crates/platform/src/core/health.rs
+++ b/crates/platform/src/core/health.rs
@@ -2,9 +2,8 @@
 //! sessions are cut:
 //! their clients must be released within seconds, and come again.
 //!
-//! What is heard shows life. After a while of silence, and when its last connection has gone, a new connection is
-//! made: made, the media server lives (and says on it what ended meanwhile); refused twice, its process is dead; not
-//! made for
+//! What is heard shows life. After a while of silence, and when its last connection has gone, a new connection is made:
+//! made, the media server lives (and says on it what ended meanwhile); refused twice, its process is dead; not made for
 //! long enough, the machine is gone or cut off. A look costs the media server nothing but the handshake.
 
 use std::collections::BTreeMap;
--- a/crates/platform/src/core/list_watch.rs
+++ b/crates/platform/src/core/list_watch.rs
@@ -66,8 +66,7 @@
 
 impl ListWatch {
     /// Follows nothing yet. No two calls begin further apart than a part of this grace while none stands; all nodes
-    /// lose
-    /// their coordinator at once, and the draws by `seed` keep them from coming back in step.
+    /// lose their coordinator at once, and the draws by `seed` keep them from coming back in step.
     pub fn new(drain_grace: Micros, seed: u64) -> ListWatch {
         ListWatch {
             at: None,
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -287,9 +287,8 @@
         &self.decider
     }
 
-    /// For each media server of the list: its connections, sessions that play there, set-ups that are out, and when
-    /// it was last
-    /// heard of if it is watched. To be held against what crosses the sockets and what the module believes.
+    /// For each media server of the list: its connections, sessions that play there, set-ups that are out, and when it
+    /// was last heard of if it is watched. To be held against what crosses the sockets and what the module believes.
     pub fn ledger(&self) -> BTreeMap<ServerId, (Vec<ConnId>, i32, i32, Option<Micros>)> {
         let mut servers: BTreeMap<_, _> =
             self.servers.keys().map(|id| (*id, (self.pool.connections_to(*id), 0, 0, None))).collect();
@@ -321,9 +320,8 @@
         [self.sessions.len(), playing, self.admission.len(), self.pool.len(), self.timers.len()]
     }
 
-    /// Whether it can serve: a server is known, and the list was heard or has not come for long. Danger: a start
-    /// while the
-    /// coordinator is down would be out of service for as long; one that knows no server would be given clients and
+    /// Whether it can serve: a server is known, and the list was heard or has not come for long. Danger: a start while
+    /// the coordinator is down would be out of service for as long; one that knows no server would be given clients and
     /// serve none of them.
     pub fn ready(&self) -> bool {
         let heard = self.list_watch.synced() || self.now >= self.began + READY_WITHOUT_LIST;
@@ -337,9 +335,8 @@
 
     /// Takes in one input; what is to be done is added to `out`, in order. The decider hears of it by [`Core::decide`],
     /// or at the next tick. What is due is done at [`NodeEvent::Tick`] alone. Danger: a process that was stopped, or
-    /// had no
-    /// processor for a while, finds answers in its sockets and time-outs in its queue; were the time-outs looked at
-    /// between two inputs, set-ups that stand would be taken back. The edge hands in what waits in the sockets, and
+    /// had no processor for a while, finds answers in its sockets and time-outs in its queue; were the time-outs looked
+    /// at between two inputs, set-ups that stand would be taken back. The edge hands in what waits in the sockets, and
     /// then a tick with the time of its look at them: it may be stopped between the two as well.
     pub fn handle(&mut self, now: Micros, input: NodeEvent, out: &mut Vec<Command>) {
         self.now = self.now.max(now);
@@ -584,9 +581,9 @@
 
     // ---- List ----
 
-    /// Danger: a request, or a refusal that a further attempt follows, may be read ahead of a drain that was
-    /// announced long
-    /// before, when a process goes on after a stop or the list is long. The decider hears of the list before either.
+    /// Danger: a request, or a refusal that a further attempt follows, may be read ahead of a drain that was announced
+    /// long before, when a process goes on after a stop or the list is long. The decider hears of the list before
+    /// either.
     fn list_update(&mut self, kind: ListKind, lines: Vec<Listed>, out: &mut Vec<Command>) {
         let lines = last_of_each(lines);
         let (ahead, behind): (Vec<_>, Vec<_>) =
@@ -726,8 +723,7 @@
 }
 
 /// Whether the decider may send a session on by what it hears here. Events of one session keep their order: what is
-/// heard
-/// of it after one of these is about the attempt that follows.
+/// heard of it after one of these is about the attempt that follows.
 fn may_be_placed(event: &Event) -> bool {
     let is_over = |event: &Event| matches!(event, Event::Ended { last: true, .. } | Event::Left(_));
     let of_standing =
--- a/crates/platform/src/core/pool.rs
+++ b/crates/platform/src/core/pool.rs
@@ -11,9 +11,8 @@
 use super::{Command, ConnId, Timer};
 use crate::wire::{cause, kind, Message};
 
-/// Of the media server's own time, after which an idle connection is closed here: before the media server does, so
-/// that no set-up is
-/// written into one that it is closing.
+/// Of the media server's own time, after which an idle connection is closed here: before the media server does, so that
+/// no set-up is written into one that it is closing.
 const IDLE_SHARE: (Micros, Micros) = (1, 3);
 /// Connections to one media server at most.
 const MAX_PER_SERVER: usize = 6;
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -42,8 +42,7 @@
 /// What waits in the sockets is read to its end within this time, before it is looked at what is due.
 const READ_BUDGET: Micros = 100_000;
 /// Where the sockets were looked at so shortly before, what lies in them says nothing that is old: who asks is served
-/// in
-/// steps of this length, and does not wait until a flood by others is read.
+/// in steps of this length, and does not wait until a flood by others is read.
 const RECENT_POLL: Micros = 50_000;
 const DECIDE_INTERVAL: Micros = 10_000;
 /// Looks at the sockets before anything is decided, however long they take. Danger: what a client says on a new
@@ -214,8 +213,7 @@
             let looked = epoll::wait(&self.poll, spare_capacity(&mut events), Some(&timespec(wait)));
             if looked == Err(Errno::INTR) {
                 // Danger: a process that goes on after a stop is woken so. Taken for a look at the sockets, it would
-                // let
-                // what lies in them from the time of the stop be acted on before the rest of it is read.
+                // let what lies in them from the time of the stop be acted on before the rest of it is read.
                 continue;
             }
             self.poll_all(now, &mut events, &mut out);
@@ -581,8 +579,7 @@
         let mut room = self.max_clients.saturating_sub(open.iter().sum());
         for _ in 0..ACCEPTS_PER_TURN {
             // Danger: a crowd that is accepted in one turn takes the descriptors that the list and the servers are
-            // called
-            // with, before any of its connections is closed again.
+            // called with, before any of its connections is closed again.
             if room == 0 && !self.drop_lingering() {
                 return self.accept_later("all that may go to clients are in use");
             }
