--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,4 +1,4 @@
-"""The connection on which a media server tells the end of a session is lost; another one to that server is in use."""
+"""The connection on which a media server tells the end of a session is reset; another one to that server is in use."""
 import asyncio
 import os
 import sys
@@ -8,7 +8,6 @@
 from standin import *  # noqa: E402,F403
 
 SESSION, LOAD = 0x5E55100000000001, 0x10AD000000000000
-LOST_FOR_S = 1.0        # nothing passes on the connection for this long before it is reset
 END_TOLD_WITHIN_S = 8.05  # 8 s, and 50 ms as for each time limit
 
 
@@ -58,14 +57,9 @@
         if len(network.links) < 2:
             raise CannotRun("the front node has no second connection to the media server")
         if trouble:
-            record(f"{network.name}: nothing passes on connection {link} any more")
-            network.silent.add(link)
-        await asyncio.sleep(LOST_FOR_S / 2)
+            network.cut_at_next(link)
         server.end(SESSION)
         ended = record.now()
-        await asyncio.sleep(LOST_FOR_S / 2)
-        if trouble:
-            network.cut(link)
         await sleep_until(record, ended + 12.0)
         stop.set()
         await task
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -10,6 +10,7 @@
 import os
 import re
 import shutil
+import signal
 import socket
 import struct
 import subprocess
@@ -273,12 +274,12 @@
 
 
 class Proxy:
-    """Carries connections to one port. `filter(direction, link, bytes)` returns the bytes that pass; a link is
-    reset on both sides by `cut(link)`."""
+    """Carries connections to one port. `cut(link)` resets a link on both sides; `cut_at_next(link)` does so when the
+    next bytes come down on it, and these are lost with it."""
 
     def __init__(self, record, name, port):
         self.record, self.name, self.to = record, name, port
-        self.links, self.silent, self.filter = {}, set(), None
+        self.links, self.armed = {}, set()
         self.last = 0
 
     async def start(self):
@@ -300,18 +301,21 @@
     async def pump(self, link, direction, reader, writer):
         try:
             while data := await reader.read(65536):
-                if self.filter:
-                    data = self.filter(direction, link, data)
-                if link in self.silent or not data:
-                    continue
+                if direction == "down" and link in self.armed:
+                    self.record(f"{self.name}: link {link} is reset, {len(data)} bytes on their way are lost with it")
+                    self.cut(link)
+                    return
                 writer.write(data)
                 await writer.drain()
-            if link not in self.silent and not writer.transport.is_closing():
+            if not writer.transport.is_closing():
                 writer.write_eof()
         except (ConnectionError, OSError, RuntimeError):
             if link in self.links:
                 self.cut(link)
 
+    def cut_at_next(self, link):
+        self.armed.add(link)
+
     def cut(self, link):
         ends = self.links.pop(link, None)
         if ends:
@@ -409,6 +413,8 @@
 class FrontNode:
     """One front node, started by the command `run` of deploy/balancer.toml."""
 
+    started = []
+
     def __init__(self, record, folder, coordinator_port, servers, node_settings, sockets=256):
         self.record, self.port = record, free_port()
         text = open(os.path.join(ROOT, "deploy", "balancer.toml")).read()
@@ -431,6 +437,7 @@
         if level:
             command += f" --log-level {level}"
         self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=env, stdout=self.log, stderr=self.log)
+        FrontNode.started.append(self.process)
         record(f"front node started by: {command}")
 
     async def ready(self, viewers, within_s=10.0):
@@ -466,18 +473,30 @@
     pass
 
 
+def end_all(status):
+    """Ends the processes that were started, and this one; open connections of stand-ins need no further care."""
+    for process in FrontNode.started:
+        if process.poll() is None:
+            process.kill()
+            process.wait()
+    sys.stdout.flush()
+    os._exit(status)
+
+
 def main(folder, play):
-    """Runs `play(record, folder, trouble)`, which returns the broken rules, and exits as run.sh has to."""
+    """Runs `play(record, folder, trouble)`, which returns the broken rules. Exits with 10 if there are any, 0 if the
+    rule held, and 2 if the case could not run; run.sh takes any other status for the last."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(os.path.join(folder, "record.txt"))
     record(f"trouble {'on' if trouble else 'off'}")
     with tempfile.TemporaryDirectory() as temporary:
         status, broken = 0, []
         loop = asyncio.new_event_loop()
+        signal.signal(signal.SIGTERM, lambda *_: end_all(2))
         try:
             broken = loop.run_until_complete(asyncio.wait_for(play(record, temporary, trouble), 100))
-            status = 1 if broken else 0
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+            status = 10 if broken else 0
+        except Exception as error:  # nothing was shown: the case could not run
             record(f"could not run: {error!r}")
             print(f"could not run: {error!r}")
             status = 2
@@ -487,10 +506,8 @@
     for line in broken:
         record(f"BROKEN: {line}")
         print(f"broken: {line}")
-    if status < 2:
+    if status != 2:
         record("rule broken" if broken else "rule held")
     if status == 0:
         print("rule held")
-    sys.stdout.flush()
-    # The stand-ins end with this process; their open connections need no further care.
-    os._exit(status)
+    end_all(status)
