--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -132,6 +132,7 @@
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
+        self.record(f"{self.name} listens at 127.0.0.1:{self.port}")
         if self.note_every_s:
             asyncio.ensure_future(self.send_notes())
 
