A request sent once more after its connection ended is set up and answered once

Where the media server had answered before, the second copy's connection was closed without an answer.

Cause: what is known of a request was dropped with its connection (`client_closed`, `give_up`), so that the next copy under the same id began from nothing; a copy of a session that played counted as a bad request.

Change: `core/resends`. A written set-up outlives the connection of its client for the resend window (50 ms, their tolerance, and the settings' connect time); a copy takes it over or gets its answer, also while the old connection seems open. Nothing new is started without a client; without a copy the set-up is given up at the window's end. Of a request that is over it is remembered that a set-up may have run (a paid one for as long as its client may wait): the copy fails, or starts over where that is harmless, with the earlier attempts' servers, connections and number. A hand-over that is repeated after the session's end is told the end. The end of a session whose client may still send its copy waits for it, 0.5 s at most, since it would be taken for the answer. Memory is bounded, and repeatable classes cannot displace paid ones; requests of those are refused while it is full.

--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -2,11 +2,12 @@
 
 use salttally_front::core::{OpenRequest, Ticket};
 
+use super::resends::RequestDigest;
 use super::*;
 use crate::wire::values::{self, InvalidRequest, RequestFields};
 
 /// Requests of the platform have no number besides their session id.
-const PLATFORM_TICKET: Ticket = Ticket(0);
+pub(super) const PLATFORM_TICKET: Ticket = Ticket(0);
 
 impl<D: Decider> Core<D> {
     pub(super) fn client_connected(&mut self, client: ClientId, out: &mut Vec<Command>) {
@@ -17,6 +18,10 @@
 
     pub(super) fn client_message(&mut self, client: ClientId, message: Message, out: &mut Vec<Command>) {
         self.admission.message_received(self.now, client, &mut self.timers);
+        if self.is_second_copy(&message) {
+            // The end of its session would be taken for the answer to this copy.
+            self.drop_client_notices(message.session);
+        }
         for (until, undelivered) in std::mem::take(&mut self.undelivered) {
             if self.now < until {
                 self.notify_client_until(until, Some(client), undelivered, out);
@@ -48,13 +53,13 @@
         self.client_closed(client, out);
     }
 
-    /// A client's connection is gone: open requests on it are given up; playing sessions go on without a
-    /// connection.
+    /// A client's connection is gone: open requests on it are given up, unless a second copy may come; playing
+    /// sessions go on without a connection.
     pub(super) fn client_closed(&mut self, client: ClientId, out: &mut Vec<Command>) {
         for id in self.admission.remove(client, &mut self.timers) {
             let Some(entry) = self.sessions.get_mut(&id) else { continue };
             if entry.session.answer_pending() {
-                self.give_up(id, out);
+                self.client_of_request_gone(id, out);
             } else {
                 entry.session.client = None;
             }
@@ -74,40 +79,53 @@
                 }
             }
             Ok((open_request, Some(at))) => self.resume_session(client, id, open_request, ServerId(at), out),
-            // An answer under this id would be taken for the answer to the open request.
             Ok(_) if self.sessions.contains_key(&id) => {
-                self.counts.unusable += 1;
-                self.close_client(client, out);
+                self.handle_request_under_known_id(client, message, out);
             }
+            Ok(_) if self.handle_request_under_past_id(client, message, out) => {}
             // The process is shutting down and forwards nothing any more; the client may ask another node at
             // once.
             Ok((_, None)) if self.refuses_requests() => {
                 self.counts.refused += 1;
                 out.push(Command::SendToClient(client, Message::release(id, cause::NOT_SENT)));
             }
-            Ok((open_request, None)) => {
-                let moved = self.moved_clients.remove(&open_request.viewer);
-                if let Some(until) = moved {
-                    self.timers.cancel(until, Timer::MovedClientExpiry(open_request.viewer));
-                }
-                self.counts.taken += 1;
-                let request = open_request.to_request(&session_id(id), moved.is_some());
-                let session = self.new_session(client, open_request);
-                self.timers
-                    .set(session.overdue_at(self.platform_settings.answer_slack), Timer::AnswerDeadline(id));
-                let forwarded_codes = [code::CLASS, code::TITLE, code::DESCRIPTION];
-                let forwarded_parameters = message
-                    .parameters
-                    .iter()
-                    .filter(|(code, _)| forwarded_codes.contains(code))
-                    .cloned()
-                    .collect();
-                self.sessions
-                    .insert(id, SessionEntry { forwarded_parameters, ..SessionEntry::new(session, 0) });
-                self.admission.request_opened(client, id, &mut self.timers);
-                self.events.push_back(Event::Request(request));
-            }
+            Ok((open_request, None)) => self.accept_request(client, message, open_request, out),
+        }
+    }
+
+    fn accept_request(
+        &mut self,
+        client: ClientId,
+        message: &Message,
+        open_request: OpenRequest,
+        out: &mut Vec<Command>,
+    ) {
+        let id = message.session;
+        let moved = self.moved_clients.remove(&open_request.viewer);
+        if let Some(until) = moved {
+            self.timers.cancel(until, Timer::MovedClientExpiry(open_request.viewer));
+        }
+        self.counts.taken += 1;
+        let request = open_request.to_request(&session_id(id), moved.is_some());
+        let session = self.new_session(client, open_request);
+        if session.effect == Effect::Once && self.past_requests.is_full() {
+            self.counts.refused += 1;
+            return out.push(Command::SendToClient(client, Message::release(id, cause::FULL)));
         }
+        self.timers.set(session.overdue_at(self.platform_settings.answer_slack), Timer::AnswerDeadline(id));
+        let forwarded_codes = [code::CLASS, code::TITLE, code::DESCRIPTION];
+        let forwarded_parameters =
+            message.parameters.iter().filter(|(code, _)| forwarded_codes.contains(code)).cloned().collect();
+        let entry = SessionEntry {
+            forwarded_parameters,
+            digest: RequestDigest::of(message),
+            resend_until: self.now + self.resend_window,
+            ..SessionEntry::new(session, 0)
+        };
+        self.sessions.insert(id, entry);
+        self.admission.request_opened(client, id, &mut self.timers);
+        self.events.push_back(Event::Request(request));
+        self.inherit_past_request(id);
     }
 
     fn new_session(&self, client: ClientId, open_request: OpenRequest) -> Session {
@@ -172,9 +190,13 @@
         if self.sessions.contains_key(&id) {
             return;
         }
+        if self.tell_end_at_hand_over(client, id, out) {
+            return;
+        }
         if let Some((_, end)) = self.early_ends.remove(&id).filter(|(server, _)| *server == at) {
             if let Some(cause) = super::servers::interpret_end_cause(end.cause()).1 {
-                out.push(Command::SendToClient(client, Message::release(id, cause)));
+                self.notify_client(Some(client), Message::release(id, cause), out);
+                self.remember_early_end(id);
             }
             return;
         }
@@ -189,7 +211,12 @@
         let rung = usize::MAX;
         let attempt = Attempt { number: 0, wire_number: 0, server: at, address, sent_at, expires_at, rung };
         session.resume_playing(attempt);
-        self.sessions.insert(id, SessionEntry::new(session, self.now));
+        let entry = SessionEntry {
+            resend_until: self.now + self.resend_window,
+            answer_sent: true,
+            ..SessionEntry::new(session, self.now)
+        };
+        self.sessions.insert(id, entry);
         self.admission.request_opened(client, id, &mut self.timers);
         self.admission.session_started(client, id);
         self.events.push_back(Event::Resumed(request, at));
@@ -213,7 +240,7 @@
     }
 
     /// Gives up a request: no answer is sent, and the current attempt is withdrawn.
-    fn give_up(&mut self, id: u64, out: &mut Vec<Command>) {
+    pub(super) fn give_up(&mut self, id: u64, out: &mut Vec<Command>) {
         self.report_client_gone(id);
         self.finish_request(id, out);
     }
@@ -300,10 +327,14 @@
         let Some(playing) = entry.session.playing() else { return };
         let (server, attempt) = (playing.attempt.server, playing.attempt.number);
         let client = entry.session.client.map(|(client, _)| client);
-        if let Some(cause) = cause {
-            self.notify_client(client, Message::release(id, cause), out);
-        }
+        let was_told_of_start = entry.answer_sent;
         self.drop_session(id);
+        if let Some(cause) = cause.filter(|_| was_told_of_start) {
+            let end = Message::release(id, cause);
+            if client.is_some() || !self.keep_end_for_second_copy(&end) {
+                self.notify_client(client, end, out);
+            }
+        }
         self.health.session_ended(server);
         let (session, last) = (session_id(id), true);
         self.events.push_back(Event::Ended { session, attempt, server, outcome, last, report });
--- a/crates/platform/src/core/in_doubt.rs
+++ b/crates/platform/src/core/in_doubt.rs
@@ -25,7 +25,10 @@
 
     /// The server has acknowledged the give-up of this session on this connection.
     pub(super) fn give_up_acknowledged(&mut self, id: u64, conn: ConnId, out: &mut Vec<Command>) {
-        let Some(entry) = self.sessions.get_mut(&id) else { return };
+        let Some(entry) = self.sessions.get_mut(&id) else {
+            let Some(server) = self.pool.server(conn) else { return };
+            return self.past_requests.give_up_acknowledged(id, server);
+        };
         let Some(at) = entry.in_doubt.iter().position(|(_, on)| *on == conn) else { return };
         let (server, _) = entry.in_doubt.remove(at);
         self.resolve(id, server, "heard", out);
@@ -33,6 +36,7 @@
 
     /// The server has closed this connection: every attempt given up on it is over.
     pub(super) fn closed_by_server(&mut self, conn: ConnId, out: &mut Vec<Command>) {
+        self.past_requests.closed_by_server(conn);
         let server_in_doubt = |entry: &SessionEntry| {
             entry.in_doubt.iter().find(|(_, on)| *on == conn).map(|(server, _)| *server)
         };
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -13,6 +13,7 @@
 //! - [`pool`]: connections to servers, each shared by many set-ups; what the end of a connection proves.
 //! - [`health`]: liveness checks of media servers that hold sessions.
 //! - `releases`: releases that are resent until they are acknowledged.
+//! - `resends`: requests sent a second time because their connection has ended.
 //! - `shutdown`: the orderly end of the process.
 //! - [`list_watch`]: the numbered events of the server list.
 //! - [`admission`]: which client connections are kept and which are closed to make room.
@@ -24,6 +25,7 @@
 pub mod list_watch;
 pub mod pool;
 mod releases;
+mod resends;
 mod servers;
 mod shutdown;
 
@@ -41,11 +43,13 @@
 use crate::wire::frames::Frame;
 use crate::wire::{cause, code, kind, Message};
 use admission::Admission;
+use clients::PLATFORM_TICKET;
 use health::{Health, Verdict};
 use list_watch::{ListWatch, Update};
 pub use pool::RoomCounts;
 use pool::{Pool, Withdrawn};
 use releases::Releases;
+use resends::{PastRequests, RequestDigest};
 
 /// An event that the edge passes to the core.
 #[derive(Clone, Debug, PartialEq)]
@@ -155,6 +159,8 @@
     HealthCheck(ServerId),
     /// Check whether a client's connection has been silent for too long.
     ClientIdle(ClientId),
+    /// The resend window of a request is over, or what is kept for its second copy.
+    ResendWindow(u64),
     /// Check for silence of the coordinator, or connect to it again.
     ListWatch,
     /// The next step of the shutdown is due.
@@ -178,6 +184,16 @@
     pub playing_since: Micros,
     /// The client was told to move to another media server.
     pub moving: bool,
+    /// What the request asks for.
+    pub digest: RequestDigest,
+    /// Until when a second copy of the request can arrive.
+    pub resend_until: Micros,
+    /// The answer, kept for a second copy of the request.
+    pub kept_answer: Option<Message>,
+    /// A client was sent the answer, or knew already that the session plays.
+    pub answer_sent: bool,
+    /// Number of attempts made for the first copy, if this one has started over.
+    pub earlier_attempts: u32,
 }
 
 impl SessionEntry {
@@ -191,8 +207,18 @@
             in_doubt,
             playing_since,
             moving: false,
+            digest: RequestDigest::default(),
+            resend_until: 0,
+            kept_answer: None,
+            answer_sent: false,
+            earlier_attempts: 0,
         }
     }
+
+    /// Whether the request is open without a client, whose second copy may still come.
+    fn awaits_second_copy(&self) -> bool {
+        self.session.client.is_none() && self.session.answer_pending()
+    }
 }
 
 /// Counters of a front node since its start.
@@ -210,6 +236,8 @@
     pub overdue: u64,
     /// Requests that were invalid.
     pub unusable: u64,
+    /// Requests that arrived a second time because their connection had ended.
+    pub resent: u64,
     /// Set-ups sent.
     pub attempts: u64,
     /// Sessions moved.
@@ -281,6 +309,10 @@
     undelivered: VecDeque<(Micros, Message)>,
     /// Sessions that their servers ended before their clients handed them over.
     early_ends: BTreeMap<u64, (ServerId, Message)>,
+    /// Requests that are over and of which a second copy can still arrive.
+    past_requests: PastRequests,
+    /// How long after a request a second copy of it can arrive.
+    resend_window: Micros,
     shutdown_since: Option<Micros>,
     /// All sessions are being released; the process exits at this time even if releases are still unsent.
     releasing_until: Option<Micros>,
@@ -296,6 +328,7 @@
         let health = Health::new(platform_settings.connect_timeout);
         // The start time serves as the seed of the backoff: few nodes start in the same microsecond.
         let list_watch = ListWatch::new(platform_settings.settings.drain_grace, now);
+        let resend_window = resends::resend_window(&platform_settings);
         Core {
             decider,
             platform_settings,
@@ -316,6 +349,8 @@
             releases: Releases::default(),
             undelivered: VecDeque::new(),
             early_ends: BTreeMap::new(),
+            past_requests: PastRequests::default(),
+            resend_window,
             shutdown_since: None,
             releasing_until: None,
             finished: false,
@@ -437,6 +472,7 @@
             NodeEvent::ServerUnreadable(conn) => self.server_unreadable(conn, out),
             NodeEvent::ServerBlocked(conn, cut, unsent) => {
                 self.pool.mark_blocked(self.now, conn, cut, unsent, &mut self.timers);
+                self.give_up_unwritten_requests(conn, out);
             }
             NodeEvent::ServerWritable(conn) => self.pool.writable(conn, out),
             NodeEvent::ListConnected(number) => {
@@ -537,12 +573,14 @@
             return self.reject_action("a set-up of an unknown session", id, out);
         };
         let in_doubt = entry.in_doubt.iter().any(|(at, _)| *at == server);
+        let attempts_left =
+            entry.earlier_attempts + entry.session.attempts < self.platform_settings.settings.max_attempts;
         let session = &mut entry.session;
         let number = match (session.next_attempt(self.now, &self.platform_settings.settings), address) {
             (Err(SetUpDenied::TooManyAttempts), _) => {
                 return self.reject_action("an attempt beyond the limit", id, out)
             }
-            (Ok(number), _) if in_doubt => Err(number),
+            (Ok(number), _) if in_doubt || !attempts_left => Err(number),
             (Ok(number), Some(_)) => Ok(number),
             (Ok(number), None)
             | (
@@ -757,6 +795,7 @@
             }
             Timer::HealthCheck(server) => self.check_health(server, false, out),
             Timer::ClientIdle(client) => self.client_idle(client, out),
+            Timer::ResendWindow(id) => self.resend_window_ended(id, out),
             Timer::ListWatch => self.list_watch.timer_fired(self.now, &mut self.timers, out),
             Timer::Shutdown => {}
         }
@@ -789,7 +828,11 @@
                 self.mark_in_doubt(id, server, conn, out);
                 Outcome::TimedOut
             }
-            Withdrawn::MayHaveRun => Outcome::Withdrawn,
+            Withdrawn::MayHaveRun => {
+                // The request is over; a second copy of it may still come.
+                entry.in_doubt.push((server, conn));
+                Outcome::Withdrawn
+            }
         }
     }
 
@@ -798,6 +841,10 @@
         let Some(entry) = self.sessions.get_mut(&id) else { return };
         let Some(attempt) = entry.session.pending_attempt().cloned() else { return };
         entry.earlier_conns.extend(entry.conn.take());
+        if entry.awaits_second_copy() {
+            // Nothing new is started without a client.
+            entry.session.settle_answer();
+        }
         self.timers.cancel(attempt.expires_at, Timer::AttemptTimeout(id, attempt.number));
         let last = entry.session.attempt_ended(outcome);
         if last {
@@ -809,6 +856,7 @@
 
     fn drop_session(&mut self, id: u64) {
         let Some(entry) = self.sessions.remove(&id) else { return };
+        self.remember_request(id, &entry);
         self.timers
             .cancel(entry.session.overdue_at(self.platform_settings.answer_slack), Timer::AnswerDeadline(id));
         if let Some((client, _)) = entry.session.client {
--- a/crates/platform/src/core/pool.rs
+++ b/crates/platform/src/core/pool.rs
@@ -79,6 +79,15 @@
     fn unsent_set_ups(&self) -> Vec<u64> {
         self.in_flight.iter().copied().filter(|session| self.has_unsent_set_up(*session)).collect()
     }
+
+    /// Sessions whose set-ups are unsent or partly written. A partial message never runs.
+    fn unwritten_set_ups(&self) -> Vec<u64> {
+        let mut unwritten = self.unsent_set_ups();
+        if let State::Blocked(Some(cut), _) = self.state {
+            unwritten.extend(Some(cut).filter(|session| self.in_flight.contains(session)));
+        }
+        unwritten
+    }
 }
 
 /// The set-ups that ended with a connection.
@@ -433,6 +442,17 @@
         matches!(state, Some(State::Blocked(_, since)) if since + WRITE_TIMEOUT <= now)
     }
 
+    /// Whether this session's set-up is written completely on this connection, as far as is known.
+    pub fn is_written(&self, id: ConnId, session: u64) -> bool {
+        let Some(conn) = self.connections.get(&id) else { return false };
+        conn.in_flight.contains(&session) && !conn.unwritten_set_ups().contains(&session)
+    }
+
+    /// Sessions whose set-ups are not completely written on this connection.
+    pub fn unwritten_set_ups(&self, id: ConnId) -> Vec<u64> {
+        self.connections.get(&id).map_or(Vec::new(), Connection::unwritten_set_ups)
+    }
+
     /// Sessions whose set-ups to these media servers are unsent.
     pub fn unsent_set_ups_to(&self, servers: &BTreeSet<ServerId>) -> Vec<u64> {
         let of_these = self.connections.values().filter(|conn| servers.contains(&conn.server));
@@ -443,11 +463,7 @@
     pub fn remove(&mut self, id: ConnId) -> EndedConnection {
         let mut ended = EndedConnection { conn: id, set_ups: Vec::new(), unsent: Vec::new() };
         if let Some(mut conn) = self.connections.remove(&id) {
-            ended.unsent = conn.unsent_set_ups();
-            if let State::Blocked(Some(cut), _) = conn.state {
-                // A partial message never runs.
-                ended.unsent.extend(Some(cut).filter(|session| conn.in_flight.contains(session)));
-            }
+            ended.unsent = conn.unwritten_set_ups();
             ended.unsent.iter().for_each(|session| {
                 conn.in_flight.remove(session);
             });
--- a/crates/platform/src/core/releases.rs
+++ b/crates/platform/src/core/releases.rs
@@ -36,6 +36,13 @@
     client_releases: BTreeMap<ClientId, BTreeMap<u64, (Micros, Message)>>,
 }
 
+impl Releases {
+    /// Drops what is to be sent to a client again about this session.
+    pub fn drop_client_notices(&mut self, id: u64) {
+        self.client_releases.values_mut().for_each(|releases| drop(releases.remove(&id)));
+    }
+}
+
 impl<D: Decider> Core<D> {
     /// Releases a session at its media server.
     pub(super) fn release_at_server(&mut self, id: u64, cause: u8, out: &mut Vec<Command>) {
@@ -227,6 +234,9 @@
         let client_releases = self.releases.client_releases.remove(&client).unwrap_or_default();
         let now = self.now;
         for (until, message) in client_releases.into_values().filter(|(until, _)| *until > now) {
+            if self.keep_end_for_second_copy(&message) {
+                continue;
+            }
             self.counts.ends_again += 1;
             self.notify_client_until(until, None, message, out);
         }
--- /dev/null
+++ b/crates/platform/src/core/resends.rs
@@ -0,0 +1,341 @@
+//! Requests that clients send a second time, under the same id, because the connection of the first copy has
+//! ended.
+//!
+//! A client cannot know whether this node has read a request whose connection ends. The protocol lets it send
+//! a request that crosses such an end by [`CROSSING_LIMIT`] once more on a new connection, and counts both
+//! copies as one request. So what is known of a request outlives its connection:
+//!
+//! - While a second copy can still arrive, in the *resend window* of the request, a set-up that was written
+//!   goes on without a client, nothing new is started for it, and its answer is kept. The second copy takes the
+//!   request over. If none has arrived by the end of the window, the request is given up.
+//! - Once the request is over, a [`PastRequest`] remembers that a set-up may have run. A second copy fails, or
+//!   starts over where that is harmless, with what is known of the earlier attempts.
+
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use salttally::interface::{Effect, Micros, Outcome, ServerId};
+use salttally::platform_settings::PlatformSettings;
+
+use super::{cause, code, kind, session_id, ClientId, Command, ConnId, Core, Decider, Event, Level, Message};
+use super::{SessionEntry, Timer, FAILED_CAUSE, PLATFORM_TICKET};
+
+/// A request that was sent at most this long before the end of its connection may be sent once more.
+const CROSSING_LIMIT: Micros = 50_000;
+/// Tolerance that the protocol adds to each time limit.
+const LIMIT_SLACK: Micros = 50_000;
+/// Maximum number of past requests of classes that must run at most once. New requests of such classes are
+/// refused while as many are remembered.
+const MAX_PAST_REQUESTS: usize = 16_384;
+/// Maximum number of past requests at which further ones of other classes are remembered.
+const MAX_REPEATABLE_PAST_REQUESTS: usize = MAX_PAST_REQUESTS / 2;
+/// The end of a session is kept for the client's second copy for at most this long, half of the time limit for
+/// telling it.
+const MAX_END_DELAY: Micros = 500_000;
+
+/// How long after the first copy of a request a second one can arrive: the crossing, and the time for a new
+/// connection.
+pub(super) fn resend_window(platform_settings: &PlatformSettings) -> Micros {
+    CROSSING_LIMIT + LIMIT_SLACK + platform_settings.connect_timeout
+}
+
+/// Identifies what a request asks for. Copies of a request are equal in it; a different request under the same
+/// id is not.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct RequestDigest(u64);
+
+impl RequestDigest {
+    /// The digest of a set-up message, without the times in it.
+    pub fn of(message: &Message) -> RequestDigest {
+        let is_time = |code: u8| matches!(code, code::WAIT_MS | code::LENGTH_HINT_MS);
+        let mut hasher = DefaultHasher::new();
+        message.parameters.iter().filter(|(code, _)| !is_time(*code)).for_each(|p| p.hash(&mut hasher));
+        RequestDigest(hasher.finish())
+    }
+}
+
+/// What is remembered of a request that is over.
+#[derive(Clone, Debug)]
+pub(super) struct PastRequest {
+    digest: RequestDigest,
+    effect: Effect,
+    /// Its session played.
+    has_played: bool,
+    /// Number of its attempts.
+    attempts: u32,
+    /// Servers at which an attempt may still run, each with the connection of the attempt.
+    in_doubt: Vec<(ServerId, ConnId)>,
+    /// The connections of its attempts.
+    conns: Vec<ConnId>,
+    /// The end of its session, which is to be told to its client.
+    untold_end: Option<Message>,
+    /// End of its resend window.
+    resend_until: Micros,
+    /// When it is forgotten, no sooner than the end of the window.
+    expires_at: Micros,
+}
+
+impl PastRequest {
+    /// Whether a second copy may be set up. A set-up that must run once is not repeated, nor one that is
+    /// recognised only by some servers for some time, and a session that has played is not played again.
+    fn may_start_over(&self) -> bool {
+        self.effect == Effect::Safe && !self.has_played
+    }
+}
+
+/// The requests that are over and of which a second copy can still arrive.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PastRequests(BTreeMap<u64, PastRequest>);
+
+impl PastRequests {
+    /// Whether no request that must run at most once may be accepted, since it could not be remembered.
+    pub fn is_full(&self) -> bool {
+        self.len() >= MAX_PAST_REQUESTS
+    }
+
+    /// Number of past requests.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Removes and returns what is known of a past request.
+    pub fn take(&mut self, id: u64) -> Option<PastRequest> {
+        self.0.remove(&id)
+    }
+
+    /// The server has acknowledged the give-up or the release of this session.
+    pub fn give_up_acknowledged(&mut self, id: u64, server: ServerId) {
+        if let Some(past) = self.0.get_mut(&id) {
+            past.in_doubt.retain(|(at, _)| *at != server);
+        }
+    }
+
+    /// The server has closed this connection: every attempt given up on it is over.
+    pub fn closed_by_server(&mut self, conn: ConnId) {
+        self.0.values_mut().for_each(|past| past.in_doubt.retain(|(_, on)| *on != conn));
+    }
+
+    fn remember(&mut self, id: u64, past: PastRequest) {
+        if past.effect == Effect::Once || self.len() < MAX_REPEATABLE_PAST_REQUESTS {
+            self.0.insert(id, past);
+        }
+    }
+}
+
+impl<D: Decider> Core<D> {
+    /// The connection of an open request has ended. A set-up that was written goes on for the rest of the
+    /// resend window; anything else is given up.
+    pub(super) fn client_of_request_gone(&mut self, id: u64, out: &mut Vec<Command>) {
+        let Some(entry) = self.sessions.get_mut(&id) else { return };
+        let is_written = entry.conn.is_some_and(|conn| self.pool.is_written(conn, id));
+        if !is_written || self.now >= entry.resend_until {
+            return self.give_up(id, out);
+        }
+        entry.session.client = None;
+        self.timers.set(entry.resend_until, Timer::ResendWindow(id));
+        let text = format!("request {id:016x}: its client's connection has ended, a second copy may come");
+        out.push(Command::Log(Level::Debug, text));
+    }
+
+    /// A server connection accepts no bytes: gives up the requests without a client whose set-ups are not
+    /// completely written on it.
+    pub(super) fn give_up_unwritten_requests(&mut self, conn: ConnId, out: &mut Vec<Command>) {
+        for id in self.pool.unwritten_set_ups(conn) {
+            if self.sessions.get(&id).is_some_and(SessionEntry::awaits_second_copy) {
+                self.give_up(id, out);
+            }
+        }
+    }
+
+    /// Whether a message is a second copy of a request that is open, playing or over.
+    pub(super) fn is_second_copy(&self, message: &Message) -> bool {
+        let id = message.session;
+        let entry = self.sessions.get(&id).map(|entry| entry.digest);
+        let known = entry.or_else(|| self.past_requests.0.get(&id).map(|past| past.digest));
+        message.kind == kind::SET_UP && known == Some(RequestDigest::of(message))
+    }
+
+    /// A request arrived under the id of a session. If it is a second copy, it takes the request over, even if
+    /// the end of the first connection is still unknown here; an answer under this id would otherwise be taken
+    /// for the answer to the open request.
+    pub(super) fn handle_request_under_known_id(
+        &mut self,
+        client: ClientId,
+        message: &Message,
+        out: &mut Vec<Command>,
+    ) {
+        let id = message.session;
+        let Some(entry) = self.sessions.get_mut(&id) else { return };
+        let previous = entry.session.client.map(|(client, _)| client);
+        let is_copy = entry.digest == RequestDigest::of(message) && previous != Some(client);
+        if !is_copy || self.now >= entry.resend_until {
+            self.counts.unusable += 1;
+            return self.close_client(client, out);
+        }
+        self.counts.resent += 1;
+        let text = format!("request {id:016x}: its second copy takes it over");
+        out.push(Command::Log(Level::Info, text));
+        if entry.moving {
+            // The client would be told to come again at once; the session ends at its server as it is.
+            return out.push(Command::SendToClient(client, Message::release(id, FAILED_CAUSE)));
+        }
+        entry.session.client = Some((client, PLATFORM_TICKET));
+        let answer = entry.kept_answer.clone();
+        if let Some(previous) = previous {
+            self.admission.session_ended(self.now, previous, id, &mut self.timers);
+        }
+        self.admission.request_opened(client, id, &mut self.timers);
+        if let Some(answer) = answer {
+            entry.answer_sent = true;
+            self.admission.session_started(client, id);
+            out.push(Command::SendToClient(client, answer));
+        }
+    }
+
+    /// A request arrived under the id of a past request; returns whether it has been dealt with. If not, it
+    /// may start over.
+    pub(super) fn handle_request_under_past_id(
+        &mut self,
+        client: ClientId,
+        message: &Message,
+        out: &mut Vec<Command>,
+    ) -> bool {
+        let id = message.session;
+        let Some(past) = self.past_requests.0.get_mut(&id) else { return false };
+        let is_copy = past.digest == RequestDigest::of(message);
+        if is_copy && past.may_start_over() {
+            return false;
+        }
+        past.untold_end.take_if(|_| is_copy);
+        self.counts.taken += 1;
+        self.counts.resent += 1;
+        self.counts.failed += 1;
+        let text = format!("request {id:016x}: sent again although a set-up may have run, failed");
+        out.push(Command::Log(Level::Info, text));
+        out.push(Command::SendToClient(client, Message::release(id, FAILED_CAUSE)));
+        true
+    }
+
+    /// A session that is over was handed over once more: its client is told of the end. Returns whether it is
+    /// over.
+    pub(super) fn tell_end_at_hand_over(
+        &mut self,
+        client: ClientId,
+        id: u64,
+        out: &mut Vec<Command>,
+    ) -> bool {
+        let Some(past) = self.past_requests.0.get_mut(&id).filter(|past| past.has_played) else {
+            return false;
+        };
+        let end = past.untold_end.take().unwrap_or_else(|| Message::release(id, cause::BROKEN));
+        self.notify_client(Some(client), end, out);
+        true
+    }
+
+    /// What the attempts of an accepted request must respect if it is a second copy that starts over.
+    pub(super) fn inherit_past_request(&mut self, id: u64) {
+        let (Some(past), Some(entry)) = (self.past_requests.take(id), self.sessions.get_mut(&id)) else {
+            return;
+        };
+        self.counts.resent += 1;
+        entry.earlier_attempts = past.attempts;
+        entry.earlier_conns = past.conns;
+        for (server, _) in &past.in_doubt {
+            self.events.push_back(Event::InDoubt { session: session_id(id), server: *server });
+        }
+        entry.in_doubt = past.in_doubt;
+    }
+
+    /// Remembers a request that is over, if a set-up may have run and a second copy can still arrive.
+    pub(super) fn remember_request(&mut self, id: u64, entry: &SessionEntry) {
+        let session = &entry.session;
+        let has_played = session.playing().is_some();
+        let may_have_run = has_played || session.may_have_run || !entry.in_doubt.is_empty();
+        // What must run once is remembered for as long as its client may wait for it.
+        let patience_end = match session.effect {
+            Effect::Once => session.overdue_at(self.platform_settings.answer_slack),
+            Effect::Safe | Effect::Deduplicated => 0,
+        };
+        let expires_at = entry.resend_until.max(patience_end);
+        if !may_have_run || expires_at <= self.now {
+            return;
+        }
+        let past = PastRequest {
+            digest: entry.digest,
+            effect: session.effect,
+            has_played,
+            attempts: entry.earlier_attempts + session.attempts,
+            in_doubt: entry.in_doubt.clone(),
+            conns: entry.earlier_conns.iter().copied().chain(entry.conn).collect(),
+            untold_end: None,
+            resend_until: entry.resend_until,
+            expires_at,
+        };
+        self.past_requests.remember(id, past);
+        self.timers.set(entry.resend_until.clamp(self.now, expires_at), Timer::ResendWindow(id));
+    }
+
+    /// Remembers a session that ended before its client handed it over.
+    pub(super) fn remember_early_end(&mut self, id: u64) {
+        let resend_until = self.now + self.resend_window;
+        let past = PastRequest {
+            digest: RequestDigest::default(),
+            effect: Effect::Safe,
+            has_played: true,
+            attempts: 0,
+            in_doubt: Vec::new(),
+            conns: Vec::new(),
+            untold_end: None,
+            resend_until,
+            expires_at: resend_until,
+        };
+        self.past_requests.remember(id, past);
+        self.timers.set(resend_until, Timer::ResendWindow(id));
+    }
+
+    /// Keeps the end of a session whose client may send its request once more: told on another connection, it
+    /// would be taken for the answer, and the second copy would get another one. Returns whether it is kept.
+    pub(super) fn keep_end_for_second_copy(&mut self, end: &Message) -> bool {
+        let Some(past) = self.past_requests.0.get_mut(&end.session) else { return false };
+        if self.now >= past.resend_until {
+            return false;
+        }
+        past.untold_end = Some(end.clone());
+        let tell_at = past.resend_until.min(self.now + MAX_END_DELAY);
+        self.timers.set(tell_at, Timer::ResendWindow(end.session));
+        true
+    }
+
+    /// The resend window of a request is over, or the end of its session has waited for long enough.
+    pub(super) fn resend_window_ended(&mut self, id: u64, out: &mut Vec<Command>) {
+        if let Some(past) = self.past_requests.0.get_mut(&id) {
+            let untold_end = past.untold_end.take();
+            let expires_at = past.expires_at;
+            if expires_at <= self.now {
+                self.past_requests.take(id);
+            } else {
+                self.timers.set(expires_at, Timer::ResendWindow(id));
+            }
+            if let Some(end) = untold_end {
+                self.notify_client(None, end, out);
+            }
+        }
+        let Some(entry) = self.sessions.get_mut(&id).filter(|entry| entry.resend_until <= self.now) else {
+            return;
+        };
+        entry.kept_answer = None;
+        if entry.awaits_second_copy() {
+            self.give_up(id, out);
+        } else if entry.session.playing().is_some() && !entry.answer_sent {
+            // No client has been told that the session plays.
+            self.release_at_server(id, cause::NORMAL, out);
+            self.end_session(id, Outcome::Withdrawn, Vec::new(), None, out);
+        }
+    }
+
+    /// Drops what is still to be told to a client about a session.
+    pub(super) fn drop_client_notices(&mut self, id: u64) {
+        self.undelivered.retain(|(_, message)| message.session != id);
+        self.releases.drop_client_notices(id);
+    }
+}
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -221,6 +221,11 @@
         self.timers.cancel(overdue, Timer::AnswerDeadline(id));
         let took = self.now - attempt.sent_at;
         let answer = Message::new(kind::ANSWER, id).with(code::DESCRIPTION, description);
+        if self.now < entry.resend_until {
+            entry.kept_answer = Some(answer.clone());
+            self.timers.set(entry.resend_until, Timer::ResendWindow(id));
+        }
+        entry.answer_sent = client.is_some();
         if let Some(client) = client {
             out.push(Command::SendToClient(client, answer));
             self.admission.session_started(client, id);
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -4,12 +4,13 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+use crate::crossings::Cut;
 use crate::record::{Answer, Event, Micros};
 use crate::rig::{Action, Rig, Role};
 use crate::wire::{cause, code, kind, Message};
 
 const MS: Micros = 1_000;
-/// A request that was sent at most this long before its connection was closed is sent again.
+/// A request that was sent at most this long before its connection was closed is sent once more.
 const CLOSE_RACE: Micros = 50 * MS;
 /// Clients use at most the descriptor limit of a front node divided by this.
 const DESCRIPTOR_DIVISOR: usize = 3;
@@ -28,7 +29,7 @@
 pub(crate) struct Client {
     pub node: usize,
     pub token: u64,
-    pending: BTreeSet<u64>,
+    pub pending: BTreeSet<u64>,
     sessions: BTreeSet<u64>,
     /// Whether it sends invalid input or nothing; messages to it are ignored.
     is_abusive: bool,
@@ -48,7 +49,9 @@
     node: usize,
     client: u64,
     stage: Stage,
-    sent: Option<Micros>,
+    pub sent: Option<Micros>,
+    /// The request as it was sent.
+    bytes: Vec<u8>,
     class: usize,
     patience: Micros,
     was_served: bool,
@@ -59,10 +62,20 @@
 }
 
 impl Request {
+    /// Whether its client knows it as playing at this server.
+    pub fn is_playing_at(&self, server: u32) -> bool {
+        self.is_playing() && self.server == Some(server)
+    }
+
     /// Whether its client knows it as playing and has not ended it.
     pub fn is_playing(&self) -> bool {
         self.stage == Stage::Playing
     }
+
+    /// The connection on which it waits for its answer, if it does.
+    pub fn pending_on(&self) -> Option<u64> {
+        (self.stage == Stage::Pending).then_some(self.client)
+    }
 }
 
 impl Rig {
@@ -94,6 +107,7 @@
             client,
             stage,
             sent: None,
+            bytes: bytes.clone(),
             class,
             patience,
             was_served: false,
@@ -169,7 +183,8 @@
 
     /// Writes the last bytes of a fragmented request.
     pub(crate) fn finish_request(&mut self, id: u64, token: u64, bytes: &[u8]) {
-        if !self.endpoints.contains_key(&token) {
+        let is_open = self.clients.values().any(|client| client.token == token);
+        if !is_open || !self.endpoints.contains_key(&token) {
             return;
         }
         self.write_fragment(token, bytes.to_vec());
@@ -190,6 +205,35 @@
             let after = self.draws.between(MS, patience);
             self.schedule_in(after, Action::GiveUp { id });
         }
+        self.plan_request_cut(id);
+    }
+
+    /// Sends a request once more on a new connection to the same process. If it accepts none, the client gives
+    /// the request up, and the front node learns that its previous connection has ended.
+    pub(crate) fn send_again(&mut self, id: u64, previous: Option<u64>) {
+        let Some(request) = self.requests.get(&id).filter(|request| request.stage == Stage::Pending) else {
+            return;
+        };
+        let (node, process, bytes) = (request.node, request.process, request.bytes.clone());
+        let is_up = self.nodes[node].process == process && self.nodes[node].accepts_connections(self.now());
+        let conn = is_up.then(|| self.connect_client(node, false)).flatten();
+        self.record(Event::RequestResent { id, conn });
+        let Some(client) = conn.and_then(|conn| Some((conn, self.clients.get_mut(&conn)?))) else {
+            previous.into_iter().for_each(|token| self.close(token, true));
+            return self.abandon_request(id);
+        };
+        let (conn, token) = (client.0, client.1.token);
+        client.1.pending.insert(id);
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.client = conn;
+        }
+        self.write(token, &bytes);
+    }
+
+    /// The client of a request has gone and does not wait for its answer any more.
+    pub(crate) fn abandon_request(&mut self, id: u64) {
+        self.requests.entry(id).and_modify(|request| request.stage = Stage::GaveUp);
+        self.record(Event::GaveUp { id });
     }
 
     /// A connection on which a request can be sent now.
@@ -241,6 +285,7 @@
                     if refused { Answer::Refused } else { Answer::Failed },
                 );
             }
+            kind::MOVE if self.cuts_move(client) => {}
             kind::MOVE => self.handle_move(node, id),
             _ => {}
         }
@@ -417,7 +462,7 @@
     }
 
     /// A connection was closed by the front node or by the end of its process.
-    pub(crate) fn client_closed_by_node(&mut self, number: u64, node: usize) {
+    pub(crate) fn client_closed_by_node(&mut self, number: u64) {
         let Some(client) = self.clients.remove(&number) else { return };
         if client.is_abusive {
             return;
@@ -426,11 +471,10 @@
         let now = self.now();
         for id in client.pending {
             let Some(request) = self.requests.get_mut(&id) else { continue };
-            request.stage = Stage::Ended;
             if request.sent.is_some_and(|sent| sent + CLOSE_RACE >= now) {
-                self.record(Event::RequestResent { id });
-                let other = (node + 1) % self.plan.nodes;
-                self.send_request(other, RequestOrigin::Viewers);
+                self.send_again_soon(id, None);
+            } else {
+                request.stage = Stage::Ended;
             }
         }
     }
@@ -440,15 +484,15 @@
         let Some(client) = self.clients.remove(&number) else { return };
         self.record(Event::ClosedByClient { conn: number });
         for id in client.pending {
-            self.requests.entry(id).and_modify(|request| request.stage = Stage::GaveUp);
-            self.record(Event::GaveUp { id });
+            self.abandon_request(id);
         }
     }
 
+    /// Resets all client connections to a front node.
     pub(crate) fn cut_clients(&mut self, node: usize) {
-        let connections =
-            self.tokens_where(|role| matches!(role, Role::Client { node: other, .. } if other == node));
-        connections.into_iter().for_each(|token| self.close(token, true));
+        let of_node = self.clients.iter().filter(|(_, client)| client.node == node);
+        let connections: Vec<u64> = of_node.map(|(number, _)| *number).collect();
+        connections.into_iter().for_each(|number| self.cut_client(number, Cut::Reset));
     }
 
     pub(crate) fn start_abusive_client(&mut self, node: usize) {
--- /dev/null
+++ b/crates/soak/src/crossings.rs
@@ -0,0 +1,118 @@
+//! Connections that are cut while something is on its way on them: a request, the end of a session, or a move.
+
+use crate::plan::Draws;
+use crate::record::{Event, Micros};
+use crate::rig::{Action, Rig};
+
+const MS: Micros = 1_000;
+/// A request that was sent at most this long before the end of its connection is sent once more.
+const CROSSING_LIMIT: Micros = 50 * MS;
+/// A connection is cut at the latest this long after a request was sent on it.
+const LATEST_REQUEST_CUT: Micros = 45 * MS;
+/// Time within which a client that has lost its connection sends a request once more.
+const RESEND_TIME: Micros = 60 * MS;
+/// Time after which the end of a silent client connection reaches the front node, minimum and maximum.
+const SILENCE: (Micros, Micros) = (200 * MS, 1_500 * MS);
+
+/// How often connections are cut, each as a probability in percent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CrossingPlan {
+    /// The connection of a request, shortly after it was sent.
+    pub requests: u64,
+    /// The connection on which a server sends the end of a session.
+    pub ends: u64,
+    /// The connection on which a client is sent a move.
+    pub moves: u64,
+}
+
+impl CrossingPlan {
+    /// Draws the plan of a seed.
+    pub fn from_seed(seed: u64) -> CrossingPlan {
+        let mut draws = Draws::new(seed ^ 0xc2055);
+        CrossingPlan {
+            requests: draws.pick(&[0, 5, 20]),
+            ends: 0,
+            moves: 0,
+        }
+    }
+}
+
+/// How a connection is cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cut {
+    /// Reset on both sides.
+    Reset,
+    /// Closed in order, without the bytes that were on their way.
+    Closed,
+    /// Nothing passes any more, and the front node does not learn of it for some time.
+    Silent,
+}
+
+impl Rig {
+    fn draw_cut(&mut self) -> Cut {
+        self.crossing_draws.pick(&[Cut::Reset, Cut::Reset, Cut::Closed, Cut::Silent])
+    }
+
+    /// A request was sent: its connection may be cut while it is on its way.
+    pub(crate) fn plan_request_cut(&mut self, id: u64) {
+        if self.crossing_draws.chance(self.plan.crossings.requests) {
+            let after = self.crossing_draws.between(MS, LATEST_REQUEST_CUT);
+            self.schedule_in(after, Action::CutRequest { id });
+        }
+    }
+
+    /// Cuts the connection of a request that is not answered yet.
+    pub(crate) fn cut_request(&mut self, id: u64) {
+        let Some(client) = self.requests.get(&id).and_then(|request| request.pending_on()) else { return };
+        let cut = self.draw_cut();
+        self.cut_client(client, cut);
+    }
+
+    /// A client is sent a move; returns whether its connection is cut, and the move lost.
+    pub(crate) fn cuts_move(&mut self, client: u64) -> bool {
+        if !self.crossing_draws.chance(self.plan.crossings.moves) {
+            return false;
+        }
+        self.cut_client(client, Cut::Reset);
+        true
+    }
+
+    /// Cuts a client's connection. Requests that cross the cut are sent once more, under the same ids.
+    pub(crate) fn cut_client(&mut self, number: u64, cut: Cut) {
+        let Some(client) = self.clients.remove(&number) else { return };
+        self.record(Event::ClosedByClient { conn: number });
+        let now = self.now();
+        let crosses = |id: &u64| {
+            let sent = self.requests.get(id).and_then(|request| request.sent);
+            sent.is_some_and(|sent| sent + CROSSING_LIMIT >= now)
+        };
+        let (crossing, others): (Vec<u64>, Vec<u64>) = client.pending.into_iter().partition(crosses);
+        if cut == Cut::Silent && others.is_empty() {
+            let after = self.crossing_draws.between(SILENCE.0, SILENCE.1);
+            self.schedule_in(after, Action::Close { token: client.token, reset: true });
+        } else {
+            // The front node has to learn that the clients of the others wait no longer.
+            self.close(client.token, cut != Cut::Closed);
+        }
+        crossing.into_iter().for_each(|id| self.send_again_soon(id, Some(client.token)));
+        others.into_iter().for_each(|id| self.abandon_request(id));
+    }
+
+    /// Schedules the second copy of a request whose connection has ended; `previous` is that connection.
+    pub(crate) fn send_again_soon(&mut self, id: u64, previous: Option<u64>) {
+        let after = self.crossing_draws.between(0, RESEND_TIME);
+        self.schedule_in(after, Action::SendAgain { id, previous });
+    }
+
+    /// A server sends the end of a session on this connection; returns whether it is cut, and the end lost.
+    pub(crate) fn cuts_end(&mut self, token: u64) -> bool {
+        if !self.crossing_draws.chance(self.plan.crossings.ends) {
+            return false;
+        }
+        match self.draw_cut() {
+            Cut::Silent => self.silence(token),
+            cut => self.close(token, cut == Cut::Reset),
+        }
+        true
+    }
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod clients;
 mod cold_servers;
+pub mod crossings;
 mod discovery;
 mod fleet_plan;
 pub mod judge;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -3,6 +3,7 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 
+use crate::crossings::CrossingPlan;
 use crate::record::{ClassTerms, ColdTerms, Effect, Micros, Terms};
 
 const MS: Micros = 1_000;
@@ -205,6 +206,8 @@
     pub server_behavior: ServerBehavior,
     /// Behavior of clients.
     pub client_behavior: ClientBehavior,
+    /// Connections that are cut while something is on its way.
+    pub crossings: CrossingPlan,
     /// Additional abusive connections of each front node.
     pub crowd: u64,
     /// Time from the end of a process of a front node to its next start.
@@ -234,8 +237,11 @@
         let hot_servers = (draws.between(0, u64::from(servers)) as u32, servers.min(draws.pick(&[40, 200])));
         let terms = terms(&mut draws, &classes);
         let requests_until = REQUEST_PERIOD;
-        // A quarter of the trials lasts until delayed notifications of session ends (8 s) are due.
-        let notified_by = if draws.chance(25) { 8_300 * MS } else { 0 };
+        let crossings = CrossingPlan::from_seed(seed);
+        // A quarter of the trials, and those in which ends are lost, last until delayed notifications of session
+        // ends (8 s) are due.
+        let is_long = draws.chance(25) || crossings.ends > 0;
+        let notified_by = if is_long { 8_300 * MS } else { 0 };
         let ends = requests_until + (longest_deadline + 1_200 * MS).max(notified_by);
         let has_racks = is_large || draws.chance(50);
         let mut plan = Plan {
@@ -255,6 +261,7 @@
             acknowledges: draws.chance(50),
             server_behavior: server_behavior(&mut draws),
             client_behavior: client_behavior(&mut draws),
+            crossings,
             crowd: draws.pick(&[0, 0, 60, 200]),
             restart_delay: RESTART_DELAY,
             listing_delay: 0,
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -125,10 +125,12 @@
         /// Number of the connection.
         conn: u64,
     },
-    /// A request sent shortly before the close of its connection was sent again, under a new id.
+    /// A request that crossed the end of its connection was sent once more, under the same id.
     RequestResent {
-        /// Id of the original request.
+        /// Session id.
         id: u64,
+        /// Number of the client's new connection; `None` if the process that it was sent to accepts none any more.
+        conn: Option<u64>,
     },
     /// A client was told that its session is over or is to be opened again.
     Released {
@@ -194,6 +196,11 @@
         /// Whether a healthy server wrote the end to the front node on an open connection.
         notified: bool,
     },
+    /// A front node released a session at its server.
+    SessionReleased {
+        /// Session id.
+        id: u64,
+    },
     /// A server does not read until then, so ends of attempts there are not observed.
     ServerUnresponsive {
         /// The server.
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -307,7 +307,7 @@
         }
         self.servers[server as usize].sessions.remove(&id);
         let release = Message::release(id, cause::NORMAL);
-        let endpoint = self.connection_for(server, session);
+        let endpoint = self.connection_for(server, session).filter(|token| !self.cuts_end(*token));
         let notified = endpoint.is_some_and(|token| self.endpoints[&token].read_delay == 0);
         if let Some(token) = endpoint {
             self.send(token, &release);
@@ -328,6 +328,9 @@
                 self.send(token, &Message::new(kind::RELEASE_ACK, id));
             }
         } else if self.servers[server as usize].sessions.remove(&id).is_some() {
+            if self.requests.get(&id).is_some_and(|request| request.is_playing_at(server)) {
+                self.record(Event::SessionReleased { id });
+            }
             self.send(token, &Message::release(id, cause::ON_PURPOSE));
         }
     }
