An end that may have been lost with a connection is fetched on a new one

Cause: a server sends an end once more on the next connection that is opened, and the node opened one only where no connection was left or the server had been silent for 2 s. Nothing in its state said that an end may be owed.

Change: `core/owed_ends`. From the loss of a connection while sessions stand there, a server may owe ends until it has sent a message, or closed in order, on a connection that was dialled after the loss; that the kernel accepted it is no proof. Losses are resets, closes by the server, connections given up here (unreadable, stalled, closed for room, at an old address), dials that were given up, finished connections that the server does not close within 1 s, and for a session that is handed over whatever came before. Until then a connection is dialled, finished when nobody speaks on it, since its close is the proof, and dialled again after 2 s. The next check lies 2 s ahead at most, a quarter of the 8 s; a connection closed for room is followed by one no sooner than the check for silence would be. An idle connection that has been silent for 3.5 s beside one that has not is finished, so that one on which nothing passes any more is found within the 8 s. The line of counters tells how many servers owe ends, and for how long.

--- /dev/null
+++ b/crates/daemon/tests/front_node_owed_ends.rs
@@ -0,0 +1,60 @@
+//! Ends of sessions that are lost with a connection to their media server, over real sockets.
+
+mod node;
+
+use std::time::{Duration, Instant};
+
+use node::scripted::{answer_set_up, request_for_cell, wait_for_message, ScriptedServers};
+use node::{Node, SECOND};
+use salttally_platform::wire::{cause, kind, Message};
+use salttally_standin::platform::Viewer;
+use socket2::SockRef;
+
+/// How the connection with the end on its way is lost.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Loss {
+    Reset,
+    Closed,
+    /// The front node does not learn of it.
+    Unnoticed,
+}
+
+/// A front node with session 1 on the first of two connections to its media server, the second of which is in use.
+fn two_connections(name: &str) -> (ScriptedServers, Node, Viewer, Viewer, Viewer) {
+    let mut servers = ScriptedServers::new(1);
+    let node = servers.start_node(name, |_| {});
+    let mut viewer = node.viewer();
+    viewer.send(&request_for_cell(1, "clip", 0));
+    let mut first = servers.accept(0);
+    wait_for_message(&mut first, kind::SET_UP, 1);
+    answer_set_up(&first, 1);
+    assert_eq!(viewer.next(SECOND).map(|message| message.kind), Some(kind::ANSWER));
+    // After 2 s of silence the front node checks the server on a new connection.
+    let second = servers.accept(0);
+    (servers, node, viewer, first, second)
+}
+
+// Guards against an end that is never told because another connection to its server is in use.
+#[test]
+fn an_end_lost_with_one_connection_is_told_though_another_one_is_in_use() {
+    for loss in [Loss::Reset, Loss::Closed, Loss::Unnoticed] {
+        let (servers, node, mut viewer, first, second) = two_connections("owed-end");
+        let lost_at = Instant::now();
+        if loss == Loss::Reset {
+            SockRef::from(&first.stream).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+        let _silent = (loss == Loss::Unnoticed).then_some(first);
+        // The server reports the end once more on the next connection, and is heard on the other one until then.
+        let mut next = Vec::new();
+        while next.is_empty() && lost_at.elapsed() < 8 * SECOND {
+            second.send(&Message::new(kind::NOTE, 1).with(24, "port").with(39, "0.5"));
+            std::thread::sleep(Duration::from_millis(100));
+            next = servers.pending_connections(0);
+        }
+        assert!(!next.is_empty(), "{loss:?}: no further connection in 8 s");
+        next[0].send(&Message::release(1, cause::NORMAL));
+        let end = viewer.next(SECOND);
+        assert!(end.is_some_and(|end| end.kind == kind::RELEASE && end.session == 1), "{loss:?}");
+        drop(node);
+    }
+}
--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -223,6 +223,10 @@
         self.watch_health(at);
         let disconnected = !self.pool.is_up(at);
         self.check_health(at, disconnected, out);
+        if !disconnected {
+            // An end may have been lost before this node knew of the session.
+            self.ends_may_be_lost(at, Loss::Connection, out);
+        }
     }
 
     /// A client gives up a request, or ends a playing session.
@@ -336,6 +340,9 @@
             }
         }
         self.health.session_ended(server);
+        if !self.health.holds_sessions(server) {
+            self.owed_ends.remove(server);
+        }
         let (session, last) = (session_id(id), true);
         self.events.push_back(Event::Ended { session, attempt, server, outcome, last, report });
     }
--- a/crates/platform/src/core/health.rs
+++ b/crates/platform/src/core/health.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Whether a media server holds sessions.
+    pub fn holds_sessions(&self, server: ServerId) -> bool {
+        self.servers.contains_key(&server)
+    }
+
     /// Something was received from a media server, or a connection to it established.
     pub fn mark_alive(&mut self, now: Micros, server: ServerId) {
         if let Some(health) = self.servers.get_mut(&server) {
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -12,6 +12,7 @@
 //! - `in_doubt`: attempts that were given up and may still run at their servers.
 //! - [`pool`]: connections to servers, each shared by many set-ups; what the end of a connection proves.
 //! - [`health`]: liveness checks of media servers that hold sessions.
+//! - `owed_ends`: ends of sessions that may have been lost with a connection to their server.
 //! - `releases`: releases that are resent until they are acknowledged.
 //! - `resends`: requests sent a second time because their connection has ended.
 //! - `shutdown`: the orderly end of the process.
@@ -23,6 +24,7 @@
 pub mod health;
 mod in_doubt;
 pub mod list_watch;
+mod owed_ends;
 pub mod pool;
 mod releases;
 mod resends;
@@ -46,10 +48,12 @@
 use clients::PLATFORM_TICKET;
 use health::{Health, Verdict};
 use list_watch::{ListWatch, Update};
+use owed_ends::{Loss, OwedEndsByServer};
 pub use pool::RoomCounts;
 use pool::{Pool, Withdrawn};
 use releases::Releases;
 use resends::{PastRequests, RequestDigest};
+use servers::ConnectionEnd;
 
 /// An event that the edge passes to the core.
 #[derive(Clone, Debug, PartialEq)]
@@ -157,6 +161,10 @@
     ProbeTimeout(u64),
     /// Check a media server that holds sessions.
     HealthCheck(ServerId),
+    /// Check a media server that may owe ends of sessions.
+    OwedEnds(ServerId),
+    /// Check whether a media server has closed the connections that were finished.
+    StalledFinish(ServerId),
     /// Check whether a client's connection has been silent for too long.
     ClientIdle(ClientId),
     /// The resend window of a request is over, or what is kept for its second copy.
@@ -264,6 +272,8 @@
     pub dials: [u64; 3],
 }
 
+/// The protocol's time limit for telling a client the end of its session.
+pub const END_NOTICE_LIMIT: Micros = 8_000_000;
 /// An attempt that finds no room for a connection ends after this delay.
 const NO_ROOM_DELAY: Micros = 20_000;
 /// How long a moved client is expected back.
@@ -309,6 +319,7 @@
     undelivered: VecDeque<(Micros, Message)>,
     /// Sessions that their servers ended before their clients handed them over.
     early_ends: BTreeMap<u64, (ServerId, Message)>,
+    owed_ends: OwedEndsByServer,
     /// Requests that are over and of which a second copy can still arrive.
     past_requests: PastRequests,
     /// How long after a request a second copy of it can arrive.
@@ -349,6 +360,7 @@
             releases: Releases::default(),
             undelivered: VecDeque::new(),
             early_ends: BTreeMap::new(),
+            owed_ends: OwedEndsByServer::default(),
             past_requests: PastRequests::default(),
             resend_window,
             shutdown_since: None,
@@ -460,15 +472,15 @@
                 if self.pool.is_finishing(conn) {
                     self.releases_read(conn);
                 }
-                self.connection_closed(conn, true, out);
+                self.connection_closed(conn, ConnectionEnd::Closed, out);
                 self.closed_by_server(conn, out);
             }
             NodeEvent::ServerHalfClosed(conn) => self.closed_by_server(conn, out),
             NodeEvent::ServerReset(conn) => {
-                self.connection_closed(conn, true, out);
+                self.connection_closed(conn, ConnectionEnd::Reset, out);
                 self.closed_by_server(conn, out);
             }
-            NodeEvent::ServerLost(conn) => self.connection_closed(conn, false, out),
+            NodeEvent::ServerLost(conn) => self.connection_closed(conn, ConnectionEnd::Lost, out),
             NodeEvent::ServerUnreadable(conn) => self.server_unreadable(conn, out),
             NodeEvent::ServerBlocked(conn, cut, unsent) => {
                 self.pool.mark_blocked(self.now, conn, cut, unsent, &mut self.timers);
@@ -499,6 +511,7 @@
                 self.check_shutdown(now, out);
             }
         }
+        self.note_evicted_connections(out);
     }
 
     /// Passes the events since the last call to the decider, and executes its actions. Called once everything
@@ -510,6 +523,14 @@
     pub fn decide(&mut self, now: Micros, out: &mut Vec<Command>) {
         self.now = self.now.max(now);
         self.deliver_events(out);
+        self.note_evicted_connections(out);
+    }
+
+    /// Connections closed for lack of room may have carried ends of sessions.
+    fn note_evicted_connections(&mut self, out: &mut Vec<Command>) {
+        for server in self.pool.take_evicted() {
+            self.ends_may_be_lost(server, Loss::Evicted, out);
+        }
     }
 
     // ---- Actions of the decider ----
@@ -794,6 +815,8 @@
                 }
             }
             Timer::HealthCheck(server) => self.check_health(server, false, out),
+            Timer::OwedEnds(server) => self.check_owed_ends(server, out),
+            Timer::StalledFinish(server) => self.check_stalled_finish(server, out),
             Timer::ClientIdle(client) => self.client_idle(client, out),
             Timer::ResendWindow(id) => self.resend_window_ended(id, out),
             Timer::ListWatch => self.list_watch.timer_fired(self.now, &mut self.timers, out),
@@ -818,7 +841,7 @@
         // There was no room for its connection: this proves nothing about the server.
         let Some((conn, server)) = entry.conn.take().zip(server) else { return Outcome::NotSent };
         entry.earlier_conns.push(conn);
-        match self.pool.withdraw(conn, id, timed_out, out) {
+        match self.pool.withdraw(self.now, conn, id, timed_out, out) {
             Withdrawn::Unsent => Outcome::NoConnection,
             Withdrawn::PartlyWritten => {
                 self.disconnect(conn, out);
--- a/crates/platform/src/core/pool.rs
+++ b/crates/platform/src/core/pool.rs
@@ -49,6 +49,10 @@
     unsent: VecDeque<Message>,
     /// Sessions whose set-ups are in flight on this connection.
     in_flight: BTreeSet<u64>,
+    dialed_at: Micros,
+    established_at: Option<Micros>,
+    /// When it was finished, if it was.
+    finished_at: Option<Micros>,
     last_received: Micros,
     last_used: Micros,
     /// An expected message did not arrive on it: nothing new is sent on it.
@@ -65,6 +69,12 @@
         !self.suspect && matches!(self.state, State::Dialing | State::Open)
     }
 
+    /// Writes nothing more on it, and reads on until the server closes it.
+    fn finish(&mut self, now: Micros, id: ConnId, out: &mut Vec<Command>) {
+        (self.state, self.finished_at) = (State::Finishing, Some(now));
+        out.push(Command::FinishServer(id));
+    }
+
     /// Whether it is established and nothing is in flight or unsent on it.
     fn is_idle(&self) -> bool {
         self.state == State::Open && self.in_flight.is_empty() && self.unsent.is_empty()
@@ -101,6 +111,17 @@
     pub unsent: Vec<u64>,
 }
 
+/// A connection, as far as it can prove that a server owes nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionAge {
+    /// The connection.
+    pub id: ConnId,
+    /// When it was dialled.
+    pub dialed_at: Micros,
+    /// When it was established, if it is.
+    pub established_at: Option<Micros>,
+}
+
 /// What is known about a set-up that was withdrawn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Withdrawn {
@@ -138,6 +159,8 @@
     last_id: u64,
     dials: [u64; 3],
     room_counts: RoomCounts,
+    /// Servers of the connections that were closed for lack of room since the last call of `take_evicted`.
+    evicted: Vec<ServerId>,
     max_streams: usize,
     max_connections: usize,
     connect_timeout: Micros,
@@ -153,6 +176,7 @@
             last_id: 0,
             dials: [0; 3],
             room_counts: RoomCounts::default(),
+            evicted: Vec::new(),
             max_streams: platform_settings.streams_per_connection,
             max_connections: (sockets * 5 / 12).max(1),
             connect_timeout: platform_settings.connect_timeout,
@@ -267,6 +291,9 @@
             state,
             unsent,
             in_flight: set_ups,
+            dialed_at: now,
+            established_at: None,
+            finished_at: None,
             last_received: now,
             last_used: now,
             suspect: false,
@@ -274,7 +301,7 @@
             purpose,
         };
         self.connections.insert(id, conn);
-        self.reserve_room(out);
+        self.reserve_room(now, out);
         timers.set(now + self.connect_timeout, Timer::ConnectTimeout(id));
         out.push(Command::Connect(id, address));
         Some(id)
@@ -283,7 +310,7 @@
     /// Finishes the connection that has been idle for the longest, where few more can be opened. If it were
     /// closed only when its place is needed, unread bytes might lie on it, and closing would then reset it:
     /// what the peer sent would be lost here, and the peer would lose what it has not read yet.
-    fn reserve_room(&mut self, out: &mut Vec<Command>) {
+    fn reserve_room(&mut self, now: Micros, out: &mut Vec<Command>) {
         let reserved = (self.max_connections * RESERVED_FRACTION.0 / RESERVED_FRACTION.1).max(1);
         let in_use = self.connections.values().filter(|conn| conn.state != State::Finishing).count();
         if in_use + reserved <= self.max_connections {
@@ -291,8 +318,7 @@
         }
         let idle = self.connections.iter_mut().filter(|(_, conn)| conn.is_idle());
         if let Some((id, conn)) = idle.min_by_key(|(_, conn)| conn.last_used.max(conn.last_received)) {
-            conn.state = State::Finishing;
-            out.push(Command::FinishServer(*id));
+            conn.finish(now, *id, out);
             self.room_counts.ended += 1;
         }
     }
@@ -310,7 +336,7 @@
         let Some(id) = closable.min_by_key(|(_, conn)| eviction_order(conn)).map(|(id, _)| *id) else {
             return false;
         };
-        self.connections.remove(&id);
+        self.evicted.extend(self.connections.remove(&id).map(|conn| conn.server));
         out.push(Command::CloseServer(id));
         self.room_counts.closed += 1;
         true
@@ -401,7 +427,7 @@
         out: &mut Vec<Command>,
     ) {
         let Some(conn) = self.connections.get_mut(&id) else { return };
-        (conn.last_received, conn.last_used) = (now, now);
+        (conn.last_received, conn.last_used, conn.established_at) = (now, now, Some(now));
         self.writable(id, out);
         timers.set(now + self.idle_timeout, Timer::IdleTimeout(id));
     }
@@ -480,11 +506,11 @@
     }
 
     /// A set-up was answered: it has failed, or the session plays and belongs to no connection from now on.
-    pub fn set_up_ended(&mut self, id: ConnId, session: u64, out: &mut Vec<Command>) {
+    pub fn set_up_ended(&mut self, now: Micros, id: ConnId, session: u64, out: &mut Vec<Command>) {
         self.connections.entry(id).and_modify(|conn| {
             conn.in_flight.remove(&session);
         });
-        self.finish_suspect(id, out);
+        self.finish_suspect(now, id, out);
     }
 
     /// Whether a message to a media server can be sent without closing a connection on which a release may
@@ -497,20 +523,80 @@
     }
 
     /// Finishes all idle connections.
-    pub fn finish_idle(&mut self, out: &mut Vec<Command>) {
+    pub fn finish_idle(&mut self, now: Micros, out: &mut Vec<Command>) {
         for (id, conn) in self.connections.iter_mut().filter(|(_, conn)| conn.is_idle()) {
-            conn.state = State::Finishing;
-            out.push(Command::FinishServer(*id));
+            conn.finish(now, *id, out);
         }
     }
 
+    /// Finishes a connection, if it is idle.
+    pub fn finish_if_idle(&mut self, now: Micros, id: ConnId, out: &mut Vec<Command>) {
+        if let Some(conn) = self.connections.get_mut(&id).filter(|conn| conn.is_idle()) {
+            conn.finish(now, id, out);
+        }
+    }
+
+    /// Finishes idle connections to a server that have been silent for `silence` while another one was not.
+    /// One on which nothing passes any more cannot be told from an idle one, unless the server closes it.
+    /// Returns whether any was finished.
+    pub fn finish_redundant(
+        &mut self,
+        now: Micros,
+        server: ServerId,
+        silence: Micros,
+        out: &mut Vec<Command>,
+    ) -> bool {
+        let of_server = |conn: &&Connection| conn.server == server && conn.state == State::Open;
+        let latest = self.connections.values().filter(of_server).map(|conn| conn.last_received).max();
+        let mut any = false;
+        for (id, conn) in self.connections.iter_mut().filter(|(_, conn)| conn.server == server) {
+            let is_silent = conn.last_received + silence <= now && Some(conn.last_received) < latest;
+            if is_silent && conn.is_idle() {
+                conn.finish(now, *id, out);
+                any = true;
+            }
+        }
+        any
+    }
+
+    /// Whether a server has not closed a connection that was finished at least `timeout` ago. Each connection
+    /// is reported once.
+    pub fn take_stalled_finish(&mut self, now: Micros, server: ServerId, timeout: Micros) -> bool {
+        let mut any = false;
+        for conn in self.connections.values_mut().filter(|conn| conn.server == server) {
+            let is_stalled = |at: &mut Micros| conn.state == State::Finishing && *at + timeout <= now;
+            any |= conn.finished_at.take_if(is_stalled).is_some();
+        }
+        any
+    }
+
+    /// The number of the latest connection.
+    pub fn last_id(&self) -> ConnId {
+        ConnId(self.last_id)
+    }
+
+    /// The latest connection to a server that was dialled after `earlier`.
+    pub fn newest_connection(&self, server: ServerId, earlier: ConnId) -> Option<ConnectionAge> {
+        let later = self.connections.iter().rev().take_while(|(id, _)| **id > earlier);
+        let newest = later.into_iter().find(|(_, conn)| conn.server == server);
+        newest.map(|(id, conn)| ConnectionAge {
+            id: *id,
+            dialed_at: conn.dialed_at,
+            established_at: conn.established_at,
+        })
+    }
+
+    /// Servers of the connections that were closed for lack of room since the last call.
+    pub fn take_evicted(&mut self) -> Vec<ServerId> {
+        std::mem::take(&mut self.evicted)
+    }
+
     /// Finishes a suspect connection as soon as it is idle: its peer closes it once everything written on it
     /// is read, which proves that the attempts given up on it are over.
-    fn finish_suspect(&mut self, id: ConnId, out: &mut Vec<Command>) {
+    fn finish_suspect(&mut self, now: Micros, id: ConnId, out: &mut Vec<Command>) {
         let Some(conn) = self.connections.get_mut(&id) else { return };
         if conn.suspect && conn.is_idle() {
-            conn.state = State::Finishing;
-            out.push(Command::FinishServer(id));
+            conn.finish(now, id, out);
         }
     }
 
@@ -519,6 +605,7 @@
     /// sent on it, and it is finished.
     pub fn withdraw(
         &mut self,
+        now: Micros,
         id: ConnId,
         session: u64,
         timed_out: bool,
@@ -536,7 +623,7 @@
         conn.suspect |= timed_out;
         let last_used = conn.last_used;
         self.enqueue(last_used, id, Message::release(session, cause::NORMAL), out);
-        self.finish_suspect(id, out);
+        self.finish_suspect(now, id, out);
         Withdrawn::MayHaveRun
     }
 
@@ -556,8 +643,7 @@
             && conn.in_flight.is_empty()
             && (conn.suspect || last + self.idle_timeout <= now)
         {
-            conn.state = State::Finishing;
-            out.push(Command::FinishServer(id));
+            conn.finish(now, id, out);
         } else if conn.state != State::Finishing {
             let next_check = if conn.suspect { now + self.connect_timeout } else { last + self.idle_timeout };
             timers.set(next_check.max(now + self.connect_timeout), Timer::IdleTimeout(id));
--- a/crates/platform/src/core/releases.rs
+++ b/crates/platform/src/core/releases.rs
@@ -8,7 +8,7 @@
 use super::*;
 
 /// A release is resent for this long after the end of its session; later it is of no use.
-const RELEASE_LIFETIME: Micros = 8_000_000;
+const RELEASE_LIFETIME: Micros = END_NOTICE_LIMIT;
 /// The pause before the first check whether the connection of a release is gone; later pauses double.
 const FIRST_RELEASE_CHECK: Micros = 250_000;
 /// The same pause for a media server that could not be reached.
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -2,10 +2,28 @@
 
 use salttally_front::core::session::Playing;
 
+use super::owed_ends::Loss;
 use super::pool::EndedConnection;
 use super::*;
 use crate::wire::values;
 
+/// An idle connection is finished if nothing came on it for this long, and something did on another one.
+const REDUNDANT_AFTER_SILENCE: Micros = 3_500_000;
+/// A server that does not close a finished connection for this long hangs, or nothing passes on the connection
+/// any more.
+const FINISH_STALLED_AFTER: Micros = 1_000_000;
+
+/// How a connection to a server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConnectionEnd {
+    /// The server closed it in order, and all that it sent was read.
+    Closed,
+    /// The server reset it.
+    Reset,
+    /// It is gone without a close by the server.
+    Lost,
+}
+
 impl<D: Decider> Core<D> {
     pub(super) fn connect_ended(
         &mut self,
@@ -28,6 +46,9 @@
             Err(error) => {
                 let ended = self.pool.remove(conn);
                 self.end_attempts_on(ended, Outcome::NoConnection);
+                if error == DialError::TimedOut {
+                    self.ends_may_be_lost(server, Loss::NotEstablished, out);
+                }
                 let verdict = self.health.connect_failed(self.now, server, error);
                 if verdict == Verdict::Lost && error != DialError::Refused {
                     self.release_when_reachable(server);
@@ -41,17 +62,24 @@
         }
     }
 
-    /// A connection is gone; `by_server` tells whether the server closed it.
-    pub(super) fn connection_closed(&mut self, conn: ConnId, by_server: bool, out: &mut Vec<Command>) {
+    /// A connection is gone.
+    pub(super) fn connection_closed(&mut self, conn: ConnId, end: ConnectionEnd, out: &mut Vec<Command>) {
         let Some(server) = self.pool.server(conn) else { return };
         let was_finishing = self.pool.is_finishing(conn);
         let ended = self.pool.remove(conn);
+        if end == ConnectionEnd::Closed {
+            self.owed_ends_arrived(server, conn, out);
+        }
         if was_finishing {
-            // The connection was being finished by this node, so its end proves nothing about the media
-            // server.
+            // The connection was being finished by this node, so its end proves nothing about the health of the
+            // media server. All that the server sent was read, if the server has closed it in order.
+            if end != ConnectionEnd::Closed {
+                self.ends_may_be_lost(server, Loss::Connection, out);
+            }
             return;
         }
-        if !by_server {
+        self.ends_may_be_lost(server, Loss::Connection, out);
+        if end == ConnectionEnd::Lost {
             self.mark_attempts_in_doubt(server, &ended, out);
         }
         self.end_attempts_on(ended, Outcome::Broken);
@@ -69,7 +97,7 @@
     /// Closes a connection, and ends everything in flight on it.
     pub(super) fn disconnect(&mut self, conn: ConnId, out: &mut Vec<Command>) {
         out.push(Command::CloseServer(conn));
-        self.connection_closed(conn, false, out);
+        self.connection_closed(conn, ConnectionEnd::Lost, out);
     }
 
     fn mark_attempts_in_doubt(&mut self, server: ServerId, ended: &EndedConnection, out: &mut Vec<Command>) {
@@ -102,12 +130,14 @@
             let ended = self.pool.remove(conn);
             self.mark_attempts_in_doubt(server, &ended, out);
             self.end_attempts_on(ended, Outcome::Broken);
+            self.ends_may_be_lost(server, Loss::Connection, out);
         }
     }
 
     pub(super) fn server_message(&mut self, conn: ConnId, message: Message, out: &mut Vec<Command>) {
         let Some(server) = self.pool.message_received(self.now, conn) else { return };
         self.health.mark_alive(self.now, server);
+        self.owed_ends_arrived(server, conn, out);
         let id = message.session;
         match message.kind {
             kind::ANSWER => self.set_up_answered(server, conn, message, out),
@@ -180,7 +210,7 @@
             out.push(Command::SendToClient(client, Message::release(id, FAILED_CAUSE)));
         }
         self.counts.failed += 1;
-        self.pool.set_up_ended(conn, id, out);
+        self.pool.set_up_ended(self.now, conn, id, out);
         self.attempt_ended(id, Outcome::Withdrawn, Vec::new());
     }
 
@@ -216,7 +246,7 @@
         };
         let Some(attempt) = entry.session.pending_attempt().cloned() else { return };
         let client = entry.session.client.map(|(client, _)| client);
-        self.pool.set_up_ended(conn, id, out);
+        self.pool.set_up_ended(self.now, conn, id, out);
         self.timers.cancel(attempt.expires_at, Timer::AttemptTimeout(id, attempt.number));
         self.timers.cancel(overdue, Timer::AnswerDeadline(id));
         let took = self.now - attempt.sent_at;
@@ -267,7 +297,7 @@
         if !is_current_conn {
             return;
         }
-        self.pool.set_up_ended(conn, id, out);
+        self.pool.set_up_ended(self.now, conn, id, out);
         let outcome = match cause {
             Some(cause::FULL) => Outcome::Full,
             Some(cause::ERROR) => Outcome::Failed,
@@ -291,6 +321,10 @@
         if let Some(at) = check.next_check {
             self.timers.set(at, Timer::HealthCheck(server));
         }
+        if self.pool.finish_redundant(self.now, server, REDUNDANT_AFTER_SILENCE, out) {
+            self.timers.set(self.now + FINISH_STALLED_AFTER, Timer::StalledFinish(server));
+        }
+        self.check_stalled_finish(server, out);
         if !check.dial {
             return;
         }
@@ -310,6 +344,13 @@
         }
     }
 
+    /// A connection that its server does not close may have been lost before, and ends with it.
+    pub(super) fn check_stalled_finish(&mut self, server: ServerId, out: &mut Vec<Command>) {
+        if self.pool.take_stalled_finish(self.now, server, FINISH_STALLED_AFTER) {
+            self.ends_may_be_lost(server, Loss::Connection, out);
+        }
+    }
+
     fn apply_verdict(&mut self, server: ServerId, verdict: Verdict, out: &mut Vec<Command>) {
         match verdict {
             Verdict::Undecided => {}
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -63,7 +63,7 @@
         self.deliver_events(out);
         self.send_lost_releases(RELEASE_RETRY_INTERVAL, out);
         // A media server closes a connection that is finished here when it has read everything written on it.
-        self.pool.finish_idle(out);
+        self.pool.finish_idle(now, out);
         if !(self.pool.has_unsent() || self.has_releases()) || now >= deadline {
             self.finished = true;
             out.push(Command::Exit);
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -179,6 +179,7 @@
 mod departed_clients;
 mod descriptor_limits;
 mod list;
+mod owed_ends;
 mod releases;
 mod resends;
 mod shutdown;
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -355,7 +355,9 @@
             let (event, heard) = self.core.list_status();
             let (gauges, counts, room) = (self.core.gauges(), self.core.counts(), self.core.room_counts());
             let list = (event, heard.map(|at| now.saturating_sub(at)));
-            self.telemetry.report(now, &NodeStatus { gauges, counts, room, list });
+            let (owing, since) = self.core.owed_ends_status();
+            let owed_ends = (owing, since.map(|at| now.saturating_sub(at)));
+            self.telemetry.report(now, &NodeStatus { gauges, counts, room, owed_ends, list });
         }
     }
 
--- a/crates/platform/src/node/telemetry.rs
+++ b/crates/platform/src/node/telemetry.rs
@@ -30,6 +30,8 @@
     pub counts: Counts,
     /// What happened to connections for lack of room.
     pub room: RoomCounts,
+    /// Number of servers that may owe ends of sessions, and for how long the first of them has.
+    pub owed_ends: (usize, Option<Micros>),
     /// Number of the last event of the list, and how long ago the coordinator was heard.
     pub list: (u64, Option<Micros>),
 }
@@ -59,6 +61,7 @@
     fn write_line(&self, status: &NodeStatus) {
         let [sessions, playing, clients, connections, timers] = status.gauges;
         let (event, heard_ms_ago) = (status.list.0, status.list.1.map(|ago| ago / 1000));
+        let (owing_servers, owing_ms) = (status.owed_ends.0, status.owed_ends.1.map(|since| since / 1000));
         let longest_turn_us = self.longest_turn;
         tracing::info!(
             sessions,
@@ -71,6 +74,8 @@
             turns = self.turns,
             longest_turn_us,
             lines_left_out = self.lines_left_out,
+            owing_servers,
+            ?owing_ms,
             room = ?status.room,
             counts = ?status.counts,
             "front node"
--- a/crates/soak/src/crossings.rs
+++ b/crates/soak/src/crossings.rs
@@ -29,11 +29,7 @@
     /// Draws the plan of a seed.
     pub fn from_seed(seed: u64) -> CrossingPlan {
         let mut draws = Draws::new(seed ^ 0xc2055);
-        CrossingPlan {
-            requests: draws.pick(&[0, 5, 20]),
-            ends: 0,
-            moves: 0,
-        }
+        CrossingPlan { requests: draws.pick(&[0, 5, 20]), ends: draws.pick(&[0, 10, 30]), moves: 0 }
     }
 }
 
