A connection that its server has not taken yet is kept until the server has spoken

Cause: a server that hangs owes its ends to the first connection in its queue, and takes that one first when it goes on, whether or not it has been closed here. `make_room` closed finished connections before all others, so exactly those, and the edge closed each after 8 s. The release was written to a closed connection.

Change: for each server that holds sessions, the first established connection on which nothing has come is closed last for want of room, and not at all for a health check; at its time limit in the edge the core is asked, and keeps it. Later ones to the same server are closed as before.

`an_end_at_a_server_that_hangs_is_told_though_connections_are_scarce` fails without the change (no release), and so does the same in virtual time; both pass now.

--- a/crates/daemon/tests/front_node_owed_ends.rs
+++ b/crates/daemon/tests/front_node_owed_ends.rs
@@ -2,12 +2,15 @@
 
 mod node;
 
+use std::net::TcpListener;
+use std::thread;
 use std::time::{Duration, Instant};
 
 use node::scripted::{answer_set_up, request_for_cell, wait_for_message, ScriptedServers};
 use node::{Node, SECOND};
 use salttally_platform::wire::{cause, kind, Message};
 use salttally_standin::platform::Viewer;
+use serde_json::json;
 use socket2::SockRef;
 
 /// How the connection with the end on its way is lost.
@@ -48,7 +51,7 @@
         let mut next = Vec::new();
         while next.is_empty() && lost_at.elapsed() < 8 * SECOND {
             second.send(&Message::new(kind::NOTE, 1).with(24, "port").with(39, "0.5"));
-            std::thread::sleep(Duration::from_millis(100));
+            thread::sleep(Duration::from_millis(100));
             next = servers.pending_connections(0);
         }
         assert!(!next.is_empty(), "{loss:?}: no further connection in 8 s");
@@ -58,3 +61,55 @@
         drop(node);
     }
 }
+
+/// Number of media servers of a front node whose descriptors allow connections to a few of them.
+const MANY_SERVERS: usize = 12;
+const FEW_SOCKETS: usize = 44;
+
+/// Serves the connections to a media server as they come, until the test ends. It closes what the front node finishes, and is
+/// silent otherwise.
+fn serve(listener: TcpListener) {
+    listener.set_nonblocking(false).unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            thread::spawn(move || {
+                let mut connection = Viewer::from_stream(stream);
+                while let Some(message) = connection.next(60 * SECOND) {
+                    if message.kind == kind::SET_UP {
+                        answer_set_up(&connection, message.session);
+                    }
+                }
+            });
+        }
+    });
+}
+
+// Guards against a release that goes to a connection which was closed for room before its server had taken it.
+#[test]
+fn an_end_at_a_server_that_hangs_is_told_though_connections_are_scarce() {
+    let mut servers = ScriptedServers::new(MANY_SERVERS);
+    (1..MANY_SERVERS).for_each(|at| serve(servers.listeners[at].try_clone().unwrap()));
+    let node = servers.start_node_with_sockets("owed-end-hang", FEW_SOCKETS, |config| {
+        config["settings"]["policy_limits"]["conn_idle_ms"] = json!(1_500);
+    });
+    let mut viewer = node.viewer();
+    viewer.send(&request_for_cell(1, "clip", 0));
+    let mut first = servers.accept(0);
+    wait_for_message(&mut first, kind::SET_UP, 1);
+    answer_set_up(&first, 1);
+    assert_eq!(viewer.next(SECOND).map(|message| message.kind), Some(kind::ANSWER));
+    for at in 1..MANY_SERVERS {
+        viewer.send(&request_for_cell(at as u64 + 1, "clip", at));
+        assert_eq!(viewer.next(SECOND).map(|message| message.kind), Some(kind::ANSWER));
+    }
+    // The first server has no connection any more when its session ends, and hangs from then on.
+    assert!(first.closes(3 * SECOND), "the idle connection is finished");
+    drop(first);
+    thread::sleep(5 * SECOND);
+    // It goes on: it takes the connections that wait in order, and reports the end on the first.
+    let mut waiting = servers.pending_connections(0);
+    assert!(!waiting.is_empty(), "no connection in 5 s");
+    waiting[0].send(&Message::release(1, cause::NORMAL));
+    wait_for_message(&mut viewer, kind::RELEASE, 1);
+    waiting.truncate(1);
+}
--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -342,6 +342,7 @@
         self.health.session_ended(server);
         if !self.health.holds_sessions(server) {
             self.owed_ends.remove(server);
+            self.pool.set_holds_sessions(server, false);
         }
         let (session, last) = (session_id(id), true);
         self.events.push_back(Event::Ended { session, attempt, server, outcome, last, report });
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -77,6 +77,8 @@
     /// A media server closed its writing side of a connection that this node is finishing. One of the next
     /// three events tells whether the server has read everything that was written.
     ServerHalfClosed(ConnId),
+    /// A media server has not closed a connection that this node is finishing, for as long as the edge waits.
+    FinishOverdue(ConnId),
     /// A media server closed its connection, and everything that it wrote has been passed in.
     ServerClosed(ConnId),
     /// A media server reset its connection: it may not have read what was written last.
@@ -475,6 +477,7 @@
                 self.connection_closed(conn, ConnectionEnd::Closed, out);
                 self.closed_by_server(conn, out);
             }
+            NodeEvent::FinishOverdue(conn) => self.finish_overdue(conn, out),
             NodeEvent::ServerHalfClosed(conn) => self.closed_by_server(conn, out),
             NodeEvent::ServerReset(conn) => {
                 self.connection_closed(conn, ConnectionEnd::Reset, out);
--- a/crates/platform/src/core/pool.rs
+++ b/crates/platform/src/core/pool.rs
@@ -55,6 +55,8 @@
     finished_at: Option<Micros>,
     last_received: Micros,
     last_used: Micros,
+    /// The server has sent something on it.
+    heard: bool,
     /// An expected message did not arrive on it: nothing new is sent on it.
     suspect: bool,
     /// A release of a playing session was sent on it, and its server may not have read it. A give-up does not
@@ -159,6 +161,8 @@
     last_id: u64,
     dials: [u64; 3],
     room_counts: RoomCounts,
+    /// Servers that hold sessions.
+    holders: BTreeSet<ServerId>,
     /// Servers of the connections that were closed for lack of room since the last call of `take_evicted`.
     evicted: Vec<ServerId>,
     max_streams: usize,
@@ -176,6 +180,7 @@
             last_id: 0,
             dials: [0; 3],
             room_counts: RoomCounts::default(),
+            holders: BTreeSet::new(),
             evicted: Vec::new(),
             max_streams: platform_settings.streams_per_connection,
             max_connections: (sockets * 5 / 12).max(1),
@@ -275,7 +280,7 @@
         let is_counted = |conn: &&Connection| conn.server == to.0 && conn.state != State::Finishing;
         let of_server = self.connections.values().filter(is_counted).count();
         if of_server >= MAX_PER_SERVER
-            || (self.connections.len() >= self.max_connections && !self.make_room(out))
+            || (self.connections.len() >= self.max_connections && !self.make_room(purpose, out))
         {
             self.room_counts.refused += 1;
             return None;
@@ -296,6 +301,7 @@
             finished_at: None,
             last_received: now,
             last_used: now,
+            heard: false,
             suspect: false,
             carries_release: false,
             purpose,
@@ -307,6 +313,34 @@
         Some(id)
     }
 
+    /// For each server that holds sessions, the first connection that is established and on which nothing has
+    /// come. The process of a server that hangs takes it first when it goes on, and sends on it the ends that it
+    /// owes, whether or not it has been closed here by then.
+    fn reporting_connections(&self) -> BTreeSet<ConnId> {
+        let mut first = BTreeMap::new();
+        for (id, conn) in &self.connections {
+            let is_established = conn.established_at.is_some();
+            if is_established && !conn.heard && self.holders.contains(&conn.server) {
+                first.entry(conn.server).or_insert(*id);
+            }
+        }
+        first.into_values().collect()
+    }
+
+    /// Whether a connection may bring the ends of sessions that its server owes.
+    pub fn may_report_ends(&self, id: ConnId) -> bool {
+        self.reporting_connections().contains(&id)
+    }
+
+    /// Records whether a server holds sessions.
+    pub fn set_holds_sessions(&mut self, server: ServerId, holds: bool) {
+        if holds {
+            self.holders.insert(server);
+        } else {
+            self.holders.remove(&server);
+        }
+    }
+
     /// Finishes the connection that has been idle for the longest, where few more can be opened. If it were
     /// closed only when its place is needed, unread bytes might lie on it, and closing would then reset it:
     /// what the peer sent would be lost here, and the peer would lose what it has not read yet.
@@ -326,14 +360,19 @@
     /// Closes one connection, and returns whether there was one to close: a finishing one before an idle one,
     /// then one without a release sent on it before others, then the one unused for the longest. Danger:
     /// without this, with more servers than connections, servers that were never dialled would be taken for
-    /// dead.
-    fn make_room(&mut self, out: &mut Vec<Command>) -> bool {
-        let is_closable = |conn: &Connection| conn.state == State::Finishing || conn.is_idle();
-        let closable = self.connections.iter().filter(|(_, conn)| is_closable(conn));
-        let eviction_order = |conn: &Connection| {
-            (conn.state != State::Finishing, conn.carries_release, conn.last_used.max(conn.last_received))
+    /// dead. A connection that may bring ends of sessions is closed last, and never for a health check.
+    fn make_room(&mut self, purpose: Purpose, out: &mut Vec<Command>) -> bool {
+        let reporting = self.reporting_connections();
+        let is_closable = |id: &ConnId, conn: &Connection| {
+            (conn.state == State::Finishing || conn.is_idle())
+                && (purpose != Purpose::HealthCheck || !reporting.contains(id))
+        };
+        let closable = self.connections.iter().filter(|(id, conn)| is_closable(id, conn));
+        let eviction_order = |id: &ConnId, conn: &Connection| {
+            let is_idle = conn.state != State::Finishing;
+            (reporting.contains(id), is_idle, conn.carries_release, conn.last_used.max(conn.last_received))
         };
-        let Some(id) = closable.min_by_key(|(_, conn)| eviction_order(conn)).map(|(id, _)| *id) else {
+        let Some(id) = closable.min_by_key(|(id, conn)| eviction_order(id, conn)).map(|(id, _)| *id) else {
             return false;
         };
         self.evicted.extend(self.connections.remove(&id).map(|conn| conn.server));
@@ -501,7 +540,7 @@
     /// Something was received on the connection; returns its server.
     pub fn message_received(&mut self, now: Micros, id: ConnId) -> Option<ServerId> {
         let conn = self.connections.get_mut(&id)?;
-        (conn.last_received, conn.last_used) = (now, now);
+        (conn.last_received, conn.last_used, conn.heard) = (now, now, true);
         Some(conn.server)
     }
 
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -311,6 +311,7 @@
 
     /// Counts one more session at a media server, and schedules its health check.
     pub(super) fn watch_health(&mut self, server: ServerId) {
+        self.pool.set_holds_sessions(server, true);
         if let Some(at) = self.health.session_started(self.now, server) {
             self.timers.set(at, Timer::HealthCheck(server));
         }
@@ -344,6 +345,14 @@
         }
     }
 
+    /// A server has not closed a finished connection for long. It is closed here, unless the server may still
+    /// report ends on it.
+    pub(super) fn finish_overdue(&mut self, conn: ConnId, out: &mut Vec<Command>) {
+        if !self.pool.may_report_ends(conn) {
+            self.disconnect(conn, out);
+        }
+    }
+
     /// A connection that its server does not close may have been lost before, and ends with it.
     pub(super) fn check_stalled_finish(&mut self, server: ServerId, out: &mut Vec<Command>) {
         if self.pool.take_stalled_finish(self.now, server, FINISH_STALLED_AFTER) {
--- a/crates/platform/src/core/tests/owed_ends.rs
+++ b/crates/platform/src/core/tests/owed_ends.rs
@@ -341,3 +341,28 @@
         network.assert_told(&format!("seed {seed}"));
     }
 }
+
+// Guards against a release that goes to a connection which was closed for room before its server had taken it.
+#[test]
+fn ends_at_servers_that_hang_are_told_though_connections_are_scarce() {
+    let mut network = Network::new(node_with_few_descriptors(72), 40);
+    for id in 0..80 {
+        network.set_up(id + 1, id as u32 % 40);
+        network.advance(SECOND / 25);
+    }
+    network.advance(2 * SECOND);
+    let mut hanging = BTreeSet::new();
+    for _ in 0..1_000 {
+        let rests = |server: u32| network.servers[&ServerId(server)].accepted.is_empty();
+        let resting =
+            (0..40).filter(|server| hanging.len() < 4 && !hanging.contains(server) && rests(*server));
+        for server in resting.collect::<Vec<u32>>() {
+            network.end_session(u64::from(server) + 1, None);
+            network.servers.get_mut(&ServerId(server)).unwrap().hangs_until = network.node.now + 4 * SECOND;
+            hanging.insert(server);
+        }
+        network.advance(STEP);
+    }
+    assert!(hanging.len() >= 4, "{hanging:?}");
+    network.assert_told("hanging servers");
+}
--- a/crates/platform/src/node/finishing.rs
+++ b/crates/platform/src/node/finishing.rs
@@ -10,10 +10,10 @@
 use salttally::interface::Micros;
 
 use super::{CloseKind, Node, KIND_MASK};
-use crate::core::{ConnId, NodeEvent};
+use crate::core::{ConnId, NodeEvent, END_NOTICE_LIMIT};
 
-/// The end of a session is of no use to its client later than this.
-const FINISHING_TIMEOUT: Micros = 8_000_000;
+/// The core is asked at this interval whether to wait any longer for a server to close.
+const FINISHING_TIMEOUT: Micros = END_NOTICE_LIMIT;
 
 impl Node {
     /// Closes the writing side of a connection to a media server, and goes on reading it until the server
@@ -45,14 +45,20 @@
         self.finishing.insert((reset_by, token));
     }
 
-    /// Closes the connections that have been finishing for long enough.
+    /// Reports the connections that have been finishing for long, and closes those whose servers have closed
+    /// their side.
     pub(super) fn close_finished(&mut self) {
         let now = self.clock.now();
         while let Some((due, token)) = self.finishing.first().copied().filter(|(due, _)| *due <= now) {
             self.finishing.remove(&(due, token));
             let Some(connection) = self.connections.get_mut(&token) else { continue };
-            let end = if connection.half_closed { connection.close_kind() } else { CloseKind::Abandoned };
-            self.remove_connection(token, end);
+            if connection.half_closed {
+                let end = connection.close_kind();
+                self.remove_connection(token, end);
+            } else {
+                self.incoming_events.push_back(NodeEvent::FinishOverdue(ConnId(token & !KIND_MASK)));
+                self.finishing.insert((now + FINISHING_TIMEOUT, token));
+            }
         }
     }
 }
