A move that is lost with its viewer's connection is told again

Cause: `keep_client_release` kept releases alone, since a move is not acknowledged; `move_timed_out` ended the session without a word.

Change: a move is kept like a release, until its client has come back or the media server has confirmed that the client has ended the session (cause 31), and is sent on another connection when its own is gone. A client that has done neither when the move times out is sent a release.

Measured: `resends_a_move_that_was_lost_with_its_connection` fails on the code before.

--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -101,9 +101,9 @@
         out: &mut Vec<Command>,
     ) {
         let id = message.session;
-        let moved = self.moved_clients.remove(&open_request.viewer);
-        if let Some(until) = moved {
-            self.timers.cancel(until, Timer::MovedClientExpiry(open_request.viewer));
+        let moved = self.forget_moved_client(open_request.viewer);
+        if let Some(moved) = &moved {
+            self.drop_client_notices(moved.session);
         }
         self.counts.taken += 1;
         let request = open_request.to_request(&session_id(id), moved.is_some());
@@ -128,6 +128,13 @@
         self.inherit_past_request(id);
     }
 
+    /// A moved client has come back, or is not expected any more.
+    pub(super) fn forget_moved_client(&mut self, viewer: ViewerId) -> Option<MovedClient> {
+        let moved = self.moved_clients.remove(&viewer)?;
+        self.timers.cancel(moved.expected_until, Timer::MovedClientExpiry(viewer));
+        Some(moved)
+    }
+
     fn new_session(&self, client: ClientId, open_request: OpenRequest) -> Session {
         let class = self.platform_settings.settings.classes.get(open_request.class);
         let (effect, floor) = class.map_or((Effect::Safe, 0), |class| (class.effect, class.floor));
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -231,6 +231,15 @@
     }
 }
 
+/// A client that was told to come again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct MovedClient {
+    /// The session that it is to end.
+    session: u64,
+    /// Until when it is expected back.
+    expected_until: Micros,
+}
+
 /// Counters of a front node since its start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -304,8 +313,8 @@
     list_watch: ListWatch,
     /// Addresses of the listed servers.
     servers: BTreeMap<ServerId, SocketAddr>,
-    /// Clients that this node moved and that have not come back, and until when they are expected.
-    moved_clients: BTreeMap<ViewerId, Micros>,
+    /// Clients that this node moved and that have not come back.
+    moved_clients: BTreeMap<ViewerId, MovedClient>,
     /// Probes without a result yet, by number: the server, and the connection on which the probe was sent.
     probes: BTreeMap<u64, (ServerId, ConnId)>,
     last_probe_id: u64,
@@ -681,8 +690,9 @@
         let (client, viewer) =
             (entry.session.client.map(|(client, _)| client), entry.session.open_request.viewer);
         let until = self.now + MOVED_CLIENT_RETENTION;
-        if let Some(previous) = self.moved_clients.insert(viewer, until) {
-            self.timers.cancel(previous, Timer::MovedClientExpiry(viewer));
+        let moved = MovedClient { session: id, expected_until: until };
+        if let Some(previous) = self.moved_clients.insert(viewer, moved) {
+            self.timers.cancel(previous.expected_until, Timer::MovedClientExpiry(viewer));
         }
         self.timers.set(until, Timer::MovedClientExpiry(viewer));
         self.timers.set(self.now + MOVE_TIMEOUT, Timer::MoveTimeout(id));
--- a/crates/platform/src/core/releases.rs
+++ b/crates/platform/src/core/releases.rs
@@ -32,7 +32,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Releases {
     server_releases: BTreeMap<u64, UnacknowledgedRelease>,
-    /// Releases sent to clients that have not acknowledged them, each with its expiry time.
+    /// Releases and moves sent to clients that have not acknowledged them, each with its expiry time.
     client_releases: BTreeMap<ClientId, BTreeMap<u64, (Micros, Message)>>,
 }
 
@@ -209,12 +209,9 @@
         }
     }
 
-    /// Keeps a release until the client acknowledges it. A move is not kept: it is not acknowledged, and its
-    /// client may have come back because of it.
+    /// Keeps a release until the client acknowledges it, and a move, which is not acknowledged, until the client
+    /// has come back or the media server has confirmed that the client has ended the session.
     fn keep_client_release(&mut self, client: ClientId, until: Micros, message: &Message) {
-        if message.kind != kind::RELEASE {
-            return;
-        }
         let client_releases = self.releases.client_releases.entry(client).or_default();
         client_releases.retain(|_, (until, _)| *until > self.now);
         if client_releases.len() < MAX_KEPT_RELEASES {
--- a/crates/platform/src/core/resends.rs
+++ b/crates/platform/src/core/resends.rs
@@ -177,6 +177,8 @@
         out.push(Command::Log(Level::Info, text));
         if entry.moving {
             // The client would be told to come again at once; the session ends at its server as it is.
+            let viewer = entry.session.open_request.viewer;
+            self.forget_moved_client(viewer);
             return out.push(Command::SendToClient(client, Message::release(id, FAILED_CAUSE)));
         }
         entry.session.client = Some((client, PLATFORM_TICKET));
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -292,6 +292,10 @@
         if entry.session.playing().is_some() {
             let moving = entry.moving;
             let (outcome, client_cause) = interpret_end_cause(cause);
+            if moving && client_cause.is_none() {
+                // The client has ended the session, so it has received the move.
+                self.drop_client_notices(id);
+            }
             return self.end_session(id, outcome, report, client_cause.filter(|_| !moving), out);
         }
         if !is_current_conn {
@@ -405,15 +409,18 @@
         self.pool.send(self.now, to, entry.conn, message, &mut self.timers, out);
     }
 
-    /// Releases a moved session that its media server has not ended.
+    /// Releases a moved session that its media server has not ended. Its client has not ended it, so the move may
+    /// be lost; unless the client has come back, it is told of the end.
     pub(super) fn move_timed_out(&mut self, id: u64, out: &mut Vec<Command>) {
-        if self.sessions.get(&id).is_some_and(|entry| entry.moving) {
+        if let Some(entry) = self.sessions.get(&id).filter(|entry| entry.moving) {
+            let moved = self.moved_clients.get(&entry.session.open_request.viewer);
+            let client_cause = moved.filter(|moved| moved.session == id).map(|_| cause::BROKEN);
             out.push(Command::Log(
                 Level::Debug,
                 format!("session {id:016x} still plays after its move, releasing it"),
             ));
             self.release_at_server(id, cause::ON_PURPOSE, out);
-            self.end_session(id, Outcome::Withdrawn, Vec::new(), None, out);
+            self.end_session(id, Outcome::Withdrawn, Vec::new(), client_cause, out);
         }
     }
 }
--- a/crates/platform/src/core/tests/releases.rs
+++ b/crates/platform/src/core/tests/releases.rs
@@ -95,3 +95,66 @@
         assert_eq!(is_resent, node.now < ended_at + 8 * SECOND, "{} s later", client);
     }
 }
+
+/// A session that its client is told to move, on the first of two client connections.
+fn moved_session() -> (TestNode<ScriptedDecider>, ConnId) {
+    let mut node = TestNode::with(ScriptedDecider::default());
+    node.core.decider.0.push_back(Action::SetUp(session_id(1), ServerId(0), SECOND));
+    let out = node.send_request(1, "clip");
+    let out = node.establish(&out);
+    let (conn, _) = sent_set_up(&out).unwrap();
+    node.handle(NodeEvent::ServerMessage(conn, answer_message(1)));
+    node.advance(SECOND);
+    connect_client(&mut node, 2);
+    node.core.decider.0.push_back(Action::Move(session_id(1)));
+    let out = node
+        .handle(NodeEvent::ServerMessage(conn, Message::new(kind::NOTE, 1).with(24, "port").with(39, "1")));
+    assert_eq!(sent_to_client(&out).collect::<Vec<_>>(), [&Message::new(kind::MOVE, 1)]);
+    (node, conn)
+}
+
+fn connect_client(node: &mut TestNode<ScriptedDecider>, client: u64) -> Vec<Command> {
+    node.handle(NodeEvent::ClientConnected(ClientId(client)));
+    let test = Message::new(kind::TEST, 0).with(code::CAUSE, [0]);
+    node.handle(NodeEvent::ClientMessage(ClientId(client), test))
+}
+
+/// The messages to clients about the session.
+fn notices(out: &[Command]) -> Vec<&Message> {
+    sent_to_client(out).filter(|message| message.session == 1).collect()
+}
+
+// Guards against a client that is never told to come again because the move was lost with its connection.
+#[test]
+fn resends_a_move_that_was_lost_with_its_connection() {
+    let (mut node, _) = moved_session();
+    let out = node.handle(NodeEvent::ClientClosed(ClientId(1)));
+    assert_eq!(notices(&out), [&Message::new(kind::MOVE, 1)], "on the other connection");
+    let (mut node, _) = moved_session();
+    node.handle(NodeEvent::ClientClosed(ClientId(2)));
+    node.handle(NodeEvent::ClientClosed(ClientId(1)));
+    let out = connect_client(&mut node, 3);
+    assert_eq!(notices(&out), [&Message::new(kind::MOVE, 1)], "on the next connection");
+    // The client does not learn of the loss of its connection: the node ends the session after a while.
+    let (mut node, _) = moved_session();
+    let out = node.advance(SECOND);
+    assert_eq!(notices(&out), [&Message::release(1, cause::BROKEN)]);
+    assert_eq!(sent_to_server(&out, kind::RELEASE).len(), 1);
+    let out = node.handle(NodeEvent::ClientClosed(ClientId(1)));
+    assert_eq!(notices(&out), [&Message::release(1, cause::BROKEN)]);
+}
+
+#[test]
+fn does_not_resend_a_move_that_its_client_has_followed() {
+    let (mut node, conn) = moved_session();
+    node.handle(NodeEvent::ServerMessage(conn, Message::release(1, cause::ON_PURPOSE)));
+    assert_eq!(notices(&node.handle(NodeEvent::ClientClosed(ClientId(1)))), Vec::<&Message>::new());
+    let (mut node, _) = moved_session();
+    let again = request_message(2, "clip", ";again:1");
+    let viewer = request_message(1, "clip", ";again:1");
+    let parameters = viewer.parameters;
+    node.handle(NodeEvent::ClientMessage(ClientId(1), Message { parameters, ..again }));
+    let mut out = node.handle(NodeEvent::ClientClosed(ClientId(1)));
+    out.extend(node.advance(SECOND));
+    assert_eq!(notices(&out), Vec::<&Message>::new());
+}
