A session whose answer may be lost with a reset is released at its media server

Cause: `connection_closed` released only what was on a connection that the node itself had closed, and took any end by the server for the end of the attempts on it. Give-ups were sent once, though they may be lost with a reset after the attempt was answered.

Change: after a reset the set-ups on the connection are in doubt and released on another one, as after a close by the node; the server gets no further attempt until it has acknowledged that. Give-ups are kept like releases until they are acknowledged or the server closes in order, and sent again when their connection is lost. Kept releases are found by session and server, since one session may have several.

Measured: `a_session_whose_answer_was_lost_with_a_reset_is_released_before_the_retry` fails on the code before (the next connection brings a second set-up, and no release) and passes now; three tests in virtual time.

--- a/crates/daemon/tests/front_node_retries.rs
+++ b/crates/daemon/tests/front_node_retries.rs
@@ -8,6 +8,7 @@
 use node::SECOND;
 use salttally_platform::wire::{cause, code, kind, Message};
 use salttally_standin::platform::Viewer;
+use socket2::SockRef;
 
 const MS: Duration = Duration::from_millis(1);
 /// Time after which an attempt of the stand-in's class `clip` is given up: 0.45 of its aim of 600 ms.
@@ -70,3 +71,23 @@
     answer_set_up(&connection, 1);
     assert_eq!(viewer.next(SECOND).map(|answer| answer.kind), Some(kind::ANSWER));
 }
+
+// Guards against a session that plays at its server for no client because its answer was lost with a reset.
+#[test]
+fn a_session_whose_answer_was_lost_with_a_reset_is_released_before_the_retry() {
+    let mut servers = ScriptedServers::new(1);
+    let node = servers.start_node("retry-reset", |_| {});
+    let mut viewer = node.viewer();
+    viewer.send(&request_for_cell(1, "clip", 0));
+    let mut connection = servers.accept(0);
+    wait_for_message(&mut connection, kind::SET_UP, 1);
+    SockRef::from(&connection.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(connection);
+    let mut connection = servers.accept(0);
+    let first = connection.next(SECOND).expect("a message on the next connection");
+    assert_eq!((first.kind, first.session), (kind::RELEASE, 1));
+    connection.send(&Message::release(1, cause::ON_PURPOSE));
+    wait_for_message(&mut connection, kind::SET_UP, 1);
+    answer_set_up(&connection, 1);
+    assert_eq!(viewer.next(SECOND).map(|answer| answer.kind), Some(kind::ANSWER));
+}
--- a/crates/platform/src/core/in_doubt.rs
+++ b/crates/platform/src/core/in_doubt.rs
@@ -3,8 +3,9 @@
 //! A give-up and the next set-up of the same session would travel on two connections, which have no common
 //! order: the server may read the set-up first, run two attempts at once, and end the wrong one by the
 //! give-up, which names only the session. So the same server gets no further attempt until it has shown that
-//! the earlier one is over: by acknowledging the give-up, by a release, or by closing the connection itself.
-//! A close by this node proves nothing.
+//! the earlier one is over: by acknowledging the give-up, by a release, or by closing the connection in order.
+//! A close by this node or a reset proves nothing: the attempt may have been answered before, and the session
+//! plays until it is released on another connection.
 
 use super::*;
 
@@ -29,7 +30,10 @@
             let Some(server) = self.pool.server(conn) else { return };
             return self.past_requests.give_up_acknowledged(id, server);
         };
-        let Some(at) = entry.in_doubt.iter().position(|(_, on)| *on == conn) else { return };
+        let server = self.pool.server(conn);
+        let is_over =
+            |(at, on): &(ServerId, ConnId)| *on == conn || Some(*at) == server && !self.pool.exists(*on);
+        let Some(at) = entry.in_doubt.iter().position(is_over) else { return };
         let (server, _) = entry.in_doubt.remove(at);
         self.resolve(id, server, "heard", out);
     }
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -150,7 +150,7 @@
     /// A moved client is no longer expected back.
     MovedClientExpiry(ViewerId),
     /// Check whether a release was lost with its connection.
-    ReleaseCheck(u64),
+    ReleaseCheck(u64, ServerId),
     /// A moved session has not ended at its media server.
     MoveTimeout(u64),
     /// A connection was not established in time.
@@ -490,7 +490,6 @@
             NodeEvent::ServerHalfClosed(conn) => self.closed_by_server(conn, out),
             NodeEvent::ServerReset(conn) => {
                 self.connection_closed(conn, ConnectionEnd::Reset, out);
-                self.closed_by_server(conn, out);
             }
             NodeEvent::ServerLost(conn) => self.connection_closed(conn, ConnectionEnd::Lost, out),
             NodeEvent::ServerUnreadable(conn) => self.server_unreadable(conn, out),
@@ -806,7 +805,7 @@
             Timer::MovedClientExpiry(viewer) => {
                 self.moved_clients.remove(&viewer);
             }
-            Timer::ReleaseCheck(id) => self.check_release(id, out),
+            Timer::ReleaseCheck(id, server) => self.check_release((id, server), out),
             Timer::MoveTimeout(id) => self.move_timed_out(id, out),
             Timer::ConnectTimeout(conn) => {
                 if self.pool.is_dialing(conn) {
@@ -861,12 +860,14 @@
                 Outcome::NoConnection
             }
             Withdrawn::MayHaveRun if timed_out => {
+                self.keep_give_up(id, server, conn);
                 self.mark_in_doubt(id, server, conn, out);
                 Outcome::TimedOut
             }
             Withdrawn::MayHaveRun => {
                 // The request is over; a second copy of it may still come.
                 entry.in_doubt.push((server, conn));
+                self.keep_give_up(id, server, conn);
                 Outcome::Withdrawn
             }
         }
--- a/crates/platform/src/core/releases.rs
+++ b/crates/platform/src/core/releases.rs
@@ -16,10 +16,11 @@
 /// Maximum number of releases kept for media servers, and for each client.
 const MAX_KEPT_RELEASES: usize = 4_096;
 
-/// A release that its media server has not acknowledged.
+/// A release or give-up that its media server has not acknowledged.
 #[derive(Clone, Debug)]
 struct UnacknowledgedRelease {
-    server: ServerId,
+    /// It gives up an attempt, which ends with its connection unless it was answered before.
+    is_give_up: bool,
     message: Message,
     conn: Option<ConnId>,
     /// When sending it was last tried.
@@ -31,7 +32,7 @@
 /// The releases that have not been acknowledged yet.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Releases {
-    server_releases: BTreeMap<u64, UnacknowledgedRelease>,
+    server_releases: BTreeMap<(u64, ServerId), UnacknowledgedRelease>,
     /// Releases and moves sent to clients that have not acknowledged them, each with its expiry time.
     client_releases: BTreeMap<ClientId, BTreeMap<u64, (Micros, Message)>>,
 }
@@ -78,16 +79,30 @@
         self.keep_release(to.0, message, conn, FIRST_RELEASE_CHECK);
     }
 
+    /// Keeps a give-up that was sent on this connection. If it is lost with the connection, and the answer to the
+    /// attempt with it, the session plays for no client.
+    pub(super) fn keep_give_up(&mut self, id: u64, server: ServerId, conn: ConnId) {
+        self.keep_release(server, Message::release(id, cause::NORMAL), Some(conn), FIRST_RELEASE_CHECK);
+        let kept = self.releases.server_releases.entry((id, server));
+        kept.and_modify(|release| release.is_give_up = true);
+    }
+
     /// Keeps a release until its media server acknowledges it; the first check follows after this pause.
     fn keep_release(&mut self, server: ServerId, message: Message, conn: Option<ConnId>, pause: Micros) {
         if self.releases.server_releases.len() >= MAX_KEPT_RELEASES {
             return;
         }
-        let (id, last_tried, expires_at) = (message.session, self.now, self.now + RELEASE_LIFETIME);
-        let release =
-            UnacknowledgedRelease { server, message, conn, last_tried, expires_at, next_pause: 2 * pause };
-        self.releases.server_releases.insert(id, release);
-        self.timers.set(self.now + pause, Timer::ReleaseCheck(id));
+        let key = (message.session, server);
+        let release = UnacknowledgedRelease {
+            is_give_up: false,
+            message,
+            conn,
+            last_tried: self.now,
+            expires_at: self.now + RELEASE_LIFETIME,
+            next_pause: 2 * pause,
+        };
+        self.releases.server_releases.insert(key, release);
+        self.timers.set(self.now + pause, Timer::ReleaseCheck(key.0, key.1));
     }
 
     /// Whether any release has not been acknowledged or read.
@@ -102,9 +117,9 @@
             release.conn.is_none() || release.last_tried + pause <= self.now
         };
         let waiting = self.releases.server_releases.iter().filter(|(_, release)| waits(release));
-        let mut waiting: Vec<_> = waiting.map(|(id, release)| (release.last_tried, *id)).collect();
+        let mut waiting: Vec<_> = waiting.map(|(key, release)| (release.last_tried, *key)).collect();
         waiting.sort_unstable();
-        waiting.into_iter().for_each(|(_, id)| self.resend_if_lost(id, out));
+        waiting.into_iter().for_each(|(_, key)| self.resend_if_lost(key, out));
     }
 
     /// Keeps a release for each session at a media server that cannot be reached: the clients are told that
@@ -121,17 +136,32 @@
     /// A connection to a media server is established: resends the releases that were lost with other
     /// connections.
     pub(super) fn server_reached(&mut self, server: ServerId, out: &mut Vec<Command>) {
-        let to_server = self.releases.server_releases.iter().filter(|(_, release)| release.server == server);
-        for id in to_server.map(|(id, _)| *id).collect::<Vec<_>>() {
-            self.resend_if_lost(id, out);
+        let to_server = self.releases.server_releases.keys().filter(|(_, to)| *to == server);
+        for key in to_server.copied().collect::<Vec<_>>() {
+            self.resend_if_lost(key, out);
+        }
+    }
+
+    /// A connection to a media server was reset or given up: resends the releases and give-ups on it.
+    pub(super) fn resend_releases_of(&mut self, conn: ConnId, out: &mut Vec<Command>) {
+        let releases = self.releases.server_releases.iter();
+        let lost = releases.filter(|(_, release)| release.conn == Some(conn)).map(|(key, _)| *key);
+        for key in lost.collect::<Vec<_>>() {
+            self.resend_if_lost(key, out);
         }
     }
 
+    /// A media server has closed this connection in order: the attempts on it have ended, and those that had been
+    /// answered before are known.
+    pub(super) fn give_ups_settled(&mut self, conn: ConnId) {
+        self.releases
+            .server_releases
+            .retain(|_, release| !(release.is_give_up && release.conn == Some(conn)));
+    }
+
     /// A media server knows that this session is over.
     pub(super) fn release_acknowledged(&mut self, id: u64, server: ServerId) {
-        if self.releases.server_releases.get(&id).is_some_and(|release| release.server == server) {
-            self.releases.server_releases.remove(&id);
-        }
+        self.releases.server_releases.remove(&(id, server));
     }
 
     /// A media server has read everything written on this connection, and closed it.
@@ -141,19 +171,19 @@
 
     /// Drops the releases for media servers whose processes are gone, and with them the sessions.
     pub(super) fn drop_releases(&mut self, is_gone: impl Fn(ServerId) -> bool) {
-        self.releases.server_releases.retain(|_, release| !is_gone(release.server));
+        self.releases.server_releases.retain(|(_, server), _| !is_gone(*server));
     }
 
     /// Resends a release if it was lost with its connection, and schedules the next check.
-    pub(super) fn check_release(&mut self, id: u64, out: &mut Vec<Command>) {
-        let Some(release) = self.releases.server_releases.get_mut(&id) else { return };
-        if self.now >= release.expires_at || !self.servers.contains_key(&release.server) {
-            self.releases.server_releases.remove(&id);
+    pub(super) fn check_release(&mut self, key: (u64, ServerId), out: &mut Vec<Command>) {
+        let Some(release) = self.releases.server_releases.get_mut(&key) else { return };
+        if self.now >= release.expires_at || !self.servers.contains_key(&key.1) {
+            self.releases.server_releases.remove(&key);
             return;
         }
-        self.timers.set(self.now + release.next_pause, Timer::ReleaseCheck(id));
+        self.timers.set(self.now + release.next_pause, Timer::ReleaseCheck(key.0, key.1));
         release.next_pause *= 2;
-        self.resend_if_lost(id, out);
+        self.resend_if_lost(key, out);
     }
 
     /// Whether a release may be sent now. During the shutdown of a process that holds more servers than
@@ -163,17 +193,18 @@
         self.releasing_until.is_none() || self.pool.has_room_to(to)
     }
 
-    fn resend_if_lost(&mut self, id: u64, out: &mut Vec<Command>) {
-        let Some(release) = self.releases.server_releases.get(&id) else { return };
-        let Some(address) = self.servers.get(&release.server).copied() else { return };
-        let (conn, server) = (release.conn, release.server);
-        if conn.is_none_or(|conn| !self.pool.exists(conn)) && self.may_send_release((server, address)) {
-            let Some(release) = self.releases.server_releases.get_mut(&id) else { return };
-            self.counts.releases_again += 1;
-            let (to, message) = ((release.server, address), release.message.clone());
-            release.last_tried = self.now;
-            release.conn = self.pool.send(self.now, to, None, message, &mut self.timers, out);
+    fn resend_if_lost(&mut self, key: (u64, ServerId), out: &mut Vec<Command>) {
+        let Some(release) = self.releases.server_releases.get(&key) else { return };
+        let Some(address) = self.servers.get(&key.1).copied() else { return };
+        let to = (key.1, address);
+        if release.conn.is_some_and(|conn| self.pool.exists(conn)) || !self.may_send_release(to) {
+            return;
         }
+        let message = release.message.clone();
+        self.counts.releases_again += 1;
+        let conn = self.pool.send(self.now, to, None, message, &mut self.timers, out);
+        let release = self.releases.server_releases.entry(key);
+        release.and_modify(|release| (release.last_tried, release.conn) = (self.now, conn));
     }
 
     /// Sends a client a message about a playing session: on its own connection, else on whichever client
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -69,6 +69,9 @@
         let ended = self.pool.remove(conn);
         if end == ConnectionEnd::Closed {
             self.owed_ends_arrived(server, conn, out);
+            self.give_ups_settled(conn);
+        } else {
+            self.resend_releases_of(conn, out);
         }
         if was_finishing {
             // The connection was being finished by this node, so its end proves nothing about the health of the
@@ -79,7 +82,8 @@
             return;
         }
         self.ends_may_be_lost(server, Loss::Connection, out);
-        if end == ConnectionEnd::Lost {
+        // An answer may have been lost with the connection.
+        if end != ConnectionEnd::Closed {
             self.mark_attempts_in_doubt(server, &ended, out);
         }
         self.end_attempts_on(ended, Outcome::Broken);
--- a/crates/platform/src/core/tests/releases.rs
+++ b/crates/platform/src/core/tests/releases.rs
@@ -158,3 +158,68 @@
     out.extend(node.advance(SECOND));
     assert_eq!(notices(&out), Vec::<&Message>::new());
 }
+
+/// A set-up that was written to server 0, and the connection on which it was.
+fn written_at_first_server(class: &str) -> (TestNode<ScriptedDecider>, ConnId) {
+    let mut node = TestNode::with(ScriptedDecider::default());
+    node.core.decider.0.push_back(Action::SetUp(session_id(1), ServerId(0), SECOND));
+    let out = node.send_request(1, class);
+    let out = node.establish(&out);
+    let (conn, _) = sent_set_up(&out).unwrap();
+    (node, conn)
+}
+
+/// Establishes the connections dialled in `out`, and returns the connections on which the session is released.
+fn released_on(node: &mut TestNode<ScriptedDecider>, out: &[Command]) -> Vec<ConnId> {
+    let established = node.establish(out);
+    sent_to_server(&established, kind::RELEASE).iter().map(|(conn, _)| *conn).collect()
+}
+
+// Guards against a session that plays at its server for no client because the answer was lost with a reset.
+#[test]
+fn releases_a_session_whose_answer_may_be_lost_with_a_reset() {
+    for class in ["clip", "paid"] {
+        let (mut node, conn) = written_at_first_server(class);
+        let out = node.handle(NodeEvent::ServerReset(conn));
+        let on = released_on(&mut node, &out);
+        assert!(matches!(on[..], [on] if node.core.pool.server(on) == Some(ServerId(0))), "{class}: {out:?}");
+    }
+    // In an orderly close, the answer would have been read.
+    let (mut node, conn) = written_at_first_server("clip");
+    let out = node.handle(NodeEvent::ServerClosed(conn));
+    assert_eq!(released_on(&mut node, &out), []);
+}
+
+#[test]
+fn server_gets_no_further_attempt_after_a_reset_until_it_has_acknowledged_the_release() {
+    let (mut node, conn) = written_at_first_server("clip");
+    let again = Action::SetUp(session_id(1), ServerId(0), SECOND);
+    node.core.decider.0.push_back(again.clone());
+    let out = node.handle(NodeEvent::ServerReset(conn));
+    let on = released_on(&mut node, &out)[0];
+    assert_eq!((node.core.counts().attempts, node.core.counts().stopped), (1, 1));
+    node.core.decider.0.push_back(again);
+    let out = node.handle(NodeEvent::ServerMessage(on, Message::new(kind::RELEASE_ACK, 1)));
+    assert!(sent_set_up(&out).is_some() || out.iter().any(|o| matches!(o, Command::Connect(..))), "{out:?}");
+}
+
+// Guards against the same where a give-up was lost with the answer that it crossed.
+#[test]
+fn resends_a_give_up_that_was_lost_with_a_reset() {
+    let (mut node, conn) = written_at_first_server("clip");
+    let out = node.handle(NodeEvent::ClientMessage(ClientId(1), Message::release(1, cause::NORMAL)));
+    assert_eq!(sent_to_server(&out, kind::RELEASE).len(), 1);
+    let out = node.handle(NodeEvent::ServerReset(conn));
+    assert_eq!(released_on(&mut node, &out).len(), 1);
+    // A give-up that was acknowledged, or whose attempt ended with its connection, is not sent again.
+    for settled in
+        [NodeEvent::ServerMessage(conn, Message::new(kind::RELEASE_ACK, 1)), NodeEvent::ServerClosed(conn)]
+    {
+        let (mut node, conn) = written_at_first_server("clip");
+        node.handle(NodeEvent::ClientMessage(ClientId(1), Message::release(1, cause::NORMAL)));
+        node.handle(settled);
+        let mut out = node.handle(NodeEvent::ServerReset(conn));
+        out.extend(node.advance(SECOND));
+        assert_eq!(released_on(&mut node, &out), []);
+    }
+}
