Messages and health checks close no connection that may still bring ends

Change: such a connection is closed for want of room only for a set-up, and only while they are more than half of all.

--- a/crates/platform/src/core/pool.rs
+++ b/crates/platform/src/core/pool.rs
@@ -20,6 +20,8 @@
 const RESERVED_FRACTION: (usize, usize) = (1, 8);
 /// The fraction of all connections that may be dialled for health checks at a time: set-ups have priority.
 const HEALTH_CHECK_FRACTION: (usize, usize) = (1, 4);
+/// The fraction of all connections that may wait for servers that hang without making room for set-ups.
+const REPORTING_FRACTION: (usize, usize) = (1, 2);
 /// Maximum number of messages that wait for one connection; set-ups are limited by the streams of the
 /// connection.
 const MAX_UNSENT_MESSAGES: usize = 1_024;
@@ -360,12 +362,15 @@
     /// Closes one connection, and returns whether there was one to close: a finishing one before an idle one,
     /// then one without a release sent on it before others, then the one unused for the longest. Danger:
     /// without this, with more servers than connections, servers that were never dialled would be taken for
-    /// dead. A connection that may bring ends of sessions is closed last, and never for a health check.
+    /// dead. A connection that may bring ends of sessions is closed last, and only for a set-up while there are
+    /// many of them: an end that is lost is worse than a message or an attempt that finds no room.
     fn make_room(&mut self, purpose: Purpose, out: &mut Vec<Command>) -> bool {
         let reporting = self.reporting_connections();
+        let max_kept = self.max_connections * REPORTING_FRACTION.0 / REPORTING_FRACTION.1;
+        let may_close_reporting = purpose == Purpose::SetUp && reporting.len() > max_kept;
         let is_closable = |id: &ConnId, conn: &Connection| {
             (conn.state == State::Finishing || conn.is_idle())
-                && (purpose != Purpose::HealthCheck || !reporting.contains(id))
+                && (may_close_reporting || !reporting.contains(id))
         };
         let closable = self.connections.iter().filter(|(id, conn)| is_closable(id, conn));
         let eviction_order = |id: &ConnId, conn: &Connection| {
