A refused check beside an open connection is not taken for the death of a media server

Cause: `connect_failed` counted refusals alone. A process that dies resets its connections, so that one which stands speaks against its death.

Change: a refusal beside an established connection is no sign of death. The idle ones are finished: a process that is alive closes them and has room for the next check, one that has died without a word answers with a reset, and then refusals count as before.

Measured: `refusal_beside_an_established_connection_ends_no_session`, in virtual time; not played with processes.

--- a/crates/platform/src/core/health.rs
+++ b/crates/platform/src/core/health.rs
@@ -135,6 +135,14 @@
         Verdict::CheckAt(now + RETRY_PAUSE)
     }
 
+    /// A connection was refused while another one is established: the process takes no further connection, or has
+    /// died without a word on the other one. The other one shows which when it is finished.
+    pub fn connect_failed_while_connected(&mut self, now: Micros, server: ServerId) -> Verdict {
+        let Some(health) = self.servers.get_mut(&server) else { return Verdict::Undecided };
+        health.next_check = Some(now + RETRY_PAUSE);
+        Verdict::CheckAt(now + RETRY_PAUSE)
+    }
+
     /// For each media server: the number of its sessions, and when it was last heard.
     pub fn states(&self) -> impl Iterator<Item = (ServerId, usize, Micros)> + '_ {
         self.servers.iter().map(|(id, health)| (*id, health.sessions, health.last_heard))
--- a/crates/platform/src/core/pool.rs
+++ b/crates/platform/src/core/pool.rs
@@ -573,6 +573,20 @@
         }
     }
 
+    /// Whether a connection to a server is established. Idle ones are finished: a process that is alive closes
+    /// them, and has room for another one then; one that has died is found by a reset.
+    pub fn finish_established(&mut self, now: Micros, server: ServerId, out: &mut Vec<Command>) -> bool {
+        let of_server = self.connections.iter_mut().filter(|(_, conn)| conn.server == server);
+        let mut any = false;
+        for (id, conn) in of_server.filter(|(_, conn)| conn.established_at.is_some()) {
+            any = true;
+            if conn.is_idle() {
+                conn.finish(now, *id, out);
+            }
+        }
+        any
+    }
+
     /// Finishes a connection, if it is idle.
     pub fn finish_if_idle(&mut self, now: Micros, id: ConnId, out: &mut Vec<Command>) {
         if let Some(conn) = self.connections.get_mut(&id).filter(|conn| conn.is_idle()) {
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -49,12 +49,17 @@
                 if error == DialError::TimedOut {
                     self.ends_may_be_lost(server, Loss::NotEstablished, out);
                 }
-                let verdict = self.health.connect_failed(self.now, server, error);
+                let is_alive =
+                    error == DialError::Refused && self.pool.finish_established(self.now, server, out);
+                let verdict = match is_alive {
+                    true => self.health.connect_failed_while_connected(self.now, server),
+                    false => self.health.connect_failed(self.now, server, error),
+                };
                 if verdict == Verdict::Lost && error != DialError::Refused {
                     self.release_when_reachable(server);
                 }
                 self.apply_verdict(server, verdict, out);
-                if error == DialError::Refused {
+                if error == DialError::Refused && !is_alive {
                     // The process of the server is dead, and so are its sessions.
                     self.drop_releases(|at| at == server);
                 }
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -413,6 +413,50 @@
     assert!(node.core.sessions.is_empty() && node.core.health.states().next().is_none());
 }
 
+// Guards against the end of all sessions at a server that takes no further connection while one to it is open.
+#[test]
+fn refusal_beside_an_established_connection_ends_no_session() {
+    let mut node = TestNode::new();
+    let (conn, _) = node.start_session(1, "clip");
+    let dial = |out: &[Command]| {
+        out.iter().find_map(|o| match o {
+            Command::Connect(conn, _) => Some(*conn),
+            _ => None,
+        })
+    };
+    let refuse_checks = |node: &mut TestNode<Controller>, span: Micros| {
+        let (until, mut all) = (node.now + span, Vec::new());
+        while node.now < until {
+            node.now += SECOND / 100;
+            all.extend(node.tick_without_closes());
+            let dialed: Vec<ConnId> = all.iter().filter_map(|o| dial(std::slice::from_ref(o))).collect();
+            for check in dialed {
+                let refused = NodeEvent::ConnectEnded(check, Err(DialError::Refused));
+                node.core.handle(node.now, refused, &mut node.out);
+            }
+        }
+        all
+    };
+    // The server is silent for 2 s, and refuses the connections with which it is checked.
+    let out = refuse_checks(&mut node, 5 * SECOND);
+    assert_eq!(node.core.gauges()[1], 1, "the session plays");
+    assert!(out.contains(&Command::FinishServer(conn)) || node.core.pool.is_finishing(conn));
+    // It closes the finished connection, and has room for the next one.
+    node.handle(NodeEvent::ServerClosed(conn));
+    let out = node.advance(SECOND);
+    assert!(dial(&out).is_some());
+    node.establish(&out);
+    assert_eq!(node.core.gauges()[1], 1);
+    // A reset of the last connection shows that the process has died.
+    let mut node = TestNode::new();
+    let (conn, _) = node.start_session(1, "clip");
+    refuse_checks(&mut node, 3 * SECOND);
+    let mut out = Vec::new();
+    node.core.handle(node.now, NodeEvent::ServerReset(conn), &mut out);
+    out.extend(refuse_checks(&mut node, SECOND));
+    assert_eq!(node.core.gauges()[1], 0, "{out:?}");
+}
+
 #[test]
 fn detects_a_vanished_machine_within_eight_seconds_though_its_connection_stays_open() {
     let mut node = TestNode::new();
