The window of a deduplicated class counts from its first attempt that may have run

Cause: `may_have_run` in the controller's session held the latest attempt alone.

Change: it holds the first; servers of one group are the same for both. The world of tests/rules, which kept the latest as well, holds the first now and is stricter by that.

Measured: `deduplicated_class_is_sent_again_only_within_the_window_of_its_first_attempt` fails on the code before.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -921,7 +921,7 @@
         }
         let error_servers = session.error_servers.clone();
         if !outcome.never_ran() {
-            session.may_have_run = Some((server, session.sent_at));
+            session.may_have_run.get_or_insert((server, session.sent_at));
         }
         let (class, rate) = (session.request.class, session.rate(session.rung));
         self.add_demand(server, -rate, -1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -114,7 +114,7 @@
     pub tried: Vec<ServerId>,
     /// Servers that answered a set-up of this session with an error, in order.
     pub error_servers: Vec<ServerId>,
-    /// The server of the latest attempt that may have run, and when it was sent.
+    /// The server of the first attempt that may have run, and when it was sent.
     pub may_have_run: Option<(ServerId, Micros)>,
     pub sent_at: Micros,
     /// Servers at which an attempt was given up and is not known to be over.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -400,3 +400,20 @@
     in_doubt(&mut harness, 1);
     assert!(has_refusal(&harness.advance(SECOND / 5).send(Event::Wake(1))), "not for long");
 }
+
+// Guards against a third set-up outside of the time in which servers recognise a repetition of the first.
+#[test]
+fn deduplicated_class_is_sent_again_only_within_the_window_of_its_first_attempt() {
+    let mut deduplicated = class(Effect::Deduplicated);
+    deduplicated.window = SECOND;
+    let mut harness = Harness::new(Settings { classes: vec![deduplicated], ..settings() });
+    let mut actions = harness.request(request("a", 0, 0, 6));
+    let mut sent = Vec::new();
+    for attempt in 0..3 {
+        let Some(server) = set_up_server(&actions) else { break };
+        sent.push(harness.now);
+        harness.advance(3 * SECOND / 5);
+        actions = harness.end("a", attempt, server, Outcome::TimedOut, false);
+    }
+    assert_eq!(sent, [START, START + 3 * SECOND / 5], "the third would be sent 1.2 s after the first");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -199,7 +199,7 @@
         };
         let sent = checked.attempt.take().map_or(0, |attempt| attempt.1);
         if !outcome.never_ran() {
-            checked.may_have_run = Some((server, sent));
+            checked.may_have_run.get_or_insert((server, sent));
         }
         let last = checked.answered;
         checked.playing = false;
