A coordinator that is slow with its first frame is heard

Cause: each call was given up after 2.2 s without a byte, so before its first frame.

Change: a call that is established and has brought no frame is kept beside the next ones for 8 s, one at a time; the first of them that brings a frame is followed. Its descriptor is set aside.

Measured: `hears_a_coordinator_that_sends_the_first_frame_of_each_call_after_two_and_a_half_seconds` fails on the code before, in virtual time; not played with processes.

--- a/crates/platform/src/core/list_watch.rs
+++ b/crates/platform/src/core/list_watch.rs
@@ -22,6 +22,9 @@
 /// connection that is not established by then never will be. A long list may take longer than that to arrive
 /// completely.
 const SILENCE_TIMEOUT: Micros = 2_200_000;
+/// A connection that is established without a frame is kept for this long beside later ones: a coordinator that
+/// is slow may send its first frame later than a silent one is given up.
+const FIRST_FRAME_TIMEOUT: Micros = 8_000_000;
 /// The first pause before a new connection after a failed one; it doubles with each failure.
 const INITIAL_BACKOFF: Micros = 50_000;
 /// The longest interval between the starts of two connection attempts is the drain grace divided by this: the
@@ -56,6 +59,10 @@
     established: Option<u64>,
     /// Connection attempts in progress, the oldest first, and when each began.
     connecting: VecDeque<(u64, Micros)>,
+    /// An earlier established connection without a frame, and when it was established.
+    awaiting_first_frame: Option<(u64, Micros)>,
+    /// When the established connection was established.
+    established_at: Micros,
     /// Whether a frame has arrived on the established connection.
     has_received_frame: bool,
     last_received: Micros,
@@ -78,6 +85,8 @@
             last_connection: 0,
             established: None,
             connecting: VecDeque::new(),
+            awaiting_first_frame: None,
+            established_at: 0,
             has_received_frame: false,
             last_received: 0,
             failures: 0,
@@ -128,7 +137,8 @@
         self.coordinator = Some(coordinator);
         self.failures = 0;
         let connections = std::mem::take(&mut self.connecting);
-        out.extend(connections.into_iter().map(|(connection, _)| Command::CloseList(connection)));
+        let slow = self.awaiting_first_frame.take();
+        out.extend(connections.into_iter().chain(slow).map(|(other, _)| Command::CloseList(other)));
         self.connect(now, timers, out);
     }
 
@@ -172,6 +182,7 @@
         let others = connections.into_iter().map(|(other, _)| other).filter(|other| *other != connection);
         out.extend(self.established.replace(connection).into_iter().chain(others).map(Command::CloseList));
         (self.last_received, self.has_received_frame) = (now, false);
+        self.established_at = now;
         out.push(Command::Log(Level::Info, format!("list: connection {connection} established")));
         self.schedule_check(now + SILENCE_TIMEOUT, timers);
     }
@@ -180,6 +191,7 @@
     pub fn disconnected(&mut self, now: Micros, connection: u64, timers: &mut Timers<Timer>) {
         let count_before = self.connecting.len();
         self.connecting.retain(|(other, _)| *other != connection);
+        self.awaiting_first_frame.take_if(|(other, _)| *other == connection);
         if self.established.take_if(|established| *established == connection).is_some() {
             self.back_off(now, timers);
         } else if self.connecting.is_empty() && count_before > 0 {
@@ -211,6 +223,14 @@
         if let Some(connection) = self.established {
             out.push(Command::Log(Level::Info, format!("list: connection {connection} is silent")));
         }
+        let is_overdue = |slow: &mut (u64, Micros)| slow.1 + FIRST_FRAME_TIMEOUT <= now;
+        let overdue = self.awaiting_first_frame.take_if(is_overdue);
+        out.extend(overdue.map(|(connection, _)| Command::CloseList(connection)));
+        if self.awaiting_first_frame.is_none() && !self.has_received_frame {
+            let established_at = self.established_at;
+            let slow = self.established.take();
+            self.awaiting_first_frame = slow.map(|connection| (connection, established_at));
+        }
         while let Some((connection, _)) =
             self.connecting.front().filter(|(_, began)| began + SILENCE_TIMEOUT <= now)
         {
@@ -239,9 +259,19 @@
         if self.connecting.iter().any(|(other, _)| *other == connection) {
             self.connected(now, connection, timers, out);
         }
+        if self.awaiting_first_frame.take_if(|(other, _)| *other == connection).is_some() {
+            let connecting = std::mem::take(&mut self.connecting).into_iter().map(|(other, _)| other);
+            out.extend(
+                self.established.replace(connection).into_iter().chain(connecting).map(Command::CloseList),
+            );
+            self.has_received_frame = false;
+            self.schedule_check(now + SILENCE_TIMEOUT, timers);
+        }
         if self.established != Some(connection) {
             return None;
         }
+        let slow = self.awaiting_first_frame.take();
+        out.extend(slow.map(|(other, _)| Command::CloseList(other)));
         self.last_received = now;
         let first_of_connection = !std::mem::replace(&mut self.has_received_frame, true);
         let update = match frame.payload {
--- a/crates/platform/src/core/tests/list.rs
+++ b/crates/platform/src/core/tests/list.rs
@@ -296,3 +296,35 @@
         }
     }
 }
+
+// Guards against a list that is never heard because each call is given up before its first frame arrives.
+#[test]
+fn hears_a_coordinator_that_sends_the_first_frame_of_each_call_after_two_and_a_half_seconds() {
+    let mut node = with_grace(2_000);
+    node.handle(NodeEvent::ListClosed(1));
+    let (mut open, mut answers_at) = (Vec::new(), BTreeMap::new());
+    let until = node.now + 4 * SECOND;
+    let mut heard = None;
+    while node.now < until && heard.is_none() {
+        node.now += SECOND / 100;
+        for command in node.handle(NodeEvent::Tick) {
+            match command {
+                Command::ConnectList(call, ..) => {
+                    open.push(call);
+                    answers_at.insert(call, node.now + 5 * SECOND / 2);
+                    node.handle(NodeEvent::ListConnected(call));
+                }
+                Command::CloseList(call) => open.retain(|other| *other != call),
+                _ => {}
+            }
+        }
+        let answered = open.iter().copied().find(|call| answers_at[call] <= node.now);
+        if let Some(call) = answered {
+            let mut draining = listed(0);
+            draining.entry.state = ServerState::Draining;
+            node.list_frame(call, 6, Payload::Changes(vec![draining]));
+            heard = Some(node.core.list_status().0);
+        }
+    }
+    assert_eq!(heard, Some(6));
+}
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -60,7 +60,7 @@
 const MIN_TURNS_WHILE_ACCEPTING: usize = 4;
 /// Descriptors that neither clients nor servers use: the connections to the coordinator, and about a dozen of
 /// the process.
-const RESERVED_DESCRIPTORS: usize = 20 + MAX_CONNECTS;
+const RESERVED_DESCRIPTORS: usize = 21 + MAX_CONNECTS;
 /// Maximum fraction of the memory for bytes that wait to be written to clients.
 const BACKLOG_MEMORY_FRACTION: f64 = 0.25;
 /// Minimum and maximum number of bytes that may wait for one client.
