--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -74,7 +74,6 @@
         let ended = self.pool.remove(conn);
         if end == ConnectionEnd::Closed {
             self.owed_ends_arrived(server, conn, out);
-            self.give_ups_settled(conn);
         } else {
             self.resend_releases_of(conn, out);
         }
--- a/crates/platform/src/core/tests/releases.rs
+++ b/crates/platform/src/core/tests/releases.rs
@@ -223,3 +223,21 @@
         assert_eq!(released_on(&mut node, &out), []);
     }
 }
+
+// Guards against a give-up of the first attempt that is sent again and ends the second one at the same server.
+#[test]
+fn sends_no_give_up_again_once_its_attempt_is_known_to_be_over() {
+    let (mut node, first) = written_at_first_server("clip");
+    node.now += SECOND;
+    let out = node.tick_without_closes();
+    assert!(out.contains(&Command::FinishServer(first)), "the attempt has timed out: {out:?}");
+    node.core.decider.0.push_back(Action::SetUp(session_id(1), ServerId(0), SECOND));
+    let out = node.handle(NodeEvent::ServerHalfClosed(first));
+    let out = node.establish(&out);
+    let (second, _) = sent_set_up(&out).expect("a second attempt");
+    let mut out = node.handle(NodeEvent::ServerReset(first));
+    out.extend(node.handle(NodeEvent::ServerMessage(second, answer_message(1))));
+    out.extend(node.advance(SECOND));
+    assert_eq!(sent_to_server(&out, kind::RELEASE), []);
+    assert_eq!(node.core.gauges()[1], 1);
+}
