A second copy counts as in time if it lay in the socket in time

Change: the window ends with the tick that has read everything that lay in the sockets by then, as all timers do.

--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -306,6 +306,8 @@
     decider: D,
     platform_settings: PlatformSettings,
     now: Micros,
+    /// Everything that lay in the sockets at this time has been passed in.
+    polled_at: Micros,
     sessions: BTreeMap<u64, SessionEntry>,
     admission: Admission,
     pool: Pool,
@@ -355,6 +357,7 @@
             decider,
             platform_settings,
             now,
+            polled_at: now,
             sessions: BTreeMap::new(),
             admission: Admission::new(sockets),
             pool,
@@ -513,6 +516,7 @@
             NodeEvent::CoordinatorMoved(at) => self.list_watch.follow(self.now, at, &mut self.timers, out),
             NodeEvent::Shutdown => self.begin_shutdown(out),
             NodeEvent::Tick => {
+                self.polled_at = now;
                 self.deliver_events(out);
                 // Timers are compared with the time of the poll, which may lie in the past.
                 while let Some(timer) = self.timers.pop(now) {
--- a/crates/platform/src/core/resends.rs
+++ b/crates/platform/src/core/resends.rs
@@ -7,7 +7,8 @@
 //!
 //! - While a second copy can still arrive, in the *resend window* of the request, a set-up that was written
 //!   goes on without a client, nothing new is started for it, and its answer is kept. The second copy takes the
-//!   request over. If none has arrived by the end of the window, the request is given up.
+//!   request over. If none has arrived by the end of the window, the request is given up. The window ends once
+//!   everything that lay in the sockets by then has been read: a process that is stopped reads a second copy late.
 //! - Once the request is over, a [`PastRequest`] remembers that a set-up may have run. A second copy fails, or
 //!   starts over where that is harmless, with what is known of the earlier attempts.
 
@@ -128,7 +129,7 @@
     pub(super) fn client_of_request_gone(&mut self, id: u64, out: &mut Vec<Command>) {
         let Some(entry) = self.sessions.get_mut(&id) else { return };
         let is_written = entry.conn.is_some_and(|conn| self.pool.is_written(conn, id));
-        if !is_written || self.now >= entry.resend_until {
+        if !is_written || entry.resend_until <= self.polled_at {
             return self.give_up(id, out);
         }
         entry.session.client = None;
@@ -168,7 +169,7 @@
         let Some(entry) = self.sessions.get_mut(&id) else { return };
         let previous = entry.session.client.map(|(client, _)| client);
         let is_copy = entry.digest == RequestDigest::of(message) && previous != Some(client);
-        if !is_copy || self.now >= entry.resend_until {
+        if !is_copy || entry.resend_until <= self.polled_at {
             self.counts.unusable += 1;
             return self.close_client(client, out);
         }
@@ -259,7 +260,7 @@
             Effect::Safe | Effect::Deduplicated => 0,
         };
         let expires_at = entry.resend_until.max(patience_end);
-        if !may_have_run || expires_at <= self.now {
+        if !may_have_run || expires_at <= self.polled_at {
             return;
         }
         let past = PastRequest {
@@ -274,7 +275,7 @@
             expires_at,
         };
         self.past_requests.remember(id, past);
-        self.timers.set(entry.resend_until.clamp(self.now, expires_at), Timer::ResendWindow(id));
+        self.timers.set(entry.resend_until, Timer::ResendWindow(id));
     }
 
     /// Remembers a session that ended before its client handed it over.
@@ -299,7 +300,7 @@
     /// would be taken for the answer, and the second copy would get another one. Returns whether it is kept.
     pub(super) fn keep_end_for_second_copy(&mut self, end: &Message) -> bool {
         let Some(past) = self.past_requests.0.get_mut(&end.session) else { return false };
-        if self.now >= past.resend_until {
+        if past.resend_until <= self.polled_at {
             return false;
         }
         past.untold_end = Some(end.clone());
@@ -313,7 +314,7 @@
         if let Some(past) = self.past_requests.0.get_mut(&id) {
             let untold_end = past.untold_end.take();
             let expires_at = past.expires_at;
-            if expires_at <= self.now {
+            if expires_at <= self.polled_at {
                 self.past_requests.take(id);
             } else {
                 self.timers.set(expires_at, Timer::ResendWindow(id));
@@ -322,7 +323,8 @@
                 self.notify_client(None, end, out);
             }
         }
-        let Some(entry) = self.sessions.get_mut(&id).filter(|entry| entry.resend_until <= self.now) else {
+        let Some(entry) = self.sessions.get_mut(&id).filter(|entry| entry.resend_until <= self.polled_at)
+        else {
             return;
         };
         entry.kept_answer = None;
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -259,7 +259,7 @@
         self.timers.cancel(overdue, Timer::AnswerDeadline(id));
         let took = self.now - attempt.sent_at;
         let answer = Message::new(kind::ANSWER, id).with(code::DESCRIPTION, description);
-        if self.now < entry.resend_until {
+        if self.polled_at < entry.resend_until {
             entry.kept_answer = Some(answer.clone());
             self.timers.set(entry.resend_until, Timer::ResendWindow(id));
         }
--- a/crates/platform/src/core/tests/resends.rs
+++ b/crates/platform/src/core/tests/resends.rs
@@ -75,6 +75,26 @@
     assert_eq!(told(&out, 2), [answer_message(9)]);
 }
 
+// Guards against a second copy that counts as late because this process was stopped when it arrived.
+#[test]
+fn second_copy_that_is_read_late_takes_over_as_well() {
+    for answered in [true, false] {
+        let (mut node, conn) = sent_request("paid");
+        node.handle(NodeEvent::Tick);
+        node.now += WINDOW + 50_000;
+        if answered {
+            node.handle(NodeEvent::ServerMessage(conn, answer_message(9)));
+        }
+        node.handle(NodeEvent::ClientClosed(ClientId(1)));
+        let mut out = send_copy(&mut node, "paid");
+        out.extend(node.handle(NodeEvent::Tick));
+        if !answered {
+            out.extend(node.handle(NodeEvent::ServerMessage(conn, answer_message(9))));
+        }
+        assert_eq!((set_ups(&out), told(&out, 2)), (0, vec![answer_message(9)]), "{answered}");
+    }
+}
+
 // Guards against a request that is lost because its answer was lost with its connection.
 #[test]
 fn second_copy_gets_the_answer_that_was_lost_with_the_first_connection() {
