--- a/crates/soak/src/crossings.rs
+++ b/crates/soak/src/crossings.rs
@@ -14,22 +14,44 @@
 /// Time after which the end of a silent client connection reaches the front node, minimum and maximum.
 const SILENCE: (Micros, Micros) = (200 * MS, 1_500 * MS);
 
+/// The only connection of a front node to a server is cut less often by this factor.
+const SINGLE_CONNECTION_RARITY: u64 = 5;
+
 /// How often connections are cut, each as a probability in percent.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CrossingPlan {
     /// The connection of a request, shortly after it was sent.
     pub requests: u64,
-    /// The connection on which a server sends the end of a session.
+    /// The connection on which a server sends the end of a session, once for each server.
     pub ends: u64,
     /// The connection on which a client is sent a move.
     pub moves: u64,
+    /// Set-ups on one connection at a time. With one, front nodes have several connections to a server in use, of which
+    /// one is cut.
+    pub max_streams: u64,
 }
 
+/// With ends that are lost, requests go on for this much longer: a server to which none go any more is silent, and is
+/// checked for that alone.
+const MORE_REQUESTS: Micros = 6_000 * MS;
+
 impl CrossingPlan {
     /// Draws the plan of a seed.
     pub fn from_seed(seed: u64) -> CrossingPlan {
         let mut draws = Draws::new(seed ^ 0xc2055);
-        CrossingPlan { requests: draws.pick(&[0, 5, 20]), ends: draws.pick(&[0, 10, 30]), moves: 0 }
+        let (requests, ends) = (draws.pick(&[0, 5, 20]), draws.pick(&[0, 10, 40]));
+        let moves = draws.pick(&[0, 30]);
+        let max_streams = if ends > 0 { draws.pick(&[1, 1, 1, 32]) } else { 32 };
+        CrossingPlan { requests, ends, moves, max_streams }
+    }
+
+    /// How much longer than usual requests are sent.
+    pub fn more_requests(&self) -> Micros {
+        if self.ends > 0 {
+            MORE_REQUESTS
+        } else {
+            0
+        }
     }
 }
 
@@ -100,11 +122,20 @@
         self.schedule_in(after, Action::SendAgain { id, previous });
     }
 
-    /// A server sends the end of a session on this connection; returns whether it is cut, and the end lost.
-    pub(crate) fn cuts_end(&mut self, token: u64) -> bool {
-        if !self.crossing_draws.chance(self.plan.crossings.ends) {
+    /// A server sends the end of a session on this connection; returns whether it is cut, and the end lost. Each server
+    /// is cut off once, most often from a front node with another connection to it: a further cut would have the front
+    /// node open a connection, which brings the end.
+    pub(crate) fn cuts_end(&mut self, server: u32, token: u64) -> bool {
+        let role = self.endpoints.get(&token).map(|endpoint| endpoint.role);
+        let open =
+            self.endpoints.values().filter(|endpoint| Some(endpoint.role) == role && !endpoint.is_silent);
+        let rarity = if open.count() > 1 { 1 } else { SINGLE_CONNECTION_RARITY };
+        let is_cut = !self.servers[server as usize].was_cut_off
+            && self.crossing_draws.chance(self.plan.crossings.ends / rarity);
+        if !is_cut {
             return false;
         }
+        self.servers[server as usize].was_cut_off = true;
         match self.draw_cut() {
             Cut::Silent => self.silence(token),
             cut => self.close(token, cut == Cut::Reset),
--- a/crates/soak/src/nodes.rs
+++ b/crates/soak/src/nodes.rs
@@ -201,7 +201,7 @@
             "load_report": {"names": ["active", "x0"], "source": "answers"},
             "policy_limits": {"max_attempts": terms.max_attempts, "max_retry_after_ms": 1000,
                 "retry_after": true, "probes": false, "connect_timeout_ms": plan.connect_ms,
-                "conn_idle_ms": plan.idle_ms, "max_streams": 32},
+                "conn_idle_ms": plan.idle_ms, "max_streams": plan.crossings.max_streams},
             "safety": safety})
     }
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -271,6 +271,8 @@
         };
         plan.cpu_percent = overrides.cpu_percent.unwrap_or(plan.cpu_percent).clamp(1, 100);
         plan.draw_faults(&mut draws);
+        plan.requests_until += plan.crossings.more_requests();
+        plan.ends += plan.crossings.more_requests();
         plan
     }
 
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -75,6 +75,8 @@
     pub sessions: BTreeMap<u64, ActiveSession>,
     /// Releases to repeat on the next connection of a front node.
     unacknowledged: BTreeMap<usize, Vec<Message>>,
+    /// Whether a connection with an end on its way was cut.
+    pub was_cut_off: bool,
     /// Number of connections that each front node has made.
     accepted_connections: BTreeMap<usize, u32>,
     /// Until then, data that is read may have arrived while the server did not read.
@@ -94,6 +96,7 @@
             listed_start: None,
             sessions: BTreeMap::new(),
             unacknowledged: BTreeMap::new(),
+            was_cut_off: false,
             accepted_connections: BTreeMap::new(),
             caught_up_at: 0,
             filler_connections: Vec::new(),
@@ -307,7 +310,7 @@
         }
         self.servers[server as usize].sessions.remove(&id);
         let release = Message::release(id, cause::NORMAL);
-        let endpoint = self.connection_for(server, session).filter(|token| !self.cuts_end(*token));
+        let endpoint = self.connection_for(server, session).filter(|token| !self.cuts_end(server, *token));
         let notified = endpoint.is_some_and(|token| self.endpoints[&token].read_delay == 0);
         if let Some(token) = endpoint {
             self.send(token, &release);
