--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -200,14 +200,7 @@
         if self.tell_end_at_hand_over(client, id, out) {
             return;
         }
-        if let Some((_, end)) = self.early_ends.remove(&id).filter(|(server, _)| *server == at) {
-            if let Some(cause) = super::servers::interpret_end_cause(end.cause()).1 {
-                self.notify_client(Some(client), Message::release(id, cause), out);
-                self.remember_early_end(id);
-            }
-            return;
-        }
-        self.counts.resumed += 1;
+        let early_end = self.early_ends.remove(&id).filter(|(server, _)| *server == at);
         let request = open_request.to_request(&session_id(id), false);
         let mut session = self.new_session(client, open_request);
         let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
@@ -223,6 +216,14 @@
             answer_sent: true,
             ..SessionEntry::new(session, self.now)
         };
+        if let Some((_, end)) = early_end {
+            if let Some(cause) = super::servers::interpret_end_cause(end.cause()).1 {
+                self.notify_client(Some(client), Message::release(id, cause), out);
+                self.remember_request(id, &entry);
+            }
+            return;
+        }
+        self.counts.resumed += 1;
         self.sessions.insert(id, entry);
         self.admission.request_opened(client, id, &mut self.timers);
         self.admission.session_started(client, id);
--- a/crates/platform/src/core/health.rs
+++ b/crates/platform/src/core/health.rs
@@ -32,6 +32,14 @@
     next_check: Option<Micros>,
 }
 
+impl ServerHealth {
+    /// Schedules the next connection attempt.
+    fn check_again(&mut self, now: Micros) -> Verdict {
+        self.next_check = Some(now + RETRY_PAUSE);
+        Verdict::CheckAt(now + RETRY_PAUSE)
+    }
+}
+
 /// What a failed connection attempt means for the sessions at the media server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -131,16 +139,13 @@
         if health.refusals >= MAX_REFUSALS || since + UNREACHABLE_AFTER <= now {
             return Verdict::Lost;
         }
-        health.next_check = Some(now + RETRY_PAUSE);
-        Verdict::CheckAt(now + RETRY_PAUSE)
+        health.check_again(now)
     }
 
     /// A connection was refused while another one is established: the process takes no further connection, or has
     /// died without a word on the other one. The other one shows which when it is finished.
     pub fn connect_failed_while_connected(&mut self, now: Micros, server: ServerId) -> Verdict {
-        let Some(health) = self.servers.get_mut(&server) else { return Verdict::Undecided };
-        health.next_check = Some(now + RETRY_PAUSE);
-        Verdict::CheckAt(now + RETRY_PAUSE)
+        self.servers.get_mut(&server).map_or(Verdict::Undecided, |health| health.check_again(now))
     }
 
     /// For each media server: the number of its sessions, and when it was last heard.
--- a/crates/platform/src/core/in_doubt.rs
+++ b/crates/platform/src/core/in_doubt.rs
@@ -41,6 +41,7 @@
     /// The server has closed this connection: every attempt given up on it is over.
     pub(super) fn closed_by_server(&mut self, conn: ConnId, out: &mut Vec<Command>) {
         self.past_requests.closed_by_server(conn);
+        // The next attempt may go to the same server: a give-up that is sent again would end it.
         self.give_ups_settled(conn);
         let server_in_doubt = |entry: &SessionEntry| {
             entry.in_doubt.iter().find(|(_, on)| *on == conn).map(|(server, _)| *server)
@@ -55,8 +56,6 @@
 
     fn resolve(&mut self, id: u64, server: ServerId, how: &str, out: &mut Vec<Command>) {
         self.counts.resolved += 1;
-        // The next attempt may go to the same server: a give-up that is sent again would end it.
-        self.release_acknowledged(id, server);
         let text = format!("request {id:016x}: attempt at s-{:08x} is over, {how}", server.0);
         out.push(Command::Log(Level::Info, text));
         self.events.push_back(Event::Resolved { session: session_id(id), server });
--- a/crates/platform/src/core/owed_ends.rs
+++ b/crates/platform/src/core/owed_ends.rs
@@ -29,6 +29,12 @@
 /// A connection on which nothing has come for this long since it was dialled may be lost too.
 const REDIAL_AFTER: Micros = 2_000_000;
 
+/// An idle connection is finished if nothing came on it for this long, and something did on another one.
+const REDUNDANT_AFTER_SILENCE: Micros = 3_500_000;
+/// A server that does not close a finished connection for this long hangs, or nothing passes on the connection
+/// any more.
+const FINISH_STALLED_AFTER: Micros = 1_000_000;
+
 /// Why a server may owe ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Loss {
@@ -141,6 +147,29 @@
         self.timers.set(owed.next_check, Timer::OwedEnds(server));
     }
 
+    /// Finishes connections on which nothing may pass any more: a server that is alive closes them.
+    pub(super) fn check_silent_connections(&mut self, server: ServerId, out: &mut Vec<Command>) {
+        if self.pool.finish_redundant(self.now, server, REDUNDANT_AFTER_SILENCE, out) {
+            self.timers.set(self.now + FINISH_STALLED_AFTER, Timer::StalledFinish(server));
+        }
+        self.check_stalled_finish(server, out);
+    }
+
+    /// A server has not closed a finished connection for long. It is closed here, unless the server may still
+    /// report ends on it.
+    pub(super) fn finish_overdue(&mut self, conn: ConnId, out: &mut Vec<Command>) {
+        if !self.pool.may_report_ends(conn) {
+            self.disconnect(conn, out);
+        }
+    }
+
+    /// A connection that its server does not close may have been lost before, and ends with it.
+    pub(super) fn check_stalled_finish(&mut self, server: ServerId, out: &mut Vec<Command>) {
+        if self.pool.take_stalled_finish(self.now, server, FINISH_STALLED_AFTER) {
+            self.ends_may_be_lost(server, Loss::Connection, out);
+        }
+    }
+
     /// Number of servers that may owe ends of sessions, and since when the first of them does.
     pub fn owed_ends_status(&self) -> (usize, Option<Micros>) {
         self.owed_ends.status()
--- a/crates/platform/src/core/pool.rs
+++ b/crates/platform/src/core/pool.rs
@@ -566,32 +566,37 @@
             || finishing.any(|conn| !conn.carries_release)
     }
 
-    /// Finishes all idle connections.
-    pub fn finish_idle(&mut self, now: Micros, out: &mut Vec<Command>) {
-        for (id, conn) in self.connections.iter_mut().filter(|(_, conn)| conn.is_idle()) {
-            conn.finish(now, *id, out);
-        }
-    }
-
-    /// Whether a connection to a server is established. Idle ones are finished: a process that is alive closes
-    /// them, and has room for another one then; one that has died is found by a reset.
-    pub fn finish_established(&mut self, now: Micros, server: ServerId, out: &mut Vec<Command>) -> bool {
-        let of_server = self.connections.iter_mut().filter(|(_, conn)| conn.server == server);
+    /// Finishes the idle connections for which `applies` holds; returns whether there were any.
+    fn finish_idle_if(
+        &mut self,
+        now: Micros,
+        applies: impl Fn(ConnId, &Connection) -> bool,
+        out: &mut Vec<Command>,
+    ) -> bool {
         let mut any = false;
-        for (id, conn) in of_server.filter(|(_, conn)| conn.established_at.is_some()) {
+        let idle = self.connections.iter_mut().filter(|(id, conn)| conn.is_idle() && applies(**id, conn));
+        for (id, conn) in idle {
+            conn.finish(now, *id, out);
             any = true;
-            if conn.is_idle() {
-                conn.finish(now, *id, out);
-            }
         }
         any
     }
 
+    /// Finishes all idle connections.
+    pub fn finish_idle(&mut self, now: Micros, out: &mut Vec<Command>) {
+        self.finish_idle_if(now, |_, _| true, out);
+    }
+
     /// Finishes a connection, if it is idle.
     pub fn finish_if_idle(&mut self, now: Micros, id: ConnId, out: &mut Vec<Command>) {
-        if let Some(conn) = self.connections.get_mut(&id).filter(|conn| conn.is_idle()) {
-            conn.finish(now, id, out);
-        }
+        self.finish_idle_if(now, |other, _| other == id, out);
+    }
+
+    /// Whether a connection to a server is established. Idle ones are finished: a process that is alive closes
+    /// them, and has room for another one then; one that has died is found by a reset.
+    pub fn finish_established(&mut self, now: Micros, server: ServerId, out: &mut Vec<Command>) -> bool {
+        self.finish_idle_if(now, |_, conn| conn.server == server, out);
+        self.connections.values().any(|conn| conn.server == server && conn.established_at.is_some())
     }
 
     /// Finishes idle connections to a server that have been silent for `silence` while another one was not.
@@ -606,15 +611,11 @@
     ) -> bool {
         let of_server = |conn: &&Connection| conn.server == server && conn.state == State::Open;
         let latest = self.connections.values().filter(of_server).map(|conn| conn.last_received).max();
-        let mut any = false;
-        for (id, conn) in self.connections.iter_mut().filter(|(_, conn)| conn.server == server) {
+        let is_redundant = |_, conn: &Connection| {
             let is_silent = conn.last_received + silence <= now && Some(conn.last_received) < latest;
-            if is_silent && conn.is_idle() {
-                conn.finish(now, *id, out);
-                any = true;
-            }
-        }
-        any
+            conn.server == server && is_silent
+        };
+        self.finish_idle_if(now, is_redundant, out)
     }
 
     /// Whether a server has not closed a connection that was finished at least `timeout` ago. Each connection
--- a/crates/platform/src/core/resends.rs
+++ b/crates/platform/src/core/resends.rs
@@ -150,10 +150,13 @@
 
     /// Whether a message is a second copy of a request that is open, playing or over.
     pub(super) fn is_second_copy(&self, message: &Message) -> bool {
+        if message.kind != kind::SET_UP {
+            return false;
+        }
         let id = message.session;
         let entry = self.sessions.get(&id).map(|entry| entry.digest);
         let known = entry.or_else(|| self.past_requests.0.get(&id).map(|past| past.digest));
-        message.kind == kind::SET_UP && known == Some(RequestDigest::of(message))
+        known.is_some_and(|known| known == RequestDigest::of(message))
     }
 
     /// A request arrived under the id of a session. If it is a second copy, it takes the request over, even if
@@ -278,24 +281,6 @@
         self.timers.set(entry.resend_until, Timer::ResendWindow(id));
     }
 
-    /// Remembers a session that ended before its client handed it over.
-    pub(super) fn remember_early_end(&mut self, id: u64) {
-        let resend_until = self.now + self.resend_window;
-        let past = PastRequest {
-            digest: RequestDigest::default(),
-            effect: Effect::Safe,
-            has_played: true,
-            attempts: 0,
-            in_doubt: Vec::new(),
-            conns: Vec::new(),
-            untold_end: None,
-            resend_until,
-            expires_at: resend_until,
-        };
-        self.past_requests.remember(id, past);
-        self.timers.set(resend_until, Timer::ResendWindow(id));
-    }
-
     /// Keeps the end of a session whose client may send its request once more: told on another connection, it
     /// would be taken for the answer, and the second copy would get another one. Returns whether it is kept.
     pub(super) fn keep_end_for_second_copy(&mut self, end: &Message) -> bool {
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -7,12 +7,6 @@
 use super::*;
 use crate::wire::values;
 
-/// An idle connection is finished if nothing came on it for this long, and something did on another one.
-const REDUNDANT_AFTER_SILENCE: Micros = 3_500_000;
-/// A server that does not close a finished connection for this long hangs, or nothing passes on the connection
-/// any more.
-const FINISH_STALLED_AFTER: Micros = 1_000_000;
-
 /// How a connection to a server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionEnd {
@@ -334,10 +328,7 @@
         if let Some(at) = check.next_check {
             self.timers.set(at, Timer::HealthCheck(server));
         }
-        if self.pool.finish_redundant(self.now, server, REDUNDANT_AFTER_SILENCE, out) {
-            self.timers.set(self.now + FINISH_STALLED_AFTER, Timer::StalledFinish(server));
-        }
-        self.check_stalled_finish(server, out);
+        self.check_silent_connections(server, out);
         if !check.dial {
             return;
         }
@@ -357,21 +348,6 @@
         }
     }
 
-    /// A server has not closed a finished connection for long. It is closed here, unless the server may still
-    /// report ends on it.
-    pub(super) fn finish_overdue(&mut self, conn: ConnId, out: &mut Vec<Command>) {
-        if !self.pool.may_report_ends(conn) {
-            self.disconnect(conn, out);
-        }
-    }
-
-    /// A connection that its server does not close may have been lost before, and ends with it.
-    pub(super) fn check_stalled_finish(&mut self, server: ServerId, out: &mut Vec<Command>) {
-        if self.pool.take_stalled_finish(self.now, server, FINISH_STALLED_AFTER) {
-            self.ends_may_be_lost(server, Loss::Connection, out);
-        }
-    }
-
     fn apply_verdict(&mut self, server: ServerId, verdict: Verdict, out: &mut Vec<Command>) {
         match verdict {
             Verdict::Undecided => {}
--- a/crates/platform/src/core/tests/resends.rs
+++ b/crates/platform/src/core/tests/resends.rs
@@ -319,24 +319,20 @@
 fn flood_of_requests_displaces_no_paid_one_that_may_have_run() {
     let (mut node, _) = sent_request("paid");
     node.handle(NodeEvent::ClientHalfClosed(ClientId(1)));
-    for id in 0..40_000u64 {
+    let remember = |node: &mut TestNode<Controller>, id: u64, class: &str| {
         let entry = SessionEntry {
             in_doubt: vec![(ServerId(0), ConnId(1))],
             resend_until: node.now + WINDOW,
-            ..node.core.test_entry("clip")
+            ..node.core.test_entry(class)
         };
-        node.core.remember_request(1_000 + id, &entry);
-    }
+        node.core.remember_request(id, &entry);
+    };
+    (0..40_000).for_each(|id| remember(&mut node, 1_000 + id, "clip"));
     assert!(node.core.past_requests.len() < 10_000, "{}", node.core.past_requests.len());
     assert_eq!(set_ups(&send_copy(&mut node, "paid")), 0);
     // When the memory is full of paid requests, further ones are refused and never sent.
-    for id in 0..40_000u64 {
-        let entry = SessionEntry {
-            in_doubt: vec![(ServerId(0), ConnId(1))],
-            resend_until: node.now + WINDOW,
-            ..node.core.test_entry("paid")
-        };
-        node.core.remember_request(100_000 + id, &entry);
+    for id in 0..40_000 {
+        remember(&mut node, 100_000 + id, "paid");
         if node.core.past_requests.is_full() {
             break;
         }
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -11,7 +11,7 @@
 
 const MS: Micros = 1_000;
 /// A request that was sent at most this long before its connection was closed is sent once more.
-const CLOSE_RACE: Micros = 50 * MS;
+pub(crate) const CLOSE_RACE: Micros = 50 * MS;
 /// Clients use at most the descriptor limit of a front node divided by this.
 const DESCRIPTOR_DIVISOR: usize = 3;
 /// Percentage of requests that are sent on a new connection although there is an open one.
--- a/crates/soak/src/crossings.rs
+++ b/crates/soak/src/crossings.rs
@@ -1,12 +1,11 @@
 //! Connections that are cut while something is on its way on them: a request, the end of a session, or a move.
 
+use crate::clients::CLOSE_RACE;
 use crate::plan::Draws;
 use crate::record::{Event, Micros};
 use crate::rig::{Action, Rig};
 
 const MS: Micros = 1_000;
-/// A request that was sent at most this long before the end of its connection is sent once more.
-const CROSSING_LIMIT: Micros = 50 * MS;
 /// A connection is cut at the latest this long after a request was sent on it.
 const LATEST_REQUEST_CUT: Micros = 45 * MS;
 /// Time within which a client that has lost its connection sends a request once more.
@@ -102,7 +101,7 @@
         let now = self.now();
         let crosses = |id: &u64| {
             let sent = self.requests.get(id).and_then(|request| request.sent);
-            sent.is_some_and(|sent| sent + CROSSING_LIMIT >= now)
+            sent.is_some_and(|sent| sent + CLOSE_RACE >= now)
         };
         let (crossing, others): (Vec<u64>, Vec<u64>) = client.pending.into_iter().partition(crosses);
         if cut == Cut::Silent && others.is_empty() {
