Refused checks and a coordinator that answers late are played with processes

Two related paths were shown in virtual time alone. `a_server_that_refuses_further_connections_keeps_its_sessions` and `a_drain_told_by_a_coordinator_that_answers_calls_late_is_respected` play them over sockets. The servers that only answer set-ups have one function in the tests.

--- a/crates/daemon/tests/front_node_list.rs
+++ b/crates/daemon/tests/front_node_list.rs
@@ -13,7 +13,7 @@
 
 use node::scripted::{
     accept_within, answer_set_up, fill_listen_queue, refusing_address, request_for_cell,
-    send_request_behind_tests, wait_for_message, with_parameter, ScriptedServers,
+    send_request_behind_tests, serve_set_ups, wait_for_message, with_parameter, ScriptedServers,
 };
 use node::{Node, SECOND};
 use rustix::process::{prlimit, Pid, Resource, Rlimit, Signal};
@@ -37,19 +37,9 @@
 fn refuse_all_set_ups(servers: &ScriptedServers, at: usize) -> Arc<Mutex<Vec<Instant>>> {
     let set_up_times = Arc::new(Mutex::new(Vec::new()));
     let (listener, shared_times) = (servers.listeners[at].try_clone().unwrap(), Arc::clone(&set_up_times));
-    thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let set_up_times = Arc::clone(&shared_times);
-            thread::spawn(move || {
-                let mut connection = Viewer::from_stream(stream);
-                while let Some(message) = connection.next(60 * SECOND) {
-                    if message.kind == kind::SET_UP {
-                        set_up_times.lock().unwrap().push(Instant::now());
-                        connection.send(&Message::release(message.session, cause::NOT_SENT));
-                    }
-                }
-            });
-        }
+    serve_set_ups(listener, move |connection, id| {
+        shared_times.lock().unwrap().push(Instant::now());
+        connection.send(&Message::release(id, cause::NOT_SENT));
     });
     set_up_times
 }
@@ -169,6 +159,27 @@
     }
 }
 
+// Guards against a list that is never heard because each call is given up before its first frame arrives.
+#[test]
+fn a_drain_told_by_a_coordinator_that_answers_calls_late_is_respected() {
+    for ms in GRACES_MS {
+        let mut servers = ScriptedServers::new(2);
+        let node = servers.start_node(&format!("answers-late-{ms}"), with_grace(ms));
+        let set_up_times = refuse_all_set_ups(&servers, 0);
+        let request_loop = start_request_loop(&node);
+        let coordinator = servers.coordinator();
+        servers.drop_list_connection();
+        let (list, last_number) = accept_list_request(&coordinator);
+        assert_eq!(last_number, 1);
+        // Later calls wait in the queue of the coordinator.
+        thread::sleep(5 * SECOND / 2);
+        let announced = Instant::now();
+        announce_drain(&mut servers, list);
+        drop(request_loop);
+        assert_drain_respected(&set_up_times, announced, ms, "");
+    }
+}
+
 // Guards against connection attempts that hang for up to 2.2 s while no other one is started.
 #[test]
 fn a_drain_announced_while_connections_to_the_coordinator_hang_is_respected() {
--- a/crates/daemon/tests/front_node_owed_ends.rs
+++ b/crates/daemon/tests/front_node_owed_ends.rs
@@ -6,7 +6,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use node::scripted::{answer_set_up, request_for_cell, wait_for_message, ScriptedServers};
+use node::scripted::{
+    answer_set_up, read_until_silent, request_for_cell, serve_set_ups, wait_for_message, ScriptedServers,
+};
 use node::{Node, SECOND};
 use salttally_platform::wire::{cause, kind, Message};
 use salttally_standin::platform::Viewer;
@@ -22,16 +24,22 @@
     Unnoticed,
 }
 
+/// Requests session 1, which then plays at the first server; returns the server's connection.
+fn start_session(servers: &ScriptedServers, viewer: &mut Viewer) -> Viewer {
+    viewer.send(&request_for_cell(1, "clip", 0));
+    let mut connection = servers.accept(0);
+    wait_for_message(&mut connection, kind::SET_UP, 1);
+    answer_set_up(&connection, 1);
+    assert_eq!(viewer.next(SECOND).map(|message| message.kind), Some(kind::ANSWER));
+    connection
+}
+
 /// A front node with session 1 on the first of two connections to its media server, the second of which is in use.
 fn two_connections(name: &str) -> (ScriptedServers, Node, Viewer, Viewer, Viewer) {
     let mut servers = ScriptedServers::new(1);
     let node = servers.start_node(name, |_| {});
     let mut viewer = node.viewer();
-    viewer.send(&request_for_cell(1, "clip", 0));
-    let mut first = servers.accept(0);
-    wait_for_message(&mut first, kind::SET_UP, 1);
-    answer_set_up(&first, 1);
-    assert_eq!(viewer.next(SECOND).map(|message| message.kind), Some(kind::ANSWER));
+    let first = start_session(&servers, &mut viewer);
     // After 2 s of silence the front node checks the server on a new connection.
     let second = servers.accept(0);
     (servers, node, viewer, first, second)
@@ -66,38 +74,18 @@
 const MANY_SERVERS: usize = 12;
 const FEW_SOCKETS: usize = 44;
 
-/// Serves the connections to a media server as they come, until the test ends. It closes what the front node finishes, and is
-/// silent otherwise.
-fn serve(listener: TcpListener) {
-    listener.set_nonblocking(false).unwrap();
-    thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            thread::spawn(move || {
-                let mut connection = Viewer::from_stream(stream);
-                while let Some(message) = connection.next(60 * SECOND) {
-                    if message.kind == kind::SET_UP {
-                        answer_set_up(&connection, message.session);
-                    }
-                }
-            });
-        }
-    });
-}
-
 // Guards against a release that goes to a connection which was closed for room before its server had taken it.
 #[test]
 fn an_end_at_a_server_that_hangs_is_told_though_connections_are_scarce() {
     let mut servers = ScriptedServers::new(MANY_SERVERS);
-    (1..MANY_SERVERS).for_each(|at| serve(servers.listeners[at].try_clone().unwrap()));
+    for listener in &servers.listeners[1..] {
+        serve_set_ups(listener.try_clone().unwrap(), answer_set_up);
+    }
     let node = servers.start_node_with_sockets("owed-end-hang", FEW_SOCKETS, |config| {
         config["settings"]["policy_limits"]["conn_idle_ms"] = json!(1_500);
     });
     let mut viewer = node.viewer();
-    viewer.send(&request_for_cell(1, "clip", 0));
-    let mut first = servers.accept(0);
-    wait_for_message(&mut first, kind::SET_UP, 1);
-    answer_set_up(&first, 1);
-    assert_eq!(viewer.next(SECOND).map(|message| message.kind), Some(kind::ANSWER));
+    let mut first = start_session(&servers, &mut viewer);
     for at in 1..MANY_SERVERS {
         viewer.send(&request_for_cell(at as u64 + 1, "clip", at));
         assert_eq!(viewer.next(SECOND).map(|message| message.kind), Some(kind::ANSWER));
@@ -113,3 +101,24 @@
     wait_for_message(&mut viewer, kind::RELEASE, 1);
     waiting.truncate(1);
 }
+
+// Guards against the end of all sessions at a server that takes no further connection while one to it is open.
+#[test]
+fn a_server_that_refuses_further_connections_keeps_its_sessions() {
+    let mut servers = ScriptedServers::new(1);
+    let node = servers.start_node("owed-end-refused", |_| {});
+    let mut viewer = node.viewer();
+    let mut connection = start_session(&servers, &mut viewer);
+    // Health checks begin after 2 s of silence, and are refused from now on.
+    let address = servers.address(0);
+    servers.listeners.clear();
+    assert!(connection.closes(4 * SECOND), "a refused check finishes the idle connection");
+    // The server closes it too, and has room for the next one.
+    servers.listeners.push(TcpListener::bind(address).unwrap());
+    drop(connection);
+    let next = servers.accept(0);
+    let told = read_until_silent(&mut viewer, SECOND);
+    assert_eq!(told, [], "the session plays");
+    next.send(&Message::release(1, cause::NORMAL));
+    wait_for_message(&mut viewer, kind::RELEASE, 1);
+}
--- a/crates/daemon/tests/node/scripted.rs
+++ b/crates/daemon/tests/node/scripted.rs
@@ -235,6 +235,24 @@
     connection.send(&Message::new(kind::ANSWER, id).with(code::DESCRIPTION, "made by hand"));
 }
 
+/// Serves the connections to a media server as they come, until the test ends: passes each set-up to `on_set_up`, closes what
+/// the front node finishes, and is silent otherwise.
+pub fn serve_set_ups(listener: TcpListener, on_set_up: impl Fn(&Viewer, u64) + Clone + Send + 'static) {
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let on_set_up = on_set_up.clone();
+            thread::spawn(move || {
+                let mut connection = Viewer::from_stream(stream);
+                while let Some(message) = connection.next(60 * SECOND) {
+                    if message.kind == kind::SET_UP {
+                        on_set_up(&connection, message.session);
+                    }
+                }
+            });
+        }
+    });
+}
+
 /// Replaces the value of a parameter.
 pub fn with_parameter(mut message: Message, code: u8, value: impl Into<Vec<u8>>) -> Message {
     message.parameters.retain(|(other, _)| *other != code);
