Tests of replaced processes fail with their mends taken out, and share their steps

Change: they establish the connection between the resets before the second one and name the sessions told; start_session, shutdown_while_playing and late_in_shutdown stand once.

--- a/crates/daemon/tests/front_node_departed_clients.rs
+++ b/crates/daemon/tests/front_node_departed_clients.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use node::scripted::{
-    answer_set_up, request_for_cell, send_request_behind_tests, wait_for_message, ScriptedServers,
+    request_for_cell, send_request_behind_tests, start_session, wait_for_message, ScriptedServers,
 };
 use node::{read_answer, request_session, Node, CELLS, SECOND};
 use rustix::process::Signal;
@@ -205,11 +205,7 @@
     let node = servers
         .start_node("hung-end", |config| config["settings"]["policy_limits"]["conn_idle_ms"] = 900.into());
     let mut viewer = node.viewer();
-    viewer.send(&request_for_cell(1, "clip", 0));
-    let mut first = servers.accept(0);
-    wait_for_message(&mut first, kind::SET_UP, 1);
-    answer_set_up(&first, 1);
-    wait_for_message(&mut viewer, kind::ANSWER, 1);
+    let first = start_session(&servers, &mut viewer);
     // The server hangs: a request times out on the connection, which is not used any more afterwards.
     viewer.send(&request_for_cell(2, "clip", 0));
     wait_for_message(&mut viewer, kind::RELEASE, 2);
--- a/crates/daemon/tests/front_node_exit.rs
+++ b/crates/daemon/tests/front_node_exit.rs
@@ -49,6 +49,22 @@
     thread::sleep(at.saturating_duration_since(Instant::now()));
 }
 
+/// A shutdown that begins while session 1 plays: a connection that was used, that of the session, and when.
+fn shutdown_while_playing(node: &Node) -> (Viewer, Viewer, Instant) {
+    let other = active_viewer(node);
+    let mut viewer = node.viewer();
+    play(&mut viewer, 1);
+    (other, viewer, terminate(node))
+}
+
+/// The same shortly before the sessions are released, with a new connection and no session.
+fn late_in_shutdown(node: &Node) -> (Viewer, Viewer) {
+    let other = active_viewer(node);
+    let viewer = node.viewer();
+    sleep_until(terminate(node) + REQUEST_GRACE - 100 * MS);
+    (other, viewer)
+}
+
 /// Whether the end of a session is told on this connection before it closes. The client acknowledges it.
 fn is_told(viewer: &mut Viewer, id: u64) -> bool {
     let deadline = Instant::now() + EARLIEST_KILL;
@@ -73,10 +89,7 @@
 #[test]
 fn an_end_whose_client_has_disconnected_is_told_before_the_exit() {
     let (_servers, node) = start_node("exit-disconnected");
-    let mut other = active_viewer(&node);
-    let mut viewer = node.viewer();
-    let signalled = terminate(&node);
-    sleep_until(signalled + REQUEST_GRACE - 100 * MS);
+    let (mut other, mut viewer) = late_in_shutdown(&node);
     play(&mut viewer, 1);
     viewer.stream.shutdown(Shutdown::Both).unwrap();
     assert!(is_told(&mut other, 1));
@@ -87,10 +100,7 @@
 fn an_end_by_the_server_shortly_before_the_exit_is_told() {
     let mut servers = ScriptedServers::new(1);
     let node = servers.start_node("exit-server-end", |_| {});
-    let mut other = active_viewer(&node);
-    let mut viewer = node.viewer();
-    let signalled = terminate(&node);
-    sleep_until(signalled + REQUEST_GRACE - 100 * MS);
+    let (mut other, mut viewer) = late_in_shutdown(&node);
     viewer.send(&request_for_cell(1, "clip", 0));
     let mut server = servers.accept(0);
     wait_for_message(&mut server, kind::SET_UP, 1);
@@ -105,10 +115,7 @@
 #[test]
 fn a_release_that_is_lost_with_a_reset_during_the_shutdown_is_told_on_another_connection() {
     let (_servers, node) = start_node("exit-reset");
-    let mut other = active_viewer(&node);
-    let mut viewer = node.viewer();
-    play(&mut viewer, 1);
-    terminate(&node);
+    let (mut other, viewer, _) = shutdown_while_playing(&node);
     reset_when_sent(viewer);
     assert!(is_told(&mut other, 1));
 }
@@ -117,10 +124,7 @@
 #[test]
 fn a_release_on_a_silent_connection_is_told_on_another_one_before_the_exit() {
     let (_servers, node) = start_node("exit-silent");
-    let mut other = active_viewer(&node);
-    let mut viewer = node.viewer();
-    play(&mut viewer, 1);
-    terminate(&node);
+    let (mut other, viewer, _) = shutdown_while_playing(&node);
     assert!(is_told(&mut other, 1));
     drop(viewer);
 }
@@ -163,10 +167,7 @@
 #[test]
 fn a_second_signal_changes_nothing_of_what_is_owed() {
     let (_servers, mut node) = start_node("exit-signals");
-    let mut other = active_viewer(&node);
-    let mut viewer = node.viewer();
-    play(&mut viewer, 1);
-    let signalled = terminate(&node);
+    let (mut other, viewer, signalled) = shutdown_while_playing(&node);
     for _ in 0..5 {
         thread::sleep(150 * MS);
         node.signal(Signal::TERM);
--- a/crates/daemon/tests/front_node_owed_ends.rs
+++ b/crates/daemon/tests/front_node_owed_ends.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use node::scripted::{
-    answer_set_up, read_until_silent, request_for_cell, serve_set_ups, wait_for_message, ScriptedServers,
+    answer_set_up, read_until_silent, request_for_cell, serve_set_ups, start_session, wait_for_message,
+    ScriptedServers,
 };
 use node::{Node, SECOND};
 use salttally_platform::wire::{cause, code, kind, Message};
@@ -24,16 +25,6 @@
     Unnoticed,
 }
 
-/// Requests session 1, which then plays at the first server; returns the server's connection.
-fn start_session(servers: &ScriptedServers, viewer: &mut Viewer) -> Viewer {
-    viewer.send(&request_for_cell(1, "clip", 0));
-    let mut connection = servers.accept(0);
-    wait_for_message(&mut connection, kind::SET_UP, 1);
-    answer_set_up(&connection, 1);
-    assert_eq!(viewer.next(SECOND).map(|message| message.kind), Some(kind::ANSWER));
-    connection
-}
-
 /// A front node with session 1 on the first of two connections to its media server, the second of which is in use.
 fn two_connections(name: &str) -> (ScriptedServers, Node, Viewer, Viewer, Viewer) {
     let mut servers = ScriptedServers::new(1);
--- a/crates/daemon/tests/front_node_races.rs
+++ b/crates/daemon/tests/front_node_races.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 
 use node::scripted::{
-    answer_set_up, read_until_silent, refusing_address, request_for_cell, wait_for_message, with_parameter,
-    ScriptedServers,
+    answer_set_up, read_until_silent, refusing_address, request_for_cell, start_session, wait_for_message,
+    with_parameter, ScriptedServers,
 };
 use node::{request_session, wait_until, Node, CELLS, SECOND};
 use rustix::process::Signal;
@@ -272,11 +272,7 @@
         config["settings"]["policy_limits"]["conn_idle_ms"] = json!(3_000);
     });
     let mut viewer = node.viewer();
-    viewer.send(&request_for_cell(1, "clip", 0));
-    let mut connection = servers.accept(0);
-    wait_for_message(&mut connection, kind::SET_UP, 1);
-    answer_set_up(&connection, 1);
-    wait_for_message(&mut viewer, kind::ANSWER, 1);
+    let connection = start_session(&servers, &mut viewer);
     // The node closes it after a third of the media server's idle time.
     let mut byte = [0];
     connection.stream.set_read_timeout(Some(5 * SECOND)).unwrap();
--- a/crates/daemon/tests/front_node_readdressed.rs
+++ b/crates/daemon/tests/front_node_readdressed.rs
@@ -7,7 +7,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use node::scripted::{answer_set_up, read_until_silent, request_for_cell, wait_for_message, ScriptedServers};
+use node::scripted::{
+    answer_set_up, read_until_silent, request_for_cell, start_session, wait_for_message, ScriptedServers,
+};
 use node::{Node, SECOND};
 use salttally_platform::wire::{kind, Message};
 use salttally_standin::platform::Viewer;
@@ -21,11 +23,7 @@
     let mut servers = ScriptedServers::new(2);
     let node = servers.start_node(name, |_| {});
     let mut viewer = node.viewer();
-    viewer.send(&request_for_cell(1, "clip", 0));
-    let mut connection = servers.accept(0);
-    wait_for_message(&mut connection, kind::SET_UP, 1);
-    answer_set_up(&connection, 1);
-    wait_for_message(&mut viewer, kind::ANSWER, 1);
+    let connection = start_session(&servers, &mut viewer);
     (servers, node, viewer, connection)
 }
 
--- a/crates/daemon/tests/node/scripted.rs
+++ b/crates/daemon/tests/node/scripted.rs
@@ -272,6 +272,16 @@
     });
 }
 
+/// Requests session 1, which then plays at the first server; returns the server's connection.
+pub fn start_session(servers: &ScriptedServers, viewer: &mut Viewer) -> Viewer {
+    viewer.send(&request_for_cell(1, "clip", 0));
+    let mut connection = servers.accept(0);
+    wait_for_message(&mut connection, kind::SET_UP, 1);
+    answer_set_up(&connection, 1);
+    assert_eq!(viewer.next(SECOND).map(|message| message.kind), Some(kind::ANSWER));
+    connection
+}
+
 /// Serves the connections to a media server as they come: answers each set-up at once and acknowledges each release.
 pub fn serve_sessions(listener: TcpListener) {
     thread::spawn(move || {
--- a/crates/platform/src/core/tests/owed_ends.rs
+++ b/crates/platform/src/core/tests/owed_ends.rs
@@ -367,70 +367,61 @@
     network.assert_told("hanging servers");
 }
 
+/// Requests a session at the first server; returns the connection of its set-up.
+fn request_at_first(node: &mut TestNode<ScriptedDecider>, id: u64) -> ConnId {
+    node.core.decider.0.push_back(Action::SetUp(session_id(id), ServerId(0), SECOND));
+    let out = node.send_request(id, "clip");
+    let mut all = out.clone();
+    all.extend(node.establish(&out));
+    sent_set_up(&all).expect("set up").0
+}
+
+/// Sessions whose ends are told, and acknowledged, within this time, while servers take all connections.
+fn told_within(node: &mut TestNode<ScriptedDecider>, span: Micros) -> Vec<u64> {
+    let (until, mut told) = (node.now + span, Vec::new());
+    while let Some(due) = node.core.next_due().filter(|due| *due < until) {
+        node.now = node.now.max(due);
+        let out = node.handle(NodeEvent::Tick);
+        told.extend(sent_to_client(&out).filter(|m| m.kind == kind::RELEASE).map(|m| m.session));
+        node.acknowledge(&out);
+        node.establish(&out);
+    }
+    told
+}
+
 // Guards against a process that is taken for the old one because the resets of its connections are read one by one.
 #[test]
 fn ends_the_sessions_of_a_replaced_process_though_a_new_connection_is_up_between_the_resets() {
     let mut node = TestNode::with(ScriptedDecider::default());
-    let mut conns = BTreeSet::new();
-    for id in 1..=5 {
-        node.core.decider.0.push_back(Action::SetUp(session_id(id), ServerId(0), SECOND));
-        let out = node.send_request(id, "clip");
-        let mut all = out.clone();
-        all.extend(node.establish(&out));
-        conns.extend(sent_set_up(&all).map(|(conn, _)| conn));
-    }
+    let mut conns: Vec<ConnId> = (1..=5).map(|id| request_at_first(&mut node, id)).collect();
+    conns.dedup();
     assert_eq!(conns.len(), 2);
-    let conns: Vec<ConnId> = conns.into_iter().collect();
     for id in 1..=5 {
         let conn = node.core.sessions[&id].conn.unwrap();
         node.handle(NodeEvent::ServerMessage(conn, answer_message(id)));
     }
     node.now += SECOND;
-    let out = node.handle(NodeEvent::ServerReset(conns[0]));
+    node.handle(NodeEvent::ServerReset(conns[0]));
     node.now += 5_000;
+    let out = node.handle(NodeEvent::Tick);
     node.establish(&out);
+    assert_eq!(node.core.pool.connections_to(ServerId(0)).len(), 2, "one of them is new");
     node.now += 5_000;
     node.handle(NodeEvent::ServerReset(conns[1]));
-    let mut told = 0;
-    let ends_at = node.now + 8 * SECOND;
-    while let Some(due) = node.core.next_due().filter(|due| *due < ends_at) {
-        node.now = node.now.max(due);
-        let out = node.handle(NodeEvent::Tick);
-        told += sent_to_client(&out).filter(|message| message.kind == kind::RELEASE).count();
-        node.acknowledge(&out);
-        node.establish(&out);
-    }
-    assert_eq!(told, 5);
+    assert_eq!(told_within(&mut node, 8 * SECOND), [1, 2, 3, 4, 5]);
 }
 
 // Guards against sessions that are left out because they were set up between a reset and the death of the process.
 #[test]
 fn ends_the_sessions_of_a_replaced_process_that_were_set_up_after_an_earlier_reset() {
     let mut node = TestNode::with(ScriptedDecider::default());
-    let mut conns = Vec::new();
     for id in 1..=2 {
-        node.core.decider.0.push_back(Action::SetUp(session_id(id), ServerId(0), SECOND));
-        let out = node.send_request(id, "clip");
-        let mut all = out.clone();
-        all.extend(node.establish(&out));
-        conns.extend(sent_set_up(&all).map(|(conn, _)| conn));
-        node.handle(NodeEvent::ServerMessage(conns[conns.len() - 1], answer_message(id)));
+        let conn = request_at_first(&mut node, id);
+        node.handle(NodeEvent::ServerMessage(conn, answer_message(id)));
         node.now += SECOND / 10;
-        let out = node.handle(NodeEvent::ServerReset(conns[conns.len() - 1]));
+        let out = node.handle(NodeEvent::ServerReset(conn));
         node.establish(&out);
         node.now += SECOND / 2;
-        for conn in node.core.pool.connections_to(ServerId(0)).into_iter().filter(|_| id == 1) {
-            node.handle(NodeEvent::ServerClosed(conn));
-        }
-    }
-    let mut told = BTreeSet::new();
-    let ends_at = node.now + 7 * SECOND;
-    while let Some(due) = node.core.next_due().filter(|due| *due < ends_at) {
-        node.now = node.now.max(due);
-        let out = node.handle(NodeEvent::Tick);
-        told.extend(sent_to_client(&out).filter(|m| m.kind == kind::RELEASE).map(|m| m.session));
-        node.acknowledge(&out);
-        node.establish(&out);
     }
-    assert_eq!(told, BTreeSet::from([1, 2]));
+    assert_eq!(told_within(&mut node, 7 * SECOND), [1, 2]);
 }
