A session's end on the connection of an earlier attempt is told, and not taken for a late word

Callers saw: the client of a session that was retried at the same server was never told of its end, where the server sent the end on the connection of the first attempt. Cause: server_released took every release there for a late word on that attempt while the current connection seemed open, after it had been acknowledged. Evidence: an_end_on_the_connection_of_a_refused_attempt_is_told_within_a_second failed on (no release in 5 s). Change: by its cause only a refusal or a confirmed give-up can be a late word: no further attempt goes to a server at which one is in doubt, so an earlier attempt there is known to be over, and an end (cause 16 or 41) is that of the session which stands. It is released at the server too, in case it plays on after all.

--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -295,16 +295,18 @@
             return;
         };
         let is_current_conn = entry.conn == Some(conn);
-        // A late release of an earlier attempt, taken for one of the current attempt, would leave two
-        // attempts running, or end a playing session.
-        let has_current_conn =
-            entry.conn.is_some_and(|on| self.pool.exists(on) && !self.pool.is_finishing(on));
-        let is_late = !is_current_conn && entry.earlier_conns.contains(&conn) && has_current_conn;
-        if entry.session.current_attempt().is_none_or(|at| at.server != server) || is_late {
+        if entry.session.current_attempt().is_none_or(|at| at.server != server)
+            || self.is_late_word(entry, conn, message.cause())
+        {
             return;
         }
         let (report, cause) = (self.load_report(&message), message.cause());
         if entry.session.playing().is_some() {
+            if entry.earlier_conns.contains(&conn) {
+                // Released in case it is a late word on an earlier attempt after all, and the session plays on.
+                self.release_at(id, server, cause::NORMAL, out);
+            }
+            let Some(entry) = self.sessions.get(&id) else { return };
             let moving = entry.moving;
             let (outcome, client_cause) = interpret_end_cause(cause);
             if moving && client_cause.is_none() {
@@ -330,6 +332,18 @@
         self.attempt_ended(id, outcome, report);
     }
 
+    /// Whether a release on the connection of an earlier attempt is a late word on that attempt, while the current one
+    /// has a connection of its own. Taken for one on the current attempt, it would leave two attempts running. By its
+    /// cause it may be a refusal, or confirm a give-up. One that tells the end of a session is none: the earlier attempt
+    /// is known to be over, since no further attempt goes to a server at which one is in doubt.
+    fn is_late_word(&self, entry: &SessionEntry, conn: ConnId, cause: Option<u8>) -> bool {
+        let tells_end =
+            !matches!(cause, Some(cause::FULL | cause::ERROR | cause::NOT_SENT | cause::ON_PURPOSE));
+        let is_usable = |on| self.pool.exists(on) && !self.pool.is_finishing(on);
+        let is_of_earlier_attempt = entry.conn != Some(conn) && entry.earlier_conns.contains(&conn);
+        is_of_earlier_attempt && entry.conn.is_some_and(is_usable) && !tells_end
+    }
+
     // ---- Playing sessions ----
 
     /// Counts one more session at a media server, and schedules its health check.
