A server that ends each new connection at once is dialled after pauses that double

Cause: a release or a health check that was lost with a reset was sent again at once on a new connection, which was reset as soon as it was accepted, and so on. Change: dial_backoff keeps for each server the pause after connections that lived under 1 s: none after the first, then 0.1 s, doubled to 1 s, less up to a quarter by a seeded draw; releases, health checks and checks for owed ends wait for it, and a timer sends what waits. Set-ups are not held back.

--- a/crates/platform/src/core/events.rs
+++ b/crates/platform/src/core/events.rs
@@ -121,6 +121,8 @@
     WriteTimeout(ConnId),
     /// A probe times out.
     ProbeTimeout(u64),
+    /// A media server that ends its connections at once may be dialled again.
+    DialBackoff(ServerId),
     /// Check a media server that holds sessions.
     HealthCheck(ServerId),
     /// Check a media server that may owe ends of sessions.
--- a/crates/platform/src/core/list_updates.rs
+++ b/crates/platform/src/core/list_updates.rs
@@ -44,6 +44,7 @@
         for id in &removed {
             if let Some(address) = self.servers.remove(id) {
                 self.remember_sessions_at(*id, address);
+                self.dial_backoff.remove(*id);
             }
         }
         // A restarted server has lost the sessions of its previous process.
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -13,6 +13,7 @@
 //! - `client_notices`: ends and moves of sessions that clients are owed until they have received them.
 //! - `servers`: messages from servers about set-ups and playing sessions.
 //! - `in_doubt`: attempts that were given up and may still run at their servers.
+//! - `dial_backoff`: pauses between connections to servers that end them at once.
 //! - [`pool`]: connections to servers, each shared by many set-ups; what the end of a connection proves.
 //! - [`health`]: liveness checks of media servers that hold sessions.
 //! - `owed_ends`: ends of sessions that may have been lost with a connection to their server.
@@ -28,6 +29,7 @@
 mod attempts;
 mod client_notices;
 mod clients;
+mod dial_backoff;
 mod events;
 pub mod health;
 mod in_doubt;
@@ -56,6 +58,7 @@
 use admission::Admission;
 use client_notices::ClientNotices;
 use clients::PLATFORM_TICKET;
+use dial_backoff::DialBackoff;
 pub use events::{Command, NodeEvent, Timer};
 use health::{Health, Verdict};
 use list_watch::{ListWatch, Update};
@@ -200,6 +203,7 @@
     sessions: BTreeMap<u64, SessionEntry>,
     admission: Admission,
     pool: Pool,
+    dial_backoff: DialBackoff,
     health: Health,
     list_watch: ListWatch,
     /// Addresses of the listed servers.
@@ -254,6 +258,7 @@
             sessions: BTreeMap::new(),
             admission: Admission::new(sockets),
             pool,
+            dial_backoff: DialBackoff::new(now),
             health,
             list_watch,
             servers: BTreeMap::new(),
@@ -599,6 +604,7 @@
                     self.events.push_back(Event::Probed { server, outcome, report });
                 }
             }
+            Timer::DialBackoff(server) => self.dial_pause_ended(server, out),
             Timer::HealthCheck(server) => self.check_health(server, false, out),
             Timer::OwedEnds(server) => self.check_owed_ends(server, out),
             Timer::RestartProof(server) => self.end_unproven_sessions(server, out),
--- a/crates/platform/src/core/owed_ends.rs
+++ b/crates/platform/src/core/owed_ends.rs
@@ -136,6 +136,7 @@
                 self.pool.finish_if_idle(self.now, conn.id, out);
             }
             Some(_) => {}
+            None if !self.dial_backoff.allows(self.now, server) => {}
             None => {
                 if self.pool.dial_health_check(self.now, (server, address), &mut self.timers, out) {
                     owed.last_dial = Some(self.now);
--- a/crates/platform/src/core/pool.rs
+++ b/crates/platform/src/core/pool.rs
@@ -218,6 +218,11 @@
         self.connections.get(&conn).map(|conn| conn.server)
     }
 
+    /// When this connection was dialled.
+    pub fn dialed_at(&self, conn: ConnId) -> Option<Micros> {
+        self.connections.get(&conn).map(|conn| conn.dialed_at)
+    }
+
     /// The connections of these media servers, each with its server.
     pub fn connections_of(&self, servers: &BTreeSet<ServerId>) -> Vec<(ConnId, ServerId)> {
         let of_these = self.connections.iter().filter(|(_, conn)| servers.contains(&conn.server));
@@ -563,13 +568,15 @@
         self.finish_suspect(now, id, out);
     }
 
-    /// Whether a message to a media server can be sent without closing a connection on which a release may
-    /// lie unread.
-    pub fn has_room_to(&self, to: (ServerId, SocketAddr)) -> bool {
+    /// Whether a message to a media server can be sent without a new connection.
+    pub fn has_connection_to(&self, to: (ServerId, SocketAddr)) -> bool {
+        self.pick(to, usize::MAX, &[]).is_some()
+    }
+
+    /// Whether a connection can be opened without closing one on which a release may lie unread.
+    pub fn has_room(&self) -> bool {
         let mut finishing = self.connections.values().filter(|conn| conn.state == State::Finishing);
-        self.connections.len() < self.max_connections
-            || self.pick(to, usize::MAX, &[]).is_some()
-            || finishing.any(|conn| !conn.carries_release)
+        self.connections.len() < self.max_connections || finishing.any(|conn| !conn.carries_release)
     }
 
     /// Finishes the idle connections for which `applies` holds; returns whether there were any.
--- a/crates/platform/src/core/releases.rs
+++ b/crates/platform/src/core/releases.rs
@@ -123,9 +123,9 @@
         }
     }
 
-    /// A connection to a media server is established: resends the releases that were lost with other
+    /// A connection to a media server is established, or may be dialled: resends the releases that were lost with other
     /// connections.
-    pub(super) fn server_reached(&mut self, server: ServerId, out: &mut Vec<Command>) {
+    pub(super) fn resend_releases_to(&mut self, server: ServerId, out: &mut Vec<Command>) {
         let to_server = self.releases.server_releases.keys().filter(|(_, to)| *to == server);
         for key in to_server.copied().collect::<Vec<_>>() {
             self.resend_if_lost(key, out);
@@ -176,11 +176,14 @@
         self.resend_if_lost(key, out);
     }
 
-    /// Whether a release may be sent now. During the shutdown of a process that holds more servers than
+    /// Whether a release may be sent now: on an open connection, or on a new one unless the server has just ended one.
+    /// During the shutdown of a process that holds more servers than
     /// connections, each release would otherwise displace the connection of the one before it, which has not
     /// been read yet.
     fn may_send_release(&self, to: (ServerId, SocketAddr)) -> bool {
-        self.releasing_until.is_none() || self.pool.has_room_to(to)
+        let has_connection = self.pool.has_connection_to(to);
+        let may_dial = self.dial_backoff.allows(self.now, to.0);
+        has_connection || may_dial && (self.releasing_until.is_none() || self.pool.has_room())
     }
 
     fn resend_if_lost(&mut self, key: (u64, ServerId), out: &mut Vec<Command>) {
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -30,7 +30,7 @@
             Ok(()) => {
                 self.pool.established(self.now, conn, &mut self.timers, out);
                 self.health.mark_alive(self.now, server);
-                self.server_reached(server, out);
+                self.resend_releases_to(server, out);
             }
             Err(DialError::NotTried) => {
                 // This process has no room for the connection; that proves nothing about the media server.
@@ -65,6 +65,9 @@
     pub(super) fn connection_closed(&mut self, conn: ConnId, end: ConnectionEnd, out: &mut Vec<Command>) {
         let Some(server) = self.pool.server(conn) else { return };
         let was_finishing = self.pool.is_finishing(conn);
+        if !was_finishing {
+            self.pace_dials(server, conn, out);
+        }
         let ended = self.pool.remove(conn);
         if end == ConnectionEnd::Closed {
             self.owed_ends_arrived(server, conn, out);
@@ -360,7 +363,7 @@
             self.timers.set(at, Timer::HealthCheck(server));
         }
         self.check_silent_connections(server, out);
-        if !check.dial {
+        if !check.dial || !self.dial_backoff.allows(self.now, server) {
             return;
         }
         match self.servers.get(&server).copied() {
