The end of a moved session is told unless its client is known to have followed the move

Callers saw: a client whose connection was silent as it was told to move was never told, where the session came to its end at its server within 0.4 s. Cause: while a session moved, its end by the server, with the server or at the shutdown gave the client no cause, as if a move that was written had been heard; a move is sent again only when its connection ends. Change: end_session gets no cause only where the client is known to know, by cause 31 or its own release, and settles its notice then; any other end is told, and takes the place of the move.

--- a/crates/daemon/tests/front_node_unproven_ends.rs
+++ b/crates/daemon/tests/front_node_unproven_ends.rs
@@ -2,13 +2,31 @@
 
 mod node;
 
+use std::thread;
 use std::time::{Duration, Instant};
 
-use node::scripted::{answer_set_up, request_for_cell, wait_for_message, ScriptedServers};
+use node::scripted::{answer_set_up, request_for_cell, wait_for_message, with_parameter, ScriptedServers};
 use node::{Node, SECOND};
-use salttally_platform::wire::{cause, kind, Message};
+use salttally_platform::wire::{cause, code, kind, Message};
 use salttally_standin::platform::Viewer;
 
+const MS: Duration = Duration::from_millis(1);
+
+/// A request for a title that the first two cells hold, by this viewer, for a long session.
+fn long_request(id: u64, viewer: u64) -> Message {
+    let fields = format!("home:0;copies:2;top:1;viewer:{viewer:016x}");
+    let request = with_parameter(Viewer::request(id, "clip", 2), code::REQUEST_FIELDS, fields);
+    with_parameter(request, code::LENGTH_HINT_MS, "60000")
+}
+
+/// A connection that the front node uses for what it has to tell.
+fn active_viewer(node: &Node) -> Viewer {
+    let mut viewer = node.viewer();
+    viewer.send(&Message::new(kind::TEST, 7).with(code::CAUSE, [0]));
+    wait_for_message(&mut viewer, kind::TEST_RESULT, 7);
+    viewer
+}
+
 fn assert_told(viewer: &mut Viewer, id: u64, within: Duration) {
     let since = Instant::now();
     wait_for_message(viewer, kind::RELEASE, id);
@@ -41,3 +59,36 @@
         assert_told(&mut viewer, 1, SECOND);
     }
 }
+
+/// Session 1 was told to move on the first client connection, which is silent; the others are an open one and that of its
+/// server.
+fn moved_session(name: &str) -> (ScriptedServers, Node, Viewer, Viewer, Viewer) {
+    let mut servers = ScriptedServers::new(2);
+    let node = servers.start_node(name, |_| {});
+    let mut silent = node.viewer();
+    silent.send(&long_request(1, 1));
+    let (at, mut server) = loop {
+        let accepted = (0..2).find_map(|at| Some((at, servers.pending_connections(at).pop()?)));
+        if let Some(accepted) = accepted {
+            break accepted;
+        }
+        thread::sleep(MS);
+    };
+    wait_for_message(&mut server, kind::SET_UP, 1);
+    answer_set_up(&server, 1);
+    wait_for_message(&mut silent, kind::ANSWER, 1);
+    // Its server is overloaded when another session comes to it.
+    server.send(&Message::new(kind::NOTE, 1).with(code::NOTE_KIND, "port").with(code::NOTE_VALUE, "1.3"));
+    let other = active_viewer(&node);
+    other.send(&request_for_cell(2, "clip", at));
+    wait_for_message(&mut silent, kind::MOVE, 1);
+    (servers, node, silent, other, server)
+}
+
+// Guards against a move that is forgotten on a silent connection because its session has come to its end.
+#[test]
+fn the_end_of_a_moved_session_is_told_though_its_move_was_not_heard() {
+    let (_servers, _node, _silent, mut other, server) = moved_session("moved-then-ended");
+    server.send(&Message::release(1, cause::NORMAL));
+    assert_told(&mut other, 1, SECOND);
+}
--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -341,7 +341,8 @@
 
     // ---- Ends of playing sessions ----
 
-    /// Ends a playing session; its client is sent a release with this cause, if there is one.
+    /// Ends a playing session; its client is sent a release with this cause. Without a cause the client knows of the end,
+    /// since it has ended the session itself, or followed a move; that it was sent a move proves nothing.
     pub(super) fn end_session(
         &mut self,
         id: u64,
@@ -356,11 +357,14 @@
         let client = entry.session.client.map(|(client, _)| client);
         let was_told_of_start = entry.answer_sent;
         self.drop_session(id);
-        if let Some(cause) = cause.filter(|_| was_told_of_start) {
-            let end = Message::release(id, cause);
-            if client.is_some() || !self.keep_end_for_second_copy(&end) {
-                self.notify_client(client, end, out);
+        match cause.filter(|_| was_told_of_start) {
+            Some(cause) => {
+                let end = Message::release(id, cause);
+                if client.is_some() || !self.keep_end_for_second_copy(&end) {
+                    self.notify_client(client, end, out);
+                }
             }
+            None => self.drop_client_notices(id),
         }
         self.health.session_ended(server);
         if !self.health.holds_sessions(server) {
@@ -378,9 +382,8 @@
         if entry.session.answer_pending() {
             self.fail(id, out);
         } else if entry.session.playing().is_some() && (is_due || !entry.moving) {
-            let client_cause = Some(cause::BROKEN).filter(|_| !entry.moving);
             self.release_at_server(id, cause::BROKEN, out);
-            self.end_session(id, Outcome::Withdrawn, Vec::new(), client_cause, out);
+            self.end_session(id, Outcome::Withdrawn, Vec::new(), Some(cause::BROKEN), out);
         }
     }
 
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -309,14 +309,8 @@
                 // Released in case it is a late word on an earlier attempt after all, and the session plays on.
                 self.release_at(id, server, cause::NORMAL, out);
             }
-            let Some(entry) = self.sessions.get(&id) else { return };
-            let moving = entry.moving;
             let (outcome, client_cause) = interpret_end_cause(cause);
-            if moving && client_cause.is_none() {
-                // The client has ended the session, so it has received the move.
-                self.drop_client_notices(id);
-            }
-            return self.end_session(id, outcome, report, client_cause.filter(|_| !moving), out);
+            return self.end_session(id, outcome, report, client_cause, out);
         }
         if !is_current_conn {
             let is_only_attempt = entry.earlier_conns.is_empty() && entry.in_doubt.is_empty();
@@ -412,8 +406,7 @@
         }
         for id in lost.into_values().flatten() {
             self.counts.lost += 1;
-            let moving = self.sessions.get(&id).is_some_and(|entry| entry.moving);
-            self.end_session(id, Outcome::Broken, Vec::new(), Some(cause::BROKEN).filter(|_| !moving), out);
+            self.end_session(id, Outcome::Broken, Vec::new(), Some(cause::BROKEN), out);
         }
     }
 
--- a/crates/platform/src/core/tests/releases.rs
+++ b/crates/platform/src/core/tests/releases.rs
@@ -144,6 +144,16 @@
     assert_eq!(notices(&out), [&Message::release(1, cause::BROKEN)]);
 }
 
+// Guards against a move that is taken for heard because its session is lost with its server.
+#[test]
+fn tells_the_end_of_a_moved_session_that_is_lost_with_its_server() {
+    let (mut node, _) = moved_session();
+    let mut gone = listed(0);
+    gone.entry.state = ServerState::Removed;
+    let out = node.list_frame(1, 6, Payload::Changes(vec![gone]));
+    assert_eq!(notices(&out), [&Message::release(1, cause::BROKEN)]);
+}
+
 #[test]
 fn does_not_resend_a_move_that_its_client_has_followed() {
     let (mut node, conn) = moved_session();
