Another request of a moved viewer does not strike off its move

Callers saw: a client on a silent connection was never told to move, nor of the end that the front node made 0.4 s later, where another request of the same viewer came between, or where another session of it was moved. Cause: accept_request took any request of the viewer for proof that it had heard the move, and moves were remembered by viewer, the last one alone. Change: the client has followed its move if the server says so (31), or if it says again:1 and was sent one move alone; else it is told at the time limit. A second copy that is answered as failed while its session moves is told nothing after its answer.

--- a/crates/daemon/tests/front_node_unproven_ends.rs
+++ b/crates/daemon/tests/front_node_unproven_ends.rs
@@ -79,9 +79,12 @@
     wait_for_message(&mut silent, kind::ANSWER, 1);
     // Its server is overloaded when another session comes to it.
     server.send(&Message::new(kind::NOTE, 1).with(code::NOTE_KIND, "port").with(code::NOTE_VALUE, "1.3"));
-    let other = active_viewer(&node);
+    let mut other = active_viewer(&node);
     other.send(&request_for_cell(2, "clip", at));
     wait_for_message(&mut silent, kind::MOVE, 1);
+    wait_for_message(&mut server, kind::SET_UP, 2);
+    answer_set_up(&server, 2);
+    wait_for_message(&mut other, kind::ANSWER, 2);
     (servers, node, silent, other, server)
 }
 
@@ -92,3 +95,12 @@
     server.send(&Message::release(1, cause::NORMAL));
     assert_told(&mut other, 1, SECOND);
 }
+
+// Guards against a move that is taken for heard because its viewer sends something else.
+#[test]
+fn the_end_of_a_moved_session_is_told_though_its_viewer_asks_for_another_one() {
+    let (_servers, _node, _silent, mut other, mut server) = moved_session("moved-then-another");
+    other.send(&long_request(3, 1));
+    wait_for_message(&mut server, kind::RELEASE, 1);
+    assert_told(&mut other, 1, SECOND);
+}
--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -118,14 +118,10 @@
         out: &mut Vec<Command>,
     ) {
         let id = message.session;
-        let moved = self.forget_moved_client(open_request.viewer);
-        if let Some(moved) = &moved {
-            self.drop_client_notices(moved.session);
-        }
+        let has_moved = self.moved_client_returned(&open_request);
         self.counts.taken += 1;
         let earlier_attempts = self.past_requests.attempts(id);
-        let request =
-            Request { earlier_attempts, ..open_request.to_request(&session_id(id), moved.is_some()) };
+        let request = Request { earlier_attempts, ..open_request.to_request(&session_id(id), has_moved) };
         let session = self.new_session(client, open_request);
         if session.effect == Effect::Once && self.past_requests.is_full() {
             self.counts.refused += 1;
@@ -147,11 +143,31 @@
         self.inherit_past_request(id);
     }
 
-    /// A moved client has come back, or is not expected any more.
-    pub(super) fn forget_moved_client(&mut self, viewer: ViewerId) -> Option<MovedClient> {
-        let moved = self.moved_clients.remove(&viewer)?;
-        self.timers.cancel(moved.expected_until, Timer::MovedClientExpiry(viewer));
-        Some(moved)
+    /// A request has arrived; returns whether it is from a moved client. One that says that its client comes again proves
+    /// that the client has heard its move, if it was sent one alone; any other may be for another session.
+    fn moved_client_returned(&mut self, open_request: &OpenRequest) -> bool {
+        let viewer = open_request.viewer;
+        let has_moved = self.forget_moved_client(viewer);
+        if has_moved && open_request.returned {
+            let is_moving =
+                |entry: &SessionEntry| entry.moving && entry.session.open_request.viewer == viewer;
+            let mut moving = self.sessions.iter_mut().filter(|(_, entry)| is_moving(entry));
+            if let (Some((id, entry)), None) = (moving.next(), moving.next()) {
+                entry.has_followed_move = true;
+                let id = *id;
+                self.drop_client_notices(id);
+            }
+        }
+        has_moved
+    }
+
+    /// A moved client has come back, or is not expected any more; returns whether it was.
+    pub(super) fn forget_moved_client(&mut self, viewer: ViewerId) -> bool {
+        let expected_until = self.moved_clients.remove(&viewer);
+        if let Some(expected_until) = expected_until {
+            self.timers.cancel(expected_until, Timer::MovedClientExpiry(viewer));
+        }
+        expected_until.is_some()
     }
 
     fn new_session(&self, client: ClientId, open_request: OpenRequest) -> Session {
@@ -355,9 +371,9 @@
         let Some(playing) = entry.session.playing() else { return };
         let (server, attempt) = (playing.attempt.server, playing.attempt.number);
         let client = entry.session.client.map(|(client, _)| client);
-        let was_told_of_start = entry.answer_sent;
+        let owes_end = entry.answer_sent && !entry.has_followed_move;
         self.drop_session(id);
-        match cause.filter(|_| was_told_of_start) {
+        match cause.filter(|_| owes_end) {
             Some(cause) => {
                 let end = Message::release(id, cause);
                 if client.is_some() || !self.keep_end_for_second_copy(&end) {
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -87,6 +87,8 @@
     pub playing_since: Micros,
     /// The client was told to move to another media server.
     pub moving: bool,
+    /// It has come again since: it knows that the session is over.
+    pub has_followed_move: bool,
     /// What the request asks for.
     pub digest: RequestDigest,
     /// Until when a second copy of the request can arrive.
@@ -112,6 +114,7 @@
             in_doubt,
             playing_since,
             moving: false,
+            has_followed_move: false,
             digest: RequestDigest::default(),
             resend_until: 0,
             kept_answer: None,
@@ -127,15 +130,6 @@
     }
 }
 
-/// A client that was told to come again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct MovedClient {
-    /// The session that it is to end.
-    session: u64,
-    /// Until when it is expected back.
-    expected_until: Micros,
-}
-
 /// Counters of a front node since its start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -208,8 +202,8 @@
     list_watch: ListWatch,
     /// Addresses of the listed servers.
     servers: BTreeMap<ServerId, SocketAddr>,
-    /// Clients that this node moved and that have not come back.
-    moved_clients: BTreeMap<ViewerId, MovedClient>,
+    /// Clients that this node moved and that have not come back, each with the time until which it is expected.
+    moved_clients: BTreeMap<ViewerId, Micros>,
     /// Probes without a result yet, by number: the server, and the connection on which the probe was sent.
     probes: BTreeMap<u64, (ServerId, ConnId)>,
     last_probe_id: u64,
@@ -543,9 +537,8 @@
         let (client, viewer) =
             (entry.session.client.map(|(client, _)| client), entry.session.open_request.viewer);
         let until = self.now + MOVED_CLIENT_RETENTION;
-        let moved = MovedClient { session: id, expected_until: until };
-        if let Some(previous) = self.moved_clients.insert(viewer, moved) {
-            self.timers.cancel(previous.expected_until, Timer::MovedClientExpiry(viewer));
+        if let Some(previous) = self.moved_clients.insert(viewer, until) {
+            self.timers.cancel(previous, Timer::MovedClientExpiry(viewer));
         }
         self.timers.set(until, Timer::MovedClientExpiry(viewer));
         self.timers.set(self.now + MOVE_TIMEOUT, Timer::MoveTimeout(id));
--- a/crates/platform/src/core/resends.rs
+++ b/crates/platform/src/core/resends.rs
@@ -207,9 +207,12 @@
         let text = format!("request {id:016x}: its second copy takes it over");
         out.push(Command::Log(Level::Info, text));
         if entry.moving {
-            // The client would be told to come again at once; the session ends at its server as it is.
+            // The client would be told to come again at once; the session ends at its server as it is. The answer tells
+            // the client that it is over.
+            entry.answer_sent = false;
             let viewer = entry.session.open_request.viewer;
             self.forget_moved_client(viewer);
+            self.drop_client_notices(id);
             return out.push(Command::SendToClient(client, Message::release(id, FAILED_CAUSE)));
         }
         entry.session.client = Some((client, PLATFORM_TICKET));
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -421,17 +421,15 @@
     }
 
     /// Releases a moved session that its media server has not ended. Its client has not ended it, so the move may
-    /// be lost; unless the client has come back, it is told of the end.
+    /// be lost; unless the client has come again, it is told of the end.
     pub(super) fn move_timed_out(&mut self, id: u64, out: &mut Vec<Command>) {
-        if let Some(entry) = self.sessions.get(&id).filter(|entry| entry.moving) {
-            let moved = self.moved_clients.get(&entry.session.open_request.viewer);
-            let client_cause = moved.filter(|moved| moved.session == id).map(|_| cause::BROKEN);
+        if self.sessions.get(&id).is_some_and(|entry| entry.moving) {
             out.push(Command::Log(
                 Level::Debug,
                 format!("session {id:016x} still plays after its move, releasing it"),
             ));
             self.release_at_server(id, cause::ON_PURPOSE, out);
-            self.end_session(id, Outcome::Withdrawn, Vec::new(), client_cause, out);
+            self.end_session(id, Outcome::Withdrawn, Vec::new(), Some(cause::BROKEN), out);
         }
     }
 }
--- a/crates/platform/src/core/tests/releases.rs
+++ b/crates/platform/src/core/tests/releases.rs
@@ -160,15 +160,34 @@
     node.handle(NodeEvent::ServerMessage(conn, Message::release(1, cause::ON_PURPOSE)));
     assert_eq!(notices(&node.handle(NodeEvent::ClientClosed(ClientId(1)))), Vec::<&Message>::new());
     let (mut node, _) = moved_session();
-    let again = request_message(2, "clip", ";again:1");
-    let viewer = request_message(1, "clip", ";again:1");
-    let parameters = viewer.parameters;
-    node.handle(NodeEvent::ClientMessage(ClientId(1), Message { parameters, ..again }));
+    node.handle(request_of_first_viewer(2, ";again:1"));
     let mut out = node.handle(NodeEvent::ClientClosed(ClientId(1)));
     out.extend(node.advance(SECOND));
     assert_eq!(notices(&out), Vec::<&Message>::new());
 }
 
+/// A request of the viewer of session 1.
+fn request_of_first_viewer(id: u64, more: &str) -> NodeEvent {
+    let parameters = request_message(1, "clip", more).parameters;
+    NodeEvent::ClientMessage(ClientId(1), Message { parameters, ..Message::new(kind::SET_UP, id) })
+}
+
+// Guards against the move of one session that is forgotten for that of another one of the same viewer.
+#[test]
+fn tells_the_ends_of_two_moved_sessions_of_one_viewer_though_it_comes_again() {
+    let (mut node, conn) = moved_session();
+    node.core.decider.0.push_back(Action::SetUp(session_id(2), ServerId(0), SECOND));
+    node.handle(request_of_first_viewer(2, ""));
+    node.handle(NodeEvent::ServerMessage(conn, answer_message(2)));
+    node.core.decider.0.push_back(Action::Move(session_id(2)));
+    let note = Message::new(kind::NOTE, 2).with(code::NOTE_KIND, "port").with(code::NOTE_VALUE, "1");
+    node.handle(NodeEvent::ServerMessage(conn, note));
+    node.handle(request_of_first_viewer(3, ";again:1"));
+    let out = node.advance(SECOND / 2);
+    let told = sent_to_client(&out).filter(|message| message.kind == kind::RELEASE);
+    assert_eq!(told.map(|message| message.session).collect::<Vec<_>>(), [1, 2]);
+}
+
 /// A set-up that was written to server 0, and the connection on which it was.
 fn written_at_first_server(class: &str) -> (TestNode<ScriptedDecider>, ConnId) {
     let mut node = TestNode::with(ScriptedDecider::default());
