Connections of playing sessions are kept while half messages can give way

Callers saw: beside 400 clients with a whole and half a message each, the connections of clients whose sessions played were closed for room, and a shutdown found none on which it could tell any end. Cause: a half message younger than READ_TIME may not be closed, and make_room then took the next use, which was the playing one. Evidence: clients_of_playing_sessions_keep_their_connections_beside_a_crowd_and_are_told_the_ends failed on (session 1 not told in 5 s).

--- a/crates/daemon/tests/front_node_crowds.rs
+++ b/crates/daemon/tests/front_node_crowds.rs
@@ -9,7 +9,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use node::scripted::{request_for_cell, serve_sessions, ScriptedServers};
+use node::scripted::{request_for_cell, serve_sessions, wait_for_message, ScriptedServers};
 use node::{Node, SECOND};
 use rustix::process::Signal;
 use salttally_platform::wire::{code, kind, Message};
@@ -110,3 +110,20 @@
     thread::sleep(300 * MS);
     assert!(is_served(&node, 100));
 }
+
+// Guards against clients that cannot be told the ends of their sessions because their connections give way to half requests.
+#[test]
+fn clients_of_playing_sessions_keep_their_connections_beside_a_crowd_and_are_told_the_ends() {
+    let (_servers, node) = start_node("crowd-playing");
+    let mut viewers: Vec<(u64, Viewer)> = (1..5).map(|id| (id, node.viewer())).collect();
+    for (id, viewer) in &mut viewers {
+        viewer.send(&request_for_cell(*id, "clip", 0));
+        wait_for_message(viewer, kind::ANSWER, *id);
+    }
+    let _crowd = Crowd::start(&node);
+    thread::sleep(SECOND);
+    node.signal(Signal::TERM);
+    for (id, viewer) in &mut viewers {
+        wait_for_message(viewer, kind::RELEASE, *id);
+    }
+}
--- a/crates/platform/src/core/admission.rs
+++ b/crates/platform/src/core/admission.rs
@@ -3,8 +3,9 @@
 //! open request nor a playing session belongs to it.
 //!
 //! To make room, connections are closed that have never sent a message or stopped within one, whatever they sent
-//! before; only when no place is left at all, also those that are idle, and last those to which nothing but playing
-//! sessions belong. None is closed before what it sends at first can have been read.
+//! before; only when no place is left at all, also those that are idle. None is closed before what it sends at first can
+//! have been read. Those to which playing sessions belong are kept while there is any other, even one that cannot be
+//! closed yet: their clients have to be told the ends of the sessions.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -60,16 +61,15 @@
         self.open_requests.is_empty() && self.playing_sessions.is_empty()
     }
 
-    /// Its use, and since when, if it may be closed to make room.
-    fn closable(&self, now: Micros) -> Option<(Use, Micros)> {
-        let (use_of, since) = match (self.last_message, self.partial_since) {
-            _ if !self.open_requests.is_empty() => return None,
-            (Some(at), _) if !self.playing_sessions.is_empty() => (Use::Playing, at),
-            (None, _) => (Use::Silent, self.connected_at),
-            (Some(_), Some(since)) => (Use::Stopped, since),
-            (Some(at), None) => (Use::Idle, at),
-        };
-        (since + READ_TIME <= now).then_some((use_of, since))
+    /// Its use, and since when, unless a request is open on it.
+    fn use_since(&self) -> Option<(Use, Micros)> {
+        match (self.last_message, self.partial_since) {
+            _ if !self.open_requests.is_empty() => None,
+            (Some(at), _) if !self.playing_sessions.is_empty() => Some((Use::Playing, at)),
+            (None, _) => Some((Use::Silent, self.connected_at)),
+            (Some(_), Some(since)) => Some((Use::Stopped, since)),
+            (Some(at), None) => Some((Use::Idle, at)),
+        }
     }
 
     /// How likely its client reads what is sent on it, if it has sent a message.
@@ -154,8 +154,15 @@
         if count == 0 {
             return Vec::new();
         }
-        let closable = self.connections.iter().filter_map(|(id, c)| Some((c.closable(now)?, *id)));
-        let mut closable: Vec<_> = closable.filter(|((use_of, _), _)| *use_of <= up_to).collect();
+        let in_use =
+            self.connections.iter().filter_map(|(id, connection)| Some((connection.use_since()?, *id)));
+        let others: Vec<_> = in_use.filter(|((use_of, _), _)| *use_of <= up_to).collect();
+        // Those to which sessions belong are kept while there are others, which can be closed within `READ_TIME`.
+        let is_any_other = others.iter().any(|((use_of, _), _)| *use_of < Use::Playing);
+        let is_closable = |((use_of, since), _): &((Use, Micros), ClientId)| {
+            since + READ_TIME <= now && !(is_any_other && *use_of == Use::Playing)
+        };
+        let mut closable: Vec<_> = others.into_iter().filter(is_closable).collect();
         closable.sort_unstable();
         closable.into_iter().take(count).map(|(_, id)| id).collect()
     }
