A handed-over session that its server does not hold is ended, and its client told

Callers saw: a session handed over with at=, which its server, alive and listed, does not hold, stood for ever; its client was never told. Cause: no line asks whether the server holds what was handed over, and the protocol has no question for it but a release. Change: a server sends notes on what it holds, on one session of each front node at an interval of the settings. If none comes for two intervals, 7 s at most, on a connection that was open for a whole one, the handed-over sessions there are ended, told, and released in case.

--- a/crates/daemon/tests/front_node_unproven_ends.rs
+++ b/crates/daemon/tests/front_node_unproven_ends.rs
@@ -5,7 +5,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use node::scripted::{answer_set_up, request_for_cell, wait_for_message, with_parameter, ScriptedServers};
+use node::scripted::{
+    answer_set_up, request_for_cell, serve_set_ups, wait_for_message, with_parameter, ScriptedServers,
+};
 use node::{Node, SECOND};
 use salttally_platform::wire::{cause, code, kind, Message};
 use salttally_standin::platform::Viewer;
@@ -104,3 +106,38 @@
     wait_for_message(&mut server, kind::RELEASE, 1);
     assert_told(&mut other, 1, SECOND);
 }
+
+// Guards against a session that is held for ever because its server does not know it.
+#[test]
+fn the_end_of_a_session_that_its_server_does_not_hold_is_told_after_the_hand_over() {
+    let mut servers = ScriptedServers::new(1);
+    serve_set_ups(servers.listeners[0].try_clone().unwrap(), answer_set_up);
+    let node = servers.start_node("not-held", |_| {});
+    let mut viewer = node.viewer();
+    let fields = "home:0;copies:1;top:1;viewer:0000000000000005;at:s-00000001";
+    viewer.send(&with_parameter(Viewer::request(5, "clip", 1), code::REQUEST_FIELDS, fields));
+    // A hand-over counts 0.2 s later.
+    let deadline = Instant::now() + 8_250 * MS;
+    while viewer.next(MS * 100).is_none() {
+        assert!(Instant::now() < deadline, "not told");
+    }
+}
+
+// Guards against the end of a handed-over session that its server holds.
+#[test]
+fn a_handed_over_session_with_notes_from_its_server_plays_on() {
+    let mut servers = ScriptedServers::new(1);
+    let node = servers.start_node("held", |_| {});
+    let mut viewer = node.viewer();
+    let fields = "home:0;copies:1;top:1;viewer:0000000000000005;at:s-00000001";
+    viewer.send(&with_parameter(Viewer::request(5, "clip", 1), code::REQUEST_FIELDS, fields));
+    let mut connections = vec![servers.accept(0)];
+    let since = Instant::now();
+    while since.elapsed() < 9 * SECOND {
+        let note = Message::new(kind::NOTE, 5).with(code::NOTE_KIND, "port").with(code::NOTE_VALUE, "0.5");
+        connections.last().unwrap().send(&note);
+        // `reports_every_ms` of the settings.
+        assert_eq!(viewer.next(3 * SECOND), None);
+        connections.extend(servers.pending_connections(0));
+    }
+}
--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -249,6 +249,7 @@
         let entry = SessionEntry {
             resend_until: self.now + self.resend_window,
             answer_sent: true,
+            was_handed_over: true,
             ..SessionEntry::new(session, self.now)
         };
         if let Some((_, end)) = early_end {
@@ -264,6 +265,7 @@
         self.admission.session_started(client, id);
         self.events.push_back(Event::Resumed(request, at));
         self.watch_health(at);
+        self.expect_note(at);
         let disconnected = !self.pool.is_up(at);
         self.check_health(at, disconnected, out);
         if !disconnected {
--- a/crates/platform/src/core/events.rs
+++ b/crates/platform/src/core/events.rs
@@ -129,6 +129,8 @@
     OwedEnds(ServerId),
     /// Check whether a media server has sent something on its sessions since its last connection was reset.
     RestartProof(ServerId),
+    /// Check whether a media server has sent a note since sessions there were handed over.
+    HandOverCheck(ServerId),
     /// Check whether a media server has closed the connections that were finished.
     StalledFinish(ServerId),
     /// Check whether a client has acknowledged what it was told about this session.
--- a/crates/platform/src/core/list_updates.rs
+++ b/crates/platform/src/core/list_updates.rs
@@ -45,6 +45,7 @@
             if let Some(address) = self.servers.remove(id) {
                 self.remember_sessions_at(*id, address);
                 self.dial_backoff.remove(*id);
+                self.stop_expecting_note(*id);
             }
         }
         // A restarted server has lost the sessions of its previous process.
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -12,6 +12,7 @@
 //! - `clients`: requests, give-ups and session ends from clients; the single answer to each request.
 //! - `client_notices`: ends and moves of sessions that clients are owed until they have received them.
 //! - `servers`: messages from servers about set-ups and playing sessions.
+//! - `hand_overs`: sessions that were handed over and that their servers may not hold.
 //! - `in_doubt`: attempts that were given up and may still run at their servers.
 //! - `dial_backoff`: pauses between connections to servers that end them at once.
 //! - [`pool`]: connections to servers, each shared by many set-ups; what the end of a connection proves.
@@ -31,6 +32,7 @@
 mod clients;
 mod dial_backoff;
 mod events;
+mod hand_overs;
 pub mod health;
 mod in_doubt;
 mod list_updates;
@@ -60,6 +62,7 @@
 use clients::PLATFORM_TICKET;
 use dial_backoff::DialBackoff;
 pub use events::{Command, NodeEvent, Timer};
+use hand_overs::HandOvers;
 use health::{Health, Verdict};
 use list_watch::{ListWatch, Update};
 use owed_ends::{Loss, OwedEndsByServer};
@@ -85,6 +88,8 @@
     pub in_doubt: Vec<(ServerId, ConnId)>,
     /// When the session began to play.
     pub playing_since: Micros,
+    /// Its client has handed it over after a start of this node.
+    pub was_handed_over: bool,
     /// The client was told to move to another media server.
     pub moving: bool,
     /// It has come again since: it knows that the session is over.
@@ -113,6 +118,7 @@
             earlier_conns,
             in_doubt,
             playing_since,
+            was_handed_over: false,
             moving: false,
             has_followed_move: false,
             digest: RequestDigest::default(),
@@ -124,6 +130,11 @@
         }
     }
 
+    /// Whether its session plays at this server.
+    fn plays_at(&self, server: ServerId) -> bool {
+        self.session.playing().is_some_and(|playing| playing.attempt.server == server)
+    }
+
     /// Whether the request is open without a client, whose second copy may still come.
     fn awaits_second_copy(&self) -> bool {
         self.session.client.is_none() && self.session.answer_pending()
@@ -220,6 +231,7 @@
     early_ends: BTreeMap<u64, (ServerId, Message)>,
     owed_ends: OwedEndsByServer,
     restarts: Restarts,
+    hand_overs: HandOvers,
     /// Requests that are over and of which a second copy can still arrive.
     past_requests: PastRequests,
     /// How long after a request a second copy of it can arrive.
@@ -268,6 +280,7 @@
             early_ends: BTreeMap::new(),
             owed_ends: OwedEndsByServer::default(),
             restarts: Restarts::default(),
+            hand_overs: HandOvers::default(),
             past_requests: PastRequests::default(),
             resend_window,
             shutdown_since: None,
@@ -601,6 +614,7 @@
             Timer::HealthCheck(server) => self.check_health(server, false, out),
             Timer::OwedEnds(server) => self.check_owed_ends(server, out),
             Timer::RestartProof(server) => self.end_unproven_sessions(server, out),
+            Timer::HandOverCheck(server) => self.check_hand_overs(server, out),
             Timer::StalledFinish(server) => self.check_stalled_finish(server, out),
             Timer::ClientNotice(id) => self.check_notice(id, out),
             Timer::ClientIdle(client) => self.client_idle(client, out),
--- a/crates/platform/src/core/pool.rs
+++ b/crates/platform/src/core/pool.rs
@@ -165,6 +165,8 @@
     room_counts: RoomCounts,
     /// Servers that hold sessions.
     holders: BTreeSet<ServerId>,
+    /// Servers that are expected to send a note, for which a connection is kept open.
+    awaiting_note: BTreeSet<ServerId>,
     /// Servers of the connections that were closed for lack of room since the last call of `take_evicted`.
     evicted: Vec<ServerId>,
     max_streams: usize,
@@ -183,6 +185,7 @@
             dials: [0; 3],
             room_counts: RoomCounts::default(),
             holders: BTreeSet::new(),
+            awaiting_note: BTreeSet::new(),
             evicted: Vec::new(),
             max_streams: platform_settings.streams_per_connection,
             max_connections: (sockets * 5 / 12).max(1),
@@ -354,6 +357,15 @@
         }
     }
 
+    /// Records whether a note from a server is expected.
+    pub fn set_awaits_note(&mut self, server: ServerId, awaits: bool) {
+        if awaits {
+            self.awaiting_note.insert(server);
+        } else {
+            self.awaiting_note.remove(&server);
+        }
+    }
+
     /// Finishes the connection that has been idle for the longest, where few more can be opened. If it were
     /// closed only when its place is needed, unread bytes might lie on it, and closing would then reset it:
     /// what the peer sent would be lost here, and the peer would lose what it has not read yet.
@@ -622,6 +634,9 @@
         silence: Micros,
         out: &mut Vec<Command>,
     ) -> bool {
+        if self.awaiting_note.contains(&server) {
+            return false;
+        }
         let of_server = |conn: &&Connection| conn.server == server && conn.state == State::Open;
         let latest = self.connections.values().filter(of_server).map(|conn| conn.last_received).max();
         let is_redundant = |_, conn: &Connection| {
@@ -711,10 +726,8 @@
     ) {
         let Some(conn) = self.connections.get_mut(&id) else { return };
         let last = conn.last_used.max(conn.last_received);
-        if conn.state == State::Open
-            && conn.in_flight.is_empty()
-            && (conn.suspect || last + self.idle_timeout <= now)
-        {
+        let is_idle = last + self.idle_timeout <= now && !self.awaiting_note.contains(&conn.server);
+        if conn.state == State::Open && conn.in_flight.is_empty() && (conn.suspect || is_idle) {
             conn.finish(now, id, out);
         } else if conn.state != State::Finishing {
             let next_check = if conn.suspect { now + self.connect_timeout } else { last + self.idle_timeout };
--- a/crates/platform/src/core/releases.rs
+++ b/crates/platform/src/core/releases.rs
@@ -115,9 +115,8 @@
     /// Keeps a release for each session at a media server that cannot be reached: the clients are told that
     /// the sessions are over, and the sessions may still play when the server can be reached again.
     pub(super) fn release_when_reachable(&mut self, server: ServerId) {
-        let plays =
-            |entry: &SessionEntry| entry.session.playing().is_some_and(|p| p.attempt.server == server);
-        let ids: Vec<u64> = self.sessions.iter().filter(|(_, e)| plays(e)).map(|(id, _)| *id).collect();
+        let playing = self.sessions.iter().filter(|(_, entry)| entry.plays_at(server));
+        let ids: Vec<u64> = playing.map(|(id, _)| *id).collect();
         for id in ids {
             self.keep_release(server, Message::release(id, cause::BROKEN), None, FIRST_UNREACHABLE_CHECK);
         }
--- a/crates/platform/src/core/restarts.rs
+++ b/crates/platform/src/core/restarts.rs
@@ -142,6 +142,5 @@
 
 /// Whether this session plays at a server since before `reset_at`.
 fn plays_since(entry: &SessionEntry, server: ServerId, reset_at: Micros) -> bool {
-    entry.session.playing().is_some_and(|playing| playing.attempt.server == server)
-        && entry.playing_since < reset_at
+    entry.plays_at(server) && entry.playing_since < reset_at
 }
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -168,6 +168,7 @@
                 if let Note::Rung(rung) = note {
                     playing.attempt.rung = rung;
                 }
+                self.stop_expecting_note(server);
                 self.events.push_back(Event::Note { session: session_id(id), server, note });
             }
             kind::TEST_RESULT => {
