The early end of an attempt is not taken for that of the next one

Callers saw (by reading first, then played): a session that had just begun to play was ended towards its client at once, and played on at its server for nobody. Cause: an end that was read before its answer was kept until the request was answered, and the attempt's own end left it; the next attempt's answer then met it. Change: it is forgotten with its attempt, whose end it proves.

--- a/crates/daemon/tests/front_node_unproven_ends.rs
+++ b/crates/daemon/tests/front_node_unproven_ends.rs
@@ -6,11 +6,13 @@
 use std::time::{Duration, Instant};
 
 use node::scripted::{
-    answer_set_up, request_for_cell, serve_set_ups, wait_for_message, with_parameter, ScriptedServers,
+    answer_set_up, read_until_silent, request_for_cell, serve_set_ups, wait_for_message, with_parameter,
+    ScriptedServers,
 };
 use node::{Node, SECOND};
 use salttally_platform::wire::{cause, code, kind, Message};
 use salttally_standin::platform::Viewer;
+use serde_json::json;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -62,6 +64,33 @@
     }
 }
 
+// Guards against the end of one attempt that is taken for that of the next one.
+#[test]
+fn a_session_is_not_ended_by_the_early_end_of_its_previous_attempt() {
+    let mut servers = ScriptedServers::new(1);
+    let node = servers.start_node("early-end", |config| {
+        config["settings"]["policy_limits"]["max_streams"] = json!(1);
+    });
+    let mut viewer = node.viewer();
+    viewer.send(&request_for_cell(1, "clip", 0));
+    let mut first = servers.accept(0);
+    wait_for_message(&mut first, kind::SET_UP, 1);
+    viewer.send(&request_for_cell(2, "clip", 0));
+    let mut second = servers.accept(0);
+    wait_for_message(&mut second, kind::SET_UP, 2);
+    answer_set_up(&second, 2);
+    wait_for_message(&mut viewer, kind::ANSWER, 2);
+    // The answer of the first session is lost with its connection, and its end comes on the other one before.
+    second.send(&Message::release(1, cause::NORMAL));
+    wait_for_message(&mut second, kind::RELEASE_ACK, 1);
+    drop(first);
+    wait_for_message(&mut second, kind::SET_UP, 1);
+    answer_set_up(&second, 1);
+    wait_for_message(&mut viewer, kind::ANSWER, 1);
+    let told = read_until_silent(&mut viewer, SECOND);
+    assert_eq!(told, [], "the second attempt plays");
+}
+
 /// Session 1 was told to move on the first client connection, which is silent; the others are an open one and that of its
 /// server.
 fn moved_session(name: &str) -> (ScriptedServers, Node, Viewer, Viewer, Viewer) {
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -111,6 +111,8 @@
         let Some(entry) = self.sessions.get_mut(&id) else { return };
         let Some(attempt) = entry.session.pending_attempt().cloned() else { return };
         entry.earlier_conns.extend(entry.conn.take());
+        // It would be taken for the end of the next attempt.
+        entry.early_end = None;
         if entry.awaits_second_copy() {
             // Nothing new is started without a client.
             entry.session.settle_answer();
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -102,7 +102,7 @@
     pub kept_answer: Option<Message>,
     /// A client was sent the answer, or knew already that the session plays.
     pub answer_sent: bool,
-    /// The end of its session, which was read on another connection before the answer to its only attempt.
+    /// The end of its session, which was read on another connection before the answer to the current attempt.
     pub early_end: Option<(ConnId, Message)>,
     /// Number of attempts made for the first copy, if this one has started over.
     pub earlier_attempts: u32,
