An end that is read before the answer to a retry is told after the answer

Callers saw: a client got its answer and was never told that the session was over, where the end came on another connection before the answer to a further attempt. Cause: such an end was kept for the first attempt alone; after a retry or a second copy it was acknowledged and dropped.

--- a/crates/daemon/tests/front_node_unproven_ends.rs
+++ b/crates/daemon/tests/front_node_unproven_ends.rs
@@ -64,6 +64,17 @@
     }
 }
 
+// Guards against an end that is dropped because it is read before the answer to a retry.
+#[test]
+fn an_end_that_is_read_before_the_answer_to_a_retry_is_told_after_it() {
+    let (_servers, _node, mut viewer, first, second) = retried_set_up("ended-then-answered", cause::ERROR);
+    first.send(&Message::release(1, cause::NORMAL));
+    wait_for_message(&mut { first }, kind::RELEASE_ACK, 1);
+    answer_set_up(&second, 1);
+    wait_for_message(&mut viewer, kind::ANSWER, 1);
+    assert_told(&mut viewer, 1, SECOND);
+}
+
 // Guards against the end of one attempt that is taken for that of the next one.
 #[test]
 fn a_session_is_not_ended_by_the_early_end_of_its_previous_attempt() {
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -314,8 +314,8 @@
             return self.end_session(id, outcome, report, client_cause, out);
         }
         if !is_current_conn {
-            let is_only_attempt = entry.earlier_conns.is_empty() && entry.in_doubt.is_empty();
-            if is_only_attempt {
+            // A refusal comes on the connection of its set-up; what tells the end of a session follows its answer.
+            if !matches!(cause, Some(cause::FULL | cause::ERROR | cause::NOT_SENT)) {
                 self.sessions.entry(id).and_modify(|entry| entry.early_end = Some((conn, message)));
             }
             return;
--- a/crates/platform/src/core/tests/crossings.rs
+++ b/crates/platform/src/core/tests/crossings.rs
@@ -173,16 +173,16 @@
             1,
             "the second attempt is current"
         );
-        // The first attempt is over, and never played: the end is that of the second.
+        // The first attempt is over, and never played: the end is that of the second, and is told after its answer.
         let end = Message::release(9, cause::NORMAL);
-        let out = node.handle(NodeEvent::ServerMessage(first, end.clone()));
-        if plays {
-            assert_eq!(sent_to_client(&out).collect::<Vec<_>>(), [&end], "{out:?}");
-            assert!(!sent_to_server(&out, kind::RELEASE).is_empty(), "released, in case it plays on");
-        } else {
-            assert_eq!(sent_to_client(&out).count(), 0, "{out:?}");
+        let mut out = node.handle(NodeEvent::ServerMessage(first, end.clone()));
+        assert_eq!(sent_to_client(&out).count(), usize::from(plays), "{out:?}");
+        if !plays {
             assert!(node.core.sessions[&9].session.pending_attempt().is_some(), "it is still out");
+            out = node.handle(NodeEvent::ServerMessage(second, answer_message(9)));
         }
+        assert_eq!(sent_to_client(&out).last(), Some(&end), "{out:?}");
+        assert!(!sent_to_server(&out, kind::RELEASE).is_empty(), "released, in case it plays on");
     }
 }
 
