An attempt that was answered too late is not taken for over when its connection closes

Callers saw: a session stood at its server for nobody, where its answer crossed the give-up and the server closed the connection in order. Cause: the close of a connection ends the set-ups that are open on it, so closed_by_server struck off the give-ups and the doubts on it; but an attempt that was answered is a session, and belongs to no connection. Evidence: a_session_whose_answer_comes_too_late_is_released_though_its_connection_closes_in_order failed on (no further connection in 10 s). Change: an answer to an attempt that is not current marks the doubtful attempt and its kept release, which then end by the server's word, or by the close of a finished connection that was read whole; an answer to a known request for which no release is kept, at another server than its current one, is released.

--- a/crates/daemon/tests/front_node_owed_releases.rs
+++ b/crates/daemon/tests/front_node_owed_releases.rs
@@ -7,12 +7,16 @@
 use std::thread;
 use std::time::Duration;
 
-use node::scripted::{request_for_cell, start_session, wait_for_message, ScriptedServers};
+use node::scripted::{
+    answer_set_up, request_for_cell, start_session, wait_for_message, with_parameter, ScriptedServers,
+};
 use node::SECOND;
-use salttally_platform::wire::kind;
+use rustix::process::Signal;
+use salttally_platform::wire::{code, kind};
 use salttally_standin::platform::Viewer;
 use socket2::SockRef;
 
+const MS: Duration = Duration::from_millis(1);
 /// Connections that a front node may make in 3 s to a server that resets each one: one in 0.1 s.
 const MAX_CONNECTIONS: usize = 30;
 
@@ -44,3 +48,23 @@
     let count = count.load(Ordering::Relaxed);
     assert!(count <= MAX_CONNECTIONS, "{count} connections in 3 s");
 }
+
+// Guards against a session that plays for nobody because its give-up is taken for settled by the close of its connection.
+#[test]
+fn a_session_whose_answer_comes_too_late_is_released_though_its_connection_closes_in_order() {
+    let mut servers = ScriptedServers::new(1);
+    let node = servers.start_node("late-answer", |_| {});
+    let mut viewer = node.viewer();
+    viewer.send(&with_parameter(request_for_cell(1, "clip", 0), code::WAIT_MS, "300"));
+    let mut connection = servers.accept(0);
+    wait_for_message(&mut connection, kind::SET_UP, 1);
+    // The process is stopped until after the deadline; the answer and the close lie in its socket.
+    node.suspend();
+    answer_set_up(&connection, 1);
+    drop(connection);
+    thread::sleep(800 * MS);
+    node.signal(Signal::CONT);
+    wait_for_message(&mut viewer, kind::RELEASE, 1);
+    let mut next = servers.accept(0);
+    wait_for_message(&mut next, kind::RELEASE, 1);
+}
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -11,7 +11,7 @@
         let Some(entry) = self.sessions.get_mut(&id) else {
             return self.reject_action("a set-up of an unknown session", id, out);
         };
-        let in_doubt = entry.in_doubt.iter().any(|(at, _)| *at == server);
+        let in_doubt = entry.in_doubt.iter().any(|attempt| attempt.server == server);
         let attempts_left =
             entry.earlier_attempts + entry.session.attempts < self.platform_settings.settings.max_attempts;
         let session = &mut entry.session;
@@ -99,7 +99,7 @@
             }
             Withdrawn::MayHaveRun => {
                 // The request is over; a second copy of it may still come.
-                entry.in_doubt.push((server, conn));
+                entry.in_doubt.push(DoubtfulAttempt::new(server, conn));
                 self.keep_give_up(id, server, conn);
                 Outcome::Withdrawn
             }
--- a/crates/platform/src/core/in_doubt.rs
+++ b/crates/platform/src/core/in_doubt.rs
@@ -9,6 +9,28 @@
 
 use super::*;
 
+/// An attempt that was given up and may still run at its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct DoubtfulAttempt {
+    /// The server.
+    pub server: ServerId,
+    /// The connection of the attempt.
+    pub conn: ConnId,
+    /// Its answer has come too late: its session stands, and belongs to no connection.
+    was_answered: bool,
+}
+
+impl DoubtfulAttempt {
+    pub fn new(server: ServerId, conn: ConnId) -> DoubtfulAttempt {
+        DoubtfulAttempt { server, conn, was_answered: false }
+    }
+
+    /// Whether it is over once its server has closed this connection, after reading the give-up or not.
+    pub fn ends_with(&self, conn: ConnId, has_read_all: bool) -> bool {
+        self.conn == conn && (has_read_all || !self.was_answered)
+    }
+}
+
 impl<D: Decider> Core<D> {
     /// Marks an attempt that was given up on this connection, or whose connection was closed here, and that
     /// may still run at the server.
@@ -16,7 +38,7 @@
         let Some(entry) = self.sessions.get_mut(&id).filter(|entry| entry.session.answer_pending()) else {
             return;
         };
-        entry.in_doubt.push((server, conn));
+        entry.in_doubt.push(DoubtfulAttempt::new(server, conn));
         self.counts.in_doubt += 1;
         let text =
             format!("request {id:016x}: given up at s-{:08x} on connection {}, in doubt", server.0, conn.0);
@@ -31,29 +53,56 @@
             return self.past_requests.give_up_acknowledged(id, server);
         };
         let server = self.pool.server(conn);
-        let is_over =
-            |(at, on): &(ServerId, ConnId)| *on == conn || Some(*at) == server && !self.pool.exists(*on);
+        let is_over = |attempt: &DoubtfulAttempt| {
+            attempt.conn == conn || Some(attempt.server) == server && !self.pool.exists(attempt.conn)
+        };
         let Some(at) = entry.in_doubt.iter().position(is_over) else { return };
-        let (server, _) = entry.in_doubt.remove(at);
-        self.resolve(id, server, "heard", out);
+        let attempt = entry.in_doubt.remove(at);
+        self.resolve(id, attempt.server, "heard", out);
     }
 
-    /// The server has closed this connection: every attempt given up on it is over.
-    pub(super) fn closed_by_server(&mut self, conn: ConnId, out: &mut Vec<Command>) {
-        self.past_requests.closed_by_server(conn);
+    /// The server has closed this connection: the attempts given up on it are over, unless the server has answered them
+    /// and may not have read the give-ups.
+    pub(super) fn closed_by_server(&mut self, conn: ConnId, has_read_all: bool, out: &mut Vec<Command>) {
+        self.past_requests.closed_by_server(conn, has_read_all);
         // The next attempt may go to the same server: a give-up that is sent again would end it.
         self.give_ups_settled(conn);
-        let server_in_doubt = |entry: &SessionEntry| {
-            entry.in_doubt.iter().find(|(_, on)| *on == conn).map(|(server, _)| *server)
-        };
+        let ends = |attempt: &&DoubtfulAttempt| attempt.ends_with(conn, has_read_all);
+        let server_in_doubt =
+            |entry: &SessionEntry| entry.in_doubt.iter().find(ends).map(|attempt| attempt.server);
         let resolved: Vec<_> =
             self.sessions.iter().filter_map(|(id, e)| Some((*id, server_in_doubt(e)?))).collect();
         for (id, server) in resolved {
-            self.sessions.entry(id).and_modify(|entry| entry.in_doubt.retain(|(_, on)| *on != conn));
+            self.sessions.entry(id).and_modify(|entry| entry.in_doubt.retain(|attempt| !ends(&attempt)));
             self.resolve(id, server, "closed", out);
         }
     }
 
+    /// An answer has come for an attempt that is not current: its session stands, for no client. If the attempt was given
+    /// up, only the release ends the session; if nothing was sent for it, it is released now.
+    pub(super) fn answered_too_late(
+        &mut self,
+        id: u64,
+        server: ServerId,
+        conn: ConnId,
+        out: &mut Vec<Command>,
+    ) {
+        let entry = self.sessions.get_mut(&id);
+        let current = entry.as_ref().and_then(|entry| Some(entry.session.current_attempt()?.server));
+        let in_doubt = match entry {
+            Some(entry) => Some(&mut entry.in_doubt),
+            None => self.past_requests.in_doubt(id),
+        };
+        let is_known = in_doubt.is_some();
+        for attempt in in_doubt.into_iter().flatten().filter(|attempt| attempt.conn == conn) {
+            attempt.was_answered = true;
+        }
+        let is_kept = self.give_up_answered(id, server);
+        if is_known && !is_kept && current != Some(server) {
+            self.release_at(id, server, cause::NORMAL, out);
+        }
+    }
+
     fn resolve(&mut self, id: u64, server: ServerId, how: &str, out: &mut Vec<Command>) {
         self.counts.resolved += 1;
         let text = format!("request {id:016x}: attempt at s-{:08x} is over, {how}", server.0);
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -64,6 +64,7 @@
 pub use events::{Command, NodeEvent, Timer};
 use hand_overs::HandOvers;
 use health::{Health, Verdict};
+use in_doubt::DoubtfulAttempt;
 use list_watch::{ListWatch, Update};
 use owed_ends::{Loss, OwedEndsByServer};
 pub use pool::RoomCounts;
@@ -83,9 +84,8 @@
     pub conn: Option<ConnId>,
     /// The connections of earlier attempts, on which late messages about those attempts may still arrive.
     pub earlier_conns: Vec<ConnId>,
-    /// Servers at which an attempt was given up that may still run there, each with the connection of the
-    /// attempt.
-    pub in_doubt: Vec<(ServerId, ConnId)>,
+    /// Attempts that were given up and may still run at their servers.
+    pub in_doubt: Vec<DoubtfulAttempt>,
     /// When the session began to play.
     pub playing_since: Micros,
     /// Its client has handed it over after a start of this node.
@@ -403,14 +403,15 @@
             NodeEvent::ServerMessage(conn, message) => self.server_message(conn, message, out),
             NodeEvent::ServerMessages(conn, messages) => self.server_messages(conn, messages, out),
             NodeEvent::ServerClosed(conn) => {
-                if self.pool.is_finishing(conn) {
+                let has_read_all = self.pool.is_finishing(conn);
+                if has_read_all {
                     self.releases_read(conn);
                 }
                 self.connection_closed(conn, ConnectionEnd::Closed, out);
-                self.closed_by_server(conn, out);
+                self.closed_by_server(conn, has_read_all, out);
             }
             NodeEvent::FinishOverdue(conn) => self.finish_overdue(conn, out),
-            NodeEvent::ServerHalfClosed(conn) => self.closed_by_server(conn, out),
+            NodeEvent::ServerHalfClosed(conn) => self.closed_by_server(conn, false, out),
             NodeEvent::ServerReset(conn) => {
                 self.connection_closed(conn, ConnectionEnd::Reset, out);
             }
--- a/crates/platform/src/core/releases.rs
+++ b/crates/platform/src/core/releases.rs
@@ -140,8 +140,15 @@
         }
     }
 
-    /// A media server has closed this connection in order: the attempts on it have ended, and those that had been
-    /// answered before are known.
+    /// An attempt that was given up has been answered: its session stands, and does not end with the connection. Returns
+    /// whether its release is kept.
+    pub(super) fn give_up_answered(&mut self, id: u64, server: ServerId) -> bool {
+        let release = self.releases.server_releases.get_mut(&(id, server));
+        release.map(|release| release.is_give_up = false).is_some()
+    }
+
+    /// A media server has closed this connection in order: the attempts on it have ended, but for those that were
+    /// answered before.
     pub(super) fn give_ups_settled(&mut self, conn: ConnId) {
         self.releases
             .server_releases
--- a/crates/platform/src/core/resends.rs
+++ b/crates/platform/src/core/resends.rs
@@ -19,7 +19,7 @@
 use salttally::platform_settings::PlatformSettings;
 
 use super::{cause, code, kind, session_id, ClientId, Command, ConnId, Core, Decider, Event, Level, Message};
-use super::{SessionEntry, Timer, FAILED_CAUSE, PLATFORM_TICKET};
+use super::{DoubtfulAttempt, SessionEntry, Timer, FAILED_CAUSE, PLATFORM_TICKET};
 
 /// A request that was sent at most this long before the end of its connection may be sent once more.
 const CROSSING_LIMIT: Micros = 50_000;
@@ -66,8 +66,8 @@
     has_played: bool,
     /// Number of its attempts.
     attempts: u32,
-    /// Servers at which an attempt may still run, each with the connection of the attempt.
-    in_doubt: Vec<(ServerId, ConnId)>,
+    /// Attempts that may still run at their servers.
+    in_doubt: Vec<DoubtfulAttempt>,
     /// The connections of its attempts.
     conns: Vec<ConnId>,
     /// The end of its session, which is to be told to its client.
@@ -114,13 +114,19 @@
     /// The server has acknowledged the give-up or the release of this session.
     pub fn give_up_acknowledged(&mut self, id: u64, server: ServerId) {
         if let Some(past) = self.0.get_mut(&id) {
-            past.in_doubt.retain(|(at, _)| *at != server);
+            past.in_doubt.retain(|attempt| attempt.server != server);
         }
     }
 
-    /// The server has closed this connection: every attempt given up on it is over.
-    pub fn closed_by_server(&mut self, conn: ConnId) {
-        self.0.values_mut().for_each(|past| past.in_doubt.retain(|(_, on)| *on != conn));
+    /// The server has closed this connection: the attempts given up on it are over.
+    pub fn closed_by_server(&mut self, conn: ConnId, has_read_all: bool) {
+        let is_left = |attempt: &DoubtfulAttempt| !attempt.ends_with(conn, has_read_all);
+        self.0.values_mut().for_each(|past| past.in_doubt.retain(is_left));
+    }
+
+    /// The attempts of a past request that may still run, if the request is remembered.
+    pub fn in_doubt(&mut self, id: u64) -> Option<&mut Vec<DoubtfulAttempt>> {
+        self.0.get_mut(&id).map(|past| &mut past.in_doubt)
     }
 
     /// Whether the end of a session waits to be told.
@@ -276,8 +282,8 @@
         self.counts.resent += 1;
         entry.earlier_attempts = past.attempts;
         entry.earlier_conns = past.conns;
-        for (server, _) in &past.in_doubt {
-            self.events.push_back(Event::InDoubt { session: session_id(id), server: *server });
+        for attempt in &past.in_doubt {
+            self.events.push_back(Event::InDoubt { session: session_id(id), server: attempt.server });
         }
         entry.in_doubt = past.in_doubt;
     }
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -245,13 +245,14 @@
         let Some(entry) = self.sessions.get_mut(&id).filter(is_expected) else {
             let text = format!("server s-{:08x}: unexpected answer for session {id:016x}", server.0);
             out.push(Command::Log(Level::Debug, text));
-            return;
+            return self.answered_too_late(id, server, conn, out);
         };
         let overdue = entry.session.overdue_at(self.platform_settings.answer_slack);
         if overdue <= self.now {
             // No client may be told that its session plays after the deadline, however long the answer lay
             // unread.
-            return self.answer_overdue(id, out);
+            self.answer_overdue(id, out);
+            return self.answered_too_late(id, server, conn, out);
         }
         let early_end = entry.early_end.take();
         if early_end.as_ref().is_some_and(|(_, end)| interpret_end_cause(end.cause()).1.is_none()) {
--- a/crates/platform/src/core/tests/resends.rs
+++ b/crates/platform/src/core/tests/resends.rs
@@ -321,7 +321,7 @@
     node.handle(NodeEvent::ClientHalfClosed(ClientId(1)));
     let remember = |node: &mut TestNode<Controller>, id: u64, class: &str| {
         let entry = SessionEntry {
-            in_doubt: vec![(ServerId(0), ConnId(1))],
+            in_doubt: vec![DoubtfulAttempt::new(ServerId(0), ConnId(1))],
             resend_until: node.now + WINDOW,
             ..node.core.test_entry(class)
         };
