One ledger of what clients are owed: a notice ends by a typed proof or by its limit, logged

Cause, of the whole class: the ends and moves that clients are owed stood in two maps (client_notices, untold_end of a past request), and nine lines removed from them by what each took for proof; the limits forgot without a word. Change: client_notices is the one ledger. A notice is sent, waits, or is held for a second copy; it ends by a NoticeProof (acknowledged, ended by the client, followed its move, copy answered as failed) or by its limit. A second copy settles it where it is answered, no longer by its arrival. A release of a server is acknowledged after what it ends is recorded.

--- a/crates/platform/src/core/admission.rs
+++ b/crates/platform/src/core/admission.rs
@@ -106,6 +106,11 @@
         self.connections.len()
     }
 
+    /// Whether this connection is open.
+    pub fn contains(&self, id: ClientId) -> bool {
+        self.connections.contains_key(&id)
+    }
+
     /// Whether there are none.
     pub fn is_empty(&self) -> bool {
         self.connections.is_empty()
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -93,14 +93,14 @@
                 Outcome::NoConnection
             }
             Withdrawn::MayHaveRun if timed_out => {
-                self.keep_give_up(id, server, conn);
+                self.keep_give_up(id, server, conn, out);
                 self.mark_in_doubt(id, server, conn, out);
                 Outcome::TimedOut
             }
             Withdrawn::MayHaveRun => {
                 // The request is over; a second copy of it may still come.
                 entry.in_doubt.push(DoubtfulAttempt::new(server, conn));
-                self.keep_give_up(id, server, conn);
+                self.keep_give_up(id, server, conn, out);
                 Outcome::Withdrawn
             }
         }
--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -26,13 +26,17 @@
 
     pub(super) fn client_message(&mut self, client: ClientId, message: Message, out: &mut Vec<Command>) {
         self.admission.message_received(self.now, client, &mut self.timers);
-        if self.is_second_copy(&message) {
-            // The end of its session would be taken for the answer to this copy.
-            self.drop_client_notices(message.session);
+        if message.kind != kind::SET_UP {
+            self.send_waiting_notices(client, out);
         }
-        self.send_waiting_notices(client, out);
         match message.kind {
-            kind::SET_UP => self.handle_request(client, &message, out),
+            kind::SET_UP => {
+                self.handle_request(client, &message, out);
+                // The end of a session would be taken for the answer to a second copy of its request.
+                if self.admission.contains(client) {
+                    self.send_waiting_notices(client, out);
+                }
+            }
             kind::RELEASE => self.client_release(client, &message, out),
             kind::TEST => {
                 let test_passed = u8::from(self.is_ready());
@@ -42,7 +46,7 @@
             }
             kind::RELEASE_ACK => {
                 self.admission.release_acknowledged(client);
-                self.drop_client_notices(message.session);
+                self.settle_notice(message.session, NoticeProof::Acknowledged, out);
             }
             kind::PROGRESS => {}
             _ => return self.close_client(client, out),
@@ -118,7 +122,7 @@
         out: &mut Vec<Command>,
     ) {
         let id = message.session;
-        let has_moved = self.moved_client_returned(&open_request);
+        let has_moved = self.moved_client_returned(&open_request, out);
         self.counts.taken += 1;
         let earlier_attempts = self.past_requests.attempts(id);
         let request = Request { earlier_attempts, ..open_request.to_request(&session_id(id), has_moved) };
@@ -145,7 +149,7 @@
 
     /// A request has arrived; returns whether it is from a moved client. One that says that its client comes again proves
     /// that the client has heard its move, if it was sent one alone; any other may be for another session.
-    fn moved_client_returned(&mut self, open_request: &OpenRequest) -> bool {
+    fn moved_client_returned(&mut self, open_request: &OpenRequest, out: &mut Vec<Command>) -> bool {
         let viewer = open_request.viewer;
         let has_moved = self.forget_moved_client(viewer);
         if has_moved && open_request.returned {
@@ -155,7 +159,7 @@
             if let (Some((id, entry)), None) = (moving.next(), moving.next()) {
                 entry.has_followed_move = true;
                 let id = *id;
-                self.drop_client_notices(id);
+                self.settle_notice(id, NoticeProof::FollowedMove, out);
             }
         }
         has_moved
@@ -254,7 +258,7 @@
         };
         if let Some((_, end)) = early_end {
             if let Some(cause) = super::servers::interpret_end_cause(end.cause()).1 {
-                self.notify_client(Some(client), Message::release(id, cause), out);
+                self.notify_client(Some(client), Message::release(id, cause), self.now, out);
                 self.remember_request(id, &entry);
             }
             return;
@@ -278,6 +282,7 @@
     fn client_release(&mut self, client: ClientId, message: &Message, out: &mut Vec<Command>) {
         let id = message.session;
         out.push(Command::SendToClient(client, Message::new(kind::RELEASE_ACK, id)));
+        self.settle_notice(id, NoticeProof::EndedByClient, out);
         let Some(entry) = self.sessions.get_mut(&id) else { return };
         if entry.session.answer_pending() {
             self.give_up(id, out);
@@ -373,16 +378,12 @@
         let Some(playing) = entry.session.playing() else { return };
         let (server, attempt) = (playing.attempt.server, playing.attempt.number);
         let client = entry.session.client.map(|(client, _)| client);
+        let over_since = entry.over_since.unwrap_or(self.now);
         let owes_end = entry.answer_sent && !entry.has_followed_move;
         self.drop_session(id);
         match cause.filter(|_| owes_end) {
-            Some(cause) => {
-                let end = Message::release(id, cause);
-                if client.is_some() || !self.keep_end_for_second_copy(&end) {
-                    self.notify_client(client, end, out);
-                }
-            }
-            None => self.drop_client_notices(id),
+            Some(cause) => self.notify_client(client, Message::release(id, cause), over_since, out),
+            None => self.settle_notice(id, NoticeProof::EndedByClient, out),
         }
         self.health.session_ended(server);
         if !self.health.holds_sessions(server) {
--- a/crates/platform/src/core/list_updates.rs
+++ b/crates/platform/src/core/list_updates.rs
@@ -43,7 +43,7 @@
         }
         for id in &removed {
             if let Some(address) = self.servers.remove(id) {
-                self.remember_sessions_at(*id, address);
+                self.remember_sessions_at(*id, address, out);
                 self.dial_backoff.remove(*id);
                 self.stop_expecting_note(*id);
             }
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -58,7 +58,7 @@
 
 use crate::wire::{cause, code, kind, Message};
 use admission::Admission;
-use client_notices::ClientNotices;
+use client_notices::{ClientNotices, NoticeProof};
 use clients::PLATFORM_TICKET;
 use dial_backoff::DialBackoff;
 pub use events::{Command, NodeEvent, Timer};
@@ -88,6 +88,8 @@
     pub in_doubt: Vec<DoubtfulAttempt>,
     /// When the session began to play.
     pub playing_since: Micros,
+    /// Since when it may be over, if that was found out late.
+    pub over_since: Option<Micros>,
     /// Its client has handed it over after a start of this node.
     pub was_handed_over: bool,
     /// The client was told to move to another media server.
@@ -118,6 +120,7 @@
             earlier_conns,
             in_doubt,
             playing_since,
+            over_since: None,
             was_handed_over: false,
             moving: false,
             has_followed_move: false,
@@ -448,6 +451,7 @@
             }
         }
         self.note_evicted_connections(out);
+        self.log_forgotten_requests(out);
     }
 
     /// Passes the events since the last call to the decider, and executes its actions. Called once everything
@@ -469,6 +473,14 @@
         }
     }
 
+    fn log_forgotten_requests(&mut self, out: &mut Vec<Command>) {
+        for id in self.past_requests.take_forgotten() {
+            let text =
+                format!("request {id:016x}: over, and not remembered: a second copy counts as a new one");
+            out.push(Command::Log(Level::Info, text));
+        }
+    }
+
     // ---- Actions of the decider ----
 
     fn deliver_events(&mut self, out: &mut Vec<Command>) {
@@ -556,7 +568,7 @@
         }
         self.timers.set(until, Timer::MovedClientExpiry(viewer));
         self.timers.set(self.now + MOVE_TIMEOUT, Timer::MoveTimeout(id));
-        self.notify_client(client, Message::new(kind::MOVE, id), out);
+        self.notify_client(client, Message::new(kind::MOVE, id), self.now, out);
     }
 
     fn probe(&mut self, server: ServerId, out: &mut Vec<Command>) {
--- a/crates/platform/src/core/releases.rs
+++ b/crates/platform/src/core/releases.rs
@@ -34,6 +34,13 @@
     server_releases: BTreeMap<(u64, ServerId), UnacknowledgedRelease>,
 }
 
+impl Releases {
+    /// The sessions whose releases have not been acknowledged, each with the server.
+    pub fn unacknowledged(&self) -> impl Iterator<Item = (u64, ServerId)> + '_ {
+        self.server_releases.keys().copied()
+    }
+}
+
 impl<D: Decider> Core<D> {
     /// Releases a session at its media server.
     pub(super) fn release_at_server(&mut self, id: u64, cause: u8, out: &mut Vec<Command>) {
@@ -66,21 +73,29 @@
             true => self.pool.send(self.now, to, on, message.clone(), &mut self.timers, out),
             false => None,
         };
-        self.keep_release(to.0, message, conn, FIRST_RELEASE_CHECK);
+        self.keep_release(to.0, message, conn, FIRST_RELEASE_CHECK, out);
     }
 
     /// Keeps a give-up that was sent on this connection. If it is lost with the connection, and the answer to the
     /// attempt with it, the session plays for no client.
-    pub(super) fn keep_give_up(&mut self, id: u64, server: ServerId, conn: ConnId) {
-        self.keep_release(server, Message::release(id, cause::NORMAL), Some(conn), FIRST_RELEASE_CHECK);
+    pub(super) fn keep_give_up(&mut self, id: u64, server: ServerId, conn: ConnId, out: &mut Vec<Command>) {
+        let message = Message::release(id, cause::NORMAL);
+        self.keep_release(server, message, Some(conn), FIRST_RELEASE_CHECK, out);
         let kept = self.releases.server_releases.entry((id, server));
         kept.and_modify(|release| release.is_give_up = true);
     }
 
     /// Keeps a release until its media server acknowledges it; the first check follows after this pause.
-    fn keep_release(&mut self, server: ServerId, message: Message, conn: Option<ConnId>, pause: Micros) {
+    fn keep_release(
+        &mut self,
+        server: ServerId,
+        message: Message,
+        conn: Option<ConnId>,
+        pause: Micros,
+        out: &mut Vec<Command>,
+    ) {
         if self.releases.server_releases.len() >= MAX_KEPT_RELEASES {
-            return;
+            return self.log_forgotten_release(message.session, server, "too many are kept", out);
         }
         let key = (message.session, server);
         let release = UnacknowledgedRelease {
@@ -114,11 +129,12 @@
 
     /// Keeps a release for each session at a media server that cannot be reached: the clients are told that
     /// the sessions are over, and the sessions may still play when the server can be reached again.
-    pub(super) fn release_when_reachable(&mut self, server: ServerId) {
+    pub(super) fn release_when_reachable(&mut self, server: ServerId, out: &mut Vec<Command>) {
         let playing = self.sessions.iter().filter(|(_, entry)| entry.plays_at(server));
         let ids: Vec<u64> = playing.map(|(id, _)| *id).collect();
         for id in ids {
-            self.keep_release(server, Message::release(id, cause::BROKEN), None, FIRST_UNREACHABLE_CHECK);
+            let message = Message::release(id, cause::BROKEN);
+            self.keep_release(server, message, None, FIRST_UNREACHABLE_CHECK, out);
         }
     }
 
@@ -175,13 +191,18 @@
         let Some(release) = self.releases.server_releases.get_mut(&key) else { return };
         if self.now >= release.expires_at || !self.servers.contains_key(&key.1) {
             self.releases.server_releases.remove(&key);
-            return;
+            return self.log_forgotten_release(key.0, key.1, "not acknowledged in time", out);
         }
         self.timers.set(self.now + release.next_pause, Timer::ReleaseCheck(key.0, key.1));
         release.next_pause *= 2;
         self.resend_if_lost(key, out);
     }
 
+    fn log_forgotten_release(&self, id: u64, server: ServerId, why: &str, out: &mut Vec<Command>) {
+        let text = format!("session {id:016x}: its release at s-{:08x} is given up: {why}", server.0);
+        out.push(Command::Log(Level::Info, text));
+    }
+
     /// Whether a release may be sent now: on an open connection, or on a new one unless the server has just ended one.
     /// During the shutdown of a process that holds more servers than
     /// connections, each release would otherwise displace the connection of the one before it, which has not
--- a/crates/platform/src/core/resends.rs
+++ b/crates/platform/src/core/resends.rs
@@ -18,7 +18,8 @@
 use salttally::interface::{Effect, Micros, Outcome, ServerId};
 use salttally::platform_settings::PlatformSettings;
 
-use super::{cause, code, kind, session_id, ClientId, Command, ConnId, Core, Decider, Event, Level, Message};
+use super::client_notices::NoticeProof;
+use super::{cause, code, session_id, ClientId, Command, ConnId, Core, Decider, Event, Level, Message};
 use super::{DoubtfulAttempt, SessionEntry, Timer, FAILED_CAUSE, PLATFORM_TICKET};
 
 /// A request that was sent at most this long before the end of its connection may be sent once more.
@@ -30,9 +31,6 @@
 const MAX_PAST_REQUESTS: usize = 16_384;
 /// Maximum number of past requests at which further ones of other classes are remembered.
 const MAX_REPEATABLE_PAST_REQUESTS: usize = MAX_PAST_REQUESTS / 2;
-/// The end of a session is kept for the client's second copy for at most this long, half of the time limit for
-/// telling it.
-const MAX_END_DELAY: Micros = 500_000;
 
 /// How long after the first copy of a request a second one can arrive: the crossing, and the time for a new
 /// connection.
@@ -70,8 +68,6 @@
     in_doubt: Vec<DoubtfulAttempt>,
     /// The connections of its attempts.
     conns: Vec<ConnId>,
-    /// The end of its session, which is to be told to its client.
-    untold_end: Option<Message>,
     /// End of its resend window.
     resend_until: Micros,
     /// When it is forgotten, no sooner than the end of the window.
@@ -88,7 +84,11 @@
 
 /// The requests that are over and of which a second copy can still arrive.
 #[derive(Clone, Debug, Default)]
-pub(super) struct PastRequests(BTreeMap<u64, PastRequest>);
+pub(super) struct PastRequests {
+    requests: BTreeMap<u64, PastRequest>,
+    /// Those that were not remembered for lack of room.
+    forgotten: Vec<u64>,
+}
 
 impl PastRequests {
     /// Whether no request that must run at most once may be accepted, since it could not be remembered.
@@ -98,22 +98,22 @@
 
     /// Number of past requests.
     pub fn len(&self) -> usize {
-        self.0.len()
+        self.requests.len()
     }
 
     /// Number of attempts that were made for a past request.
     pub fn attempts(&self, id: u64) -> u32 {
-        self.0.get(&id).map_or(0, |past| past.attempts)
+        self.requests.get(&id).map_or(0, |past| past.attempts)
     }
 
     /// Removes and returns what is known of a past request.
     pub fn take(&mut self, id: u64) -> Option<PastRequest> {
-        self.0.remove(&id)
+        self.requests.remove(&id)
     }
 
     /// The server has acknowledged the give-up or the release of this session.
     pub fn give_up_acknowledged(&mut self, id: u64, server: ServerId) {
-        if let Some(past) = self.0.get_mut(&id) {
+        if let Some(past) = self.requests.get_mut(&id) {
             past.in_doubt.retain(|attempt| attempt.server != server);
         }
     }
@@ -121,23 +121,25 @@
     /// The server has closed this connection: the attempts given up on it are over.
     pub fn closed_by_server(&mut self, conn: ConnId, has_read_all: bool) {
         let is_left = |attempt: &DoubtfulAttempt| !attempt.ends_with(conn, has_read_all);
-        self.0.values_mut().for_each(|past| past.in_doubt.retain(is_left));
+        self.requests.values_mut().for_each(|past| past.in_doubt.retain(is_left));
     }
 
     /// The attempts of a past request that may still run, if the request is remembered.
     pub fn in_doubt(&mut self, id: u64) -> Option<&mut Vec<DoubtfulAttempt>> {
-        self.0.get_mut(&id).map(|past| &mut past.in_doubt)
+        self.requests.get_mut(&id).map(|past| &mut past.in_doubt)
     }
 
-    /// Whether the end of a session waits to be told.
-    pub fn has_untold_ends(&self) -> bool {
-        self.0.values().any(|past| past.untold_end.is_some())
+    /// Requests that were not remembered for lack of room since the last call.
+    pub fn take_forgotten(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.forgotten)
     }
 
     fn remember(&mut self, id: u64, past: PastRequest) {
         let must_be_kept = past.effect == Effect::Once && past.may_have_run;
         if must_be_kept || self.len() < MAX_REPEATABLE_PAST_REQUESTS {
-            self.0.insert(id, past);
+            self.requests.insert(id, past);
+        } else {
+            self.forgotten.push(id);
         }
     }
 }
@@ -181,17 +183,6 @@
         }
     }
 
-    /// Whether a message is a second copy of a request that is open, playing or over.
-    pub(super) fn is_second_copy(&self, message: &Message) -> bool {
-        if message.kind != kind::SET_UP {
-            return false;
-        }
-        let id = message.session;
-        let entry = self.sessions.get(&id).map(|entry| entry.digest);
-        let known = entry.or_else(|| self.past_requests.0.get(&id).map(|past| past.digest));
-        known.is_some_and(|known| known == RequestDigest::of(message))
-    }
-
     /// A request arrived under the id of a session. If it is a second copy, it takes the request over, even if
     /// the end of the first connection is still unknown here; an answer under this id would otherwise be taken
     /// for the answer to the open request.
@@ -218,7 +209,7 @@
             entry.answer_sent = false;
             let viewer = entry.session.open_request.viewer;
             self.forget_moved_client(viewer);
-            self.drop_client_notices(id);
+            self.settle_notice(id, NoticeProof::CopyAnswered, out);
             return out.push(Command::SendToClient(client, Message::release(id, FAILED_CAUSE)));
         }
         entry.session.client = Some((client, PLATFORM_TICKET));
@@ -243,12 +234,14 @@
         out: &mut Vec<Command>,
     ) -> bool {
         let id = message.session;
-        let Some(past) = self.past_requests.0.get_mut(&id) else { return false };
+        let Some(past) = self.past_requests.requests.get_mut(&id) else { return false };
         let is_copy = past.digest == RequestDigest::of(message);
         if past.may_start_over() && (is_copy || !past.may_have_run) {
             return false;
         }
-        past.untold_end.take_if(|_| is_copy);
+        if is_copy {
+            self.settle_notice(id, NoticeProof::CopyAnswered, out);
+        }
         self.counts.taken += 1;
         self.counts.resent += 1;
         self.counts.failed += 1;
@@ -266,11 +259,12 @@
         id: u64,
         out: &mut Vec<Command>,
     ) -> bool {
-        let Some(past) = self.past_requests.0.get_mut(&id).filter(|past| past.has_played) else {
+        if !self.past_requests.requests.get(&id).is_some_and(|past| past.has_played) {
             return false;
-        };
-        let end = past.untold_end.take().unwrap_or_else(|| Message::release(id, cause::BROKEN));
-        self.notify_client(Some(client), end, out);
+        }
+        let owed_end = self.client_notices.message(id).cloned();
+        let end = owed_end.unwrap_or_else(|| Message::release(id, cause::BROKEN));
+        self.notify_client(Some(client), end, self.now, out);
         true
     }
 
@@ -311,7 +305,6 @@
             attempts,
             in_doubt: entry.in_doubt.clone(),
             conns: entry.earlier_conns.iter().copied().chain(entry.conn).collect(),
-            untold_end: None,
             resend_until: entry.resend_until,
             expires_at,
         };
@@ -319,32 +312,20 @@
         self.timers.set(entry.resend_until, Timer::ResendWindow(id));
     }
 
-    /// Keeps the end of a session whose client may send its request once more: told on another connection, it
-    /// would be taken for the answer, and the second copy would get another one. Returns whether it is kept.
-    pub(super) fn keep_end_for_second_copy(&mut self, end: &Message) -> bool {
-        let Some(past) = self.past_requests.0.get_mut(&end.session) else { return false };
-        if past.resend_until <= self.polled_at {
-            return false;
-        }
-        past.untold_end = Some(end.clone());
-        let tell_at = past.resend_until.min(self.now + MAX_END_DELAY);
-        self.timers.set(tell_at, Timer::ResendWindow(end.session));
-        true
+    /// Until when a second copy of a request that is over may come, if it may.
+    pub(super) fn second_copy_expected_until(&self, id: u64) -> Option<Micros> {
+        let past = self.past_requests.requests.get(&id)?;
+        Some(past.resend_until).filter(|until| *until > self.polled_at)
     }
 
-    /// The resend window of a request is over, or the end of its session has waited for long enough.
+    /// The resend window of a request is over.
     pub(super) fn resend_window_ended(&mut self, id: u64, out: &mut Vec<Command>) {
-        if let Some(past) = self.past_requests.0.get_mut(&id) {
-            let untold_end = past.untold_end.take();
-            let expires_at = past.expires_at;
+        if let Some(expires_at) = self.past_requests.requests.get(&id).map(|past| past.expires_at) {
             if expires_at <= self.polled_at {
                 self.past_requests.take(id);
             } else {
                 self.timers.set(expires_at, Timer::ResendWindow(id));
             }
-            if let Some(end) = untold_end {
-                self.notify_client(None, end, out);
-            }
         }
         let Some(entry) = self.sessions.get_mut(&id).filter(|entry| entry.resend_until <= self.polled_at)
         else {
--- a/crates/platform/src/core/restarts.rs
+++ b/crates/platform/src/core/restarts.rs
@@ -86,12 +86,20 @@
         }
         let text = format!("server s-{:08x}: no word on its sessions since it was reset", server.0);
         out.push(Command::Log(Level::Info, text));
-        lost.into_iter().for_each(|id| self.release_at_server(id, cause::BROKEN, out));
+        for id in lost {
+            self.release_at_server(id, cause::BROKEN, out);
+            self.sessions.entry(id).and_modify(|entry| entry.over_since = Some(reset_at));
+        }
         self.end_lost_sessions(|_, entry| is_lost(entry), out);
     }
 
     /// A server is gone from the list: what was set up since its last connection was reset may be at another process.
-    pub(super) fn remember_sessions_at(&mut self, server: ServerId, address: SocketAddr) {
+    pub(super) fn remember_sessions_at(
+        &mut self,
+        server: ServerId,
+        address: SocketAddr,
+        out: &mut Vec<Command>,
+    ) {
         self.restarts.resets_began.remove(&server);
         self.restarts.unproven.remove(&server);
         let Some(reset_at) = self.restarts.last_reset.remove(&server) else { return };
@@ -104,6 +112,8 @@
         for id in ids {
             if self.restarts.at_address.len() < MAX_SESSIONS_AT_ADDRESSES {
                 self.restarts.at_address.insert((address, id), expires_at);
+            } else {
+                out.push(forgotten_at(address, id, "too many are remembered"));
             }
         }
     }
@@ -125,7 +135,12 @@
     /// Releases what was set up under the ids of servers that are gone, at those that are listed at their addresses.
     pub(super) fn release_at_successors(&mut self, out: &mut Vec<Command>) {
         let now = self.now;
-        self.restarts.at_address.retain(|_, expires_at| now < *expires_at);
+        self.restarts.at_address.retain(|(address, id), expires_at| {
+            if *expires_at <= now {
+                out.push(forgotten_at(*address, *id, "no successor is listed in time"));
+            }
+            now < *expires_at
+        });
         let addresses: BTreeSet<SocketAddr> = self.restarts.at_address.keys().map(|(at, _)| *at).collect();
         for address in addresses {
             let Some(successor) = self.listed_at(address) else { continue };
@@ -140,6 +155,11 @@
     }
 }
 
+/// The log line for a session at an address that is not released any more.
+fn forgotten_at(address: SocketAddr, id: u64, why: &str) -> Command {
+    Command::Log(Level::Info, format!("session {id:016x}: its release at {address} is given up: {why}"))
+}
+
 /// Whether this session plays at a server since before `reset_at`.
 fn plays_since(entry: &SessionEntry, server: ServerId, reset_at: Micros) -> bool {
     entry.plays_at(server) && entry.playing_since < reset_at
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -53,7 +53,7 @@
                     false => self.health.connect_failed(self.now, server, error),
                 };
                 if verdict == Verdict::Lost && error != DialError::Refused {
-                    self.release_when_reachable(server);
+                    self.release_when_reachable(server, out);
                 }
                 self.apply_verdict(server, verdict, out);
             }
@@ -148,11 +148,12 @@
         match message.kind {
             kind::ANSWER => self.set_up_answered(server, conn, message, out),
             kind::RELEASE => {
-                out.push(Command::SendToServer(conn, Message::new(kind::RELEASE_ACK, id)));
                 self.give_up_acknowledged(id, conn, out);
                 self.release_acknowledged(id, server);
                 self.session_reported(server, id);
                 self.server_released(server, conn, message, out);
+                // Acknowledged once what it ends is recorded as owed to the client.
+                out.push(Command::SendToServer(conn, Message::new(kind::RELEASE_ACK, id)));
             }
             kind::NOTE => {
                 let Some(note) = parse_note(&message) else { return };
@@ -291,8 +292,15 @@
         let Some(entry) = self.sessions.get(&id) else {
             // The client may still hand the session over, and its media server reports the end only once
             // more.
-            if self.now < self.started_at + EARLY_END_RETENTION && self.early_ends.len() < MAX_EARLY_ENDS {
+            if self.now >= self.started_at + EARLY_END_RETENTION {
+                return;
+            }
+            if self.early_ends.len() < MAX_EARLY_ENDS {
                 self.early_ends.insert(id, (server, message));
+            } else {
+                let text =
+                    format!("session {id:016x}: too many ends before a hand-over, this one is forgotten");
+                out.push(Command::Log(Level::Info, text));
             }
             return;
         };
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -75,6 +75,7 @@
         }
         let is_closed = self.closing_clients.as_ref().is_some_and(BTreeSet::is_empty);
         if is_due || is_closed && !self.is_anything_owed() {
+            self.log_owed(out);
             self.finished = true;
             out.push(Command::Exit);
         } else {
@@ -89,8 +90,22 @@
     fn is_anything_owed(&self) -> bool {
         let is_moving = self.sessions.values().any(|entry| entry.moving);
         let owed_to_servers = self.pool.has_unsent() || self.has_releases();
-        let owed_to_clients = !self.client_notices.is_empty() || self.past_requests.has_untold_ends();
-        is_moving || owed_to_servers || owed_to_clients || self.now < self.copies_expected_until
+        is_moving
+            || owed_to_servers
+            || !self.client_notices.is_empty()
+            || self.now < self.copies_expected_until
+    }
+
+    /// Logs what is still owed as the process exits.
+    fn log_owed(&self, out: &mut Vec<Command>) {
+        let notices = self.client_notices.sessions();
+        let notices =
+            notices.map(|id| format!("shutdown: session {id:016x}: its client has not acknowledged"));
+        let releases = self.releases.unacknowledged();
+        let releases = releases.map(|(id, server)| {
+            format!("shutdown: session {id:016x}: its release at s-{:08x} is not acknowledged", server.0)
+        });
+        out.extend(notices.chain(releases).map(|text| Command::Log(Level::Info, text)));
     }
 
     fn begin_releasing(&mut self, since: Micros, out: &mut Vec<Command>) {
