Ends that are found out late are told on more connections in the time that is left

Cause: they were given up 7 s after the reset whatever the interval of notes, and each acknowledgement was then waited for as long as that of an end with 8 s left: 7 connections were tried in the second.

--- a/crates/platform/src/core/restarts.rs
+++ b/crates/platform/src/core/restarts.rs
@@ -18,8 +18,6 @@
 
 use super::{cause, Command, Core, Decider, Level, SessionEntry, Timer, END_NOTICE_LIMIT};
 
-/// Time within which a lost session is ended here, so that its client is told in the protocol's limit.
-const PROOF_TIMEOUT: Micros = END_NOTICE_LIMIT - 1_000_000;
 /// The connections of a process that dies are reset at one instant, and the resets are read within this time.
 const RESET_SPREAD: Micros = 200_000;
 /// How long sessions at an address that no listed server has are remembered.
@@ -55,13 +53,9 @@
             return;
         }
         self.restarts.last_reset.insert(server, self.now);
-        let settings = &self.platform_settings.settings;
-        let is_noted = settings.note_interval > 0
-            && settings.note_interval.saturating_add(settings.note_age) <= PROOF_TIMEOUT;
-        let is_suspect = is_noted && self.health.holds_sessions(server);
-        if is_suspect {
+        if let Some(timeout) = self.note_timeout().filter(|_| self.health.holds_sessions(server)) {
             self.restarts.unproven.entry(server).or_default().insert(self.now);
-            self.timers.set(self.now + PROOF_TIMEOUT, Timer::RestartProof(server));
+            self.timers.set(self.now + timeout, Timer::RestartProof(server));
         }
     }
 
@@ -74,8 +68,9 @@
 
     /// A server has sent nothing on its sessions since its last connection was reset: they are over.
     pub(super) fn end_unproven_sessions(&mut self, server: ServerId, out: &mut Vec<Command>) {
+        let Some(timeout) = self.note_timeout() else { return };
         let Some(resets) = self.restarts.unproven.get_mut(&server) else { return };
-        let later = resets.split_off(&(self.now.saturating_sub(PROOF_TIMEOUT) + 1));
+        let later = resets.split_off(&(self.now.saturating_sub(timeout) + 1));
         let due = std::mem::replace(resets, later);
         let Some(reset_at) = due.last().copied() else { return };
         let is_lost = |entry: &SessionEntry| plays_since(entry, server, reset_at);
--- a/crates/platform/src/core/tests/owed_ends.rs
+++ b/crates/platform/src/core/tests/owed_ends.rs
@@ -425,3 +425,31 @@
     }
     assert_eq!(told_within(&mut node, 7 * SECOND), [1, 2]);
 }
+
+// Guards against an end that is found out late and then waits for acknowledgements until its time is over.
+#[test]
+fn tries_all_clients_with_the_end_of_a_session_at_a_replaced_process_in_the_time_that_is_left() {
+    const CLIENTS: u64 = 20;
+    let mut node = TestNode::with(ScriptedDecider::default());
+    let conn = request_at_first(&mut node, 1);
+    node.handle(NodeEvent::ServerMessage(conn, answer_message(1)));
+    node.now += SECOND;
+    let out = node.handle(NodeEvent::ServerReset(conn));
+    node.establish(&out);
+    let (until, mut tried) = (node.now + 8 * SECOND, BTreeSet::new());
+    for client in 2..=CLIENTS {
+        node.handle(NodeEvent::ClientConnected(ClientId(client)));
+        let test = Message::new(kind::TEST, 0).with(code::CAUSE, [0]);
+        node.handle(NodeEvent::ClientMessage(ClientId(client), test));
+    }
+    while let Some(due) = node.core.next_due().filter(|due| *due < until) {
+        node.now = node.now.max(due);
+        let out = node.handle(NodeEvent::Tick);
+        tried.extend(out.iter().filter_map(|command| match command {
+            Command::SendToClient(client, message) if message.kind == kind::RELEASE => Some(client.0),
+            _ => None,
+        }));
+        node.establish(&out);
+    }
+    assert_eq!(tried, (1..=CLIENTS).collect());
+}
