--- a/crates/platform/src/core/dial_backoff.rs
+++ b/crates/platform/src/core/dial_backoff.rs
@@ -49,8 +49,19 @@
         self.pauses.remove(&server);
     }
 
+    /// Ends all pauses.
+    pub fn clear(&mut self) {
+        self.pauses.clear();
+    }
+
     /// A connection to a server that was dialled at this time has ended; returns the end of the pause, if one follows.
-    fn connection_ended(&mut self, now: Micros, server: ServerId, dialed_at: Micros) -> Option<Micros> {
+    fn connection_ended(
+        &mut self,
+        now: Micros,
+        server: ServerId,
+        dialed_at: Micros,
+        max_pause: Micros,
+    ) -> Option<Micros> {
         if now >= dialed_at + MIN_LIFETIME {
             self.pauses.remove(&server);
             return None;
@@ -60,7 +71,7 @@
             return Some(previous.until);
         }
         // One connection that is lost is replaced at once.
-        let length = previous.map_or(0, |previous| (2 * previous.length).clamp(FIRST_PAUSE, MAX_PAUSE));
+        let length = previous.map_or(0, |previous| (2 * previous.length).clamp(FIRST_PAUSE, max_pause));
         let jitter = length / JITTER_DIVISOR * Micros::from(self.rng.next_u32() % 1024) / 1024;
         let until = now + length - jitter;
         self.pauses.insert(server, Pause { length, until });
@@ -76,7 +87,9 @@
             // It was finished here, and says nothing about the server.
             return;
         }
-        if let Some(until) = self.dial_backoff.connection_ended(self.now, server, dialed_at) {
+        // A process that shuts down has little time left for what the server is owed.
+        let max_pause = if self.releasing_until.is_some() { FIRST_PAUSE } else { MAX_PAUSE };
+        if let Some(until) = self.dial_backoff.connection_ended(self.now, server, dialed_at, max_pause) {
             let pause_ms = (until - self.now) / 1_000;
             let text = format!(
                 "server s-{:08x}: refuses or ends new connections, the next is dialled in {pause_ms} ms",
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -111,6 +111,8 @@
     fn begin_releasing(&mut self, since: Micros, out: &mut Vec<Command>) {
         let deadline = self.earliest_kill(since) - FLUSH_MARGIN;
         self.releasing_until = Some(deadline);
+        // What is owed has to be sent before the kill.
+        self.dial_backoff.clear();
         self.timers.set(deadline, Timer::Shutdown);
         let unanswered = self.sessions.values().filter(|entry| entry.session.answer_pending()).count();
         let text = format!(
