The soak plays ends that may be taken for something else, and sessions that stand for nobody

Change: ends on connections of earlier attempts, before their answers, answers as the time is over, moves on connections that fall silent before the session ends or its viewer asks again, servers that reset each new connection; replaced processes beside silent clients and half requests. The judge reports sessions that stand 3 s after their clients were told of the end, loops of dials, and ends untold at an exit because the client's connection was closed for room.

--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -25,6 +25,8 @@
 pub(crate) enum RequestOrigin {
     Viewers,
     Crowd,
+    /// This viewer asks for another session.
+    Viewer(u64),
 }
 
 /// A connection of a client.
@@ -58,11 +60,15 @@
     bytes: Vec<u8>,
     class: usize,
     patience: Micros,
+    /// The viewer.
+    pub viewer: u64,
     was_served: bool,
     /// Server at which its session plays.
     server: Option<u32>,
     /// Its connection was cut before it was answered.
     pub was_cut: bool,
+    /// When its client was told by its front node that it is over.
+    pub told_over_at: Option<Micros>,
     /// When its session was handed over last, or 0.
     pub handed_over_at: Micros,
     /// Which process of its front node, counted over restarts, holds it.
@@ -75,6 +81,16 @@
         self.is_playing() && self.server == Some(server)
     }
 
+    /// The front node to which it was sent.
+    pub fn node(&self) -> usize {
+        self.node
+    }
+
+    /// The server at which its session plays.
+    pub fn server(&self) -> Option<u32> {
+        self.server
+    }
+
     /// Whether its client knows it as playing and has not ended it.
     pub fn is_playing(&self) -> bool {
         self.stage == Stage::Playing
@@ -114,11 +130,19 @@
         }
         let Some(client) = self.usable_client(node) else { return };
         let Some(token) = self.clients.get(&client).map(|client| client.token) else { return };
+        if self.endpoints.get(&token).is_none_or(|endpoint| endpoint.pending_fragments > 0) {
+            // It would be written, and count as sent, only behind the rest of another request.
+            return;
+        }
         let class = usize::from(self.draws.chance(35));
         let id = self.draws.between(1 << 32, u64::MAX);
         let patience = self.patience(class);
         let home = self.home(origin);
-        let bytes = self.set_up_message(id, class, patience, home, None).bytes();
+        let viewer = match origin {
+            RequestOrigin::Viewer(viewer) => viewer,
+            _ => self.draws.between(1, u64::MAX),
+        };
+        let bytes = self.set_up_message(id, class, patience, home, viewer, None).bytes();
         let (stage, process) = (Stage::Pending, self.nodes[node].process);
         let request = Request {
             node,
@@ -128,15 +152,16 @@
             bytes: bytes.clone(),
             class,
             patience,
+            viewer,
             was_served: false,
             server: None,
             was_cut: false,
+            told_over_at: None,
             handed_over_at: 0,
             process,
         };
         self.requests.insert(id, request);
-        let is_free = self.endpoints.get(&token).is_some_and(|endpoint| endpoint.pending_fragments == 0);
-        if self.draws.chance(self.plan.client_behavior.fragments) && is_free {
+        if self.draws.chance(self.plan.client_behavior.fragments) {
             let (first, last) = bytes.split_at(bytes.len() * 2 / 3);
             self.write(token, first);
             self.endpoints.entry(token).and_modify(|endpoint| endpoint.pending_fragments += 1);
@@ -151,7 +176,7 @@
     /// First cell that holds the title of a request.
     fn home(&mut self, origin: RequestOrigin) -> u32 {
         match origin {
-            RequestOrigin::Viewers => self.plan.server(&mut self.draws),
+            RequestOrigin::Viewers | RequestOrigin::Viewer(_) => self.plan.server(&mut self.draws),
             RequestOrigin::Crowd => self.plan.hot_servers.0,
         }
     }
@@ -181,19 +206,19 @@
         class: usize,
         patience: Micros,
         home: u32,
+        viewer: u64,
         at: Option<u32>,
     ) -> Message {
         let plan = &self.plan.classes[class];
         let (name, top) = (plan.name, plan.terms.top);
         let cells = u64::from(self.plan.servers);
         let copies = self.plan.copies.min(cells);
-        let viewer = self.draws.between(1, u64::MAX);
         let current_server = at.map_or(String::new(), |server| format!(";at:s-{:08x}", server + 1));
         Message::new(kind::SET_UP, id)
             .with(code::CLASS, name)
             .with(code::WAIT_MS, (patience / MS).to_string())
             .with(code::TITLE, format!("{home:016x}"))
-            .with(code::LENGTH_HINT_MS, "8200.0")
+            .with(code::LENGTH_HINT_MS, self.plan.end_paths.length_hint())
             .with(
                 code::REQUEST_FIELDS,
                 format!("home:{home};copies:{copies};top:{top};viewer:{viewer:016x}{current_server}"),
@@ -320,7 +345,7 @@
                     if refused { Answer::Refused } else { Answer::Failed },
                 );
             }
-            kind::MOVE if self.cuts_move(client) => {}
+            kind::MOVE if self.cuts_move(client) || self.misses_move(client, id) => {}
             kind::MOVE => self.handle_move(node, id),
             _ => {}
         }
@@ -358,8 +383,10 @@
     }
 
     fn handle_client_release(&mut self, client: u64, id: u64, answer: Answer) {
-        let Some(stage) = self.requests.get(&id).map(|request| request.stage) else { return };
-        match stage {
+        let now = self.now();
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.told_over_at.get_or_insert(now);
+        match request.stage {
             Stage::Playing => self.end_session_for_client(id),
             Stage::Pending => self.handle_answer(client, id, answer),
             // A repeated end, or the answer to a request that was given up meanwhile.
@@ -411,9 +438,9 @@
         let Some(client) = self.usable_client(node) else { return false };
         let Some(token) = self.clients.get(&client).map(|client| client.token) else { return false };
         let Some(request) = self.requests.get(&id) else { return false };
-        let (class, patience) = (request.class, request.patience);
+        let (class, patience, viewer) = (request.class, request.patience, request.viewer);
         let home = self.home(RequestOrigin::Viewers);
-        let message = self.set_up_message(id, class, patience, home, Some(server)).bytes();
+        let message = self.set_up_message(id, class, patience, home, viewer, Some(server)).bytes();
         self.write(token, &message);
         if self.draws.chance(self.plan.client_behavior.retries) {
             self.write(token, &message);
@@ -559,7 +586,7 @@
         let id = self.draws.between(1 << 32, u64::MAX);
         let patience = self.patience(0);
         let home = self.home(RequestOrigin::Viewers);
-        let request = self.set_up_message(id, 0, patience, home, None).bytes();
+        let request = self.set_up_message(id, 0, patience, home, 1, None).bytes();
         match self.draws.between(0, 5) {
             0 => self.write(token, &[0xff; 300]),
             1 => self.write(token, &request[..request.len() / 2]),
--- a/crates/soak/src/departures.rs
+++ b/crates/soak/src/departures.rs
@@ -46,7 +46,7 @@
     /// Draws the plan of a seed.
     pub fn from_seed(seed: u64) -> DeparturePlan {
         let mut draws = Draws::new(seed ^ 0xde9a);
-        let mut plan = DeparturePlan {
+        DeparturePlan {
             after_answers: draws.pick(&[0, 10, 30]),
             silent: draws.pick(&[0, 0, 10]),
             lost_ends: draws.pick(&[0, 10, 30]),
@@ -55,12 +55,7 @@
             half_requests: draws.pick(&[0, 0, 0, 250]),
             repeats_signals: draws.chance(50),
             is_replaced_at_once: draws.chance(25),
-        };
-        if plan.is_replaced_at_once {
-            // A second is left to tell the ends: too little to find the connection that reads among many that do not.
-            (plan.silent, plan.half_requests) = (0, 0);
         }
-        plan
     }
 
     /// Whether a trial has to last until ends that were lost are due.
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -28,6 +28,10 @@
 const LATEST_END_BEFORE_EXIT: Micros = 50_000;
 /// The longest time of a shutdown.
 const MAX_TIME_TO_EXIT: Micros = 4_000_000;
+/// Connections that a front node makes within a second to a server that resets each one, at most, beside one for each
+/// request of that time: what is sent again waits for 75 ms at least, and health is checked every 150 ms.
+const MAX_DIALS_PER_SECOND: usize = 40;
+const SECOND: Micros = 1_000_000;
 /// A handed-over session counts as known to the front node this long after the hand-over.
 const HAND_OVER_DELAY: Micros = 200_000;
 
@@ -150,6 +154,7 @@
     evaluation.check_rungs();
     evaluation.check_budget();
     evaluation.check_processes();
+    evaluation.check_dials();
     evaluation.violations
 }
 
@@ -344,6 +349,10 @@
         let mut found = Vec::new();
         for (at, event) in &self.record.events {
             match event {
+                Event::SessionStands { id } => found.push((
+                    *at,
+                    format!("{id:016x} stands for nobody: its client was told long ago that it is over"),
+                )),
                 Event::SessionOrphaned { id } => found
                     .push((*at, format!("{id:016x} still played 1 s after its front node had shut down"))),
                 Event::SessionEnded { id, notified } => {
@@ -418,7 +427,10 @@
                 || self.closed_by_node.get(conn).is_some_and(|closed| *closed < at);
             *node == request.node && *first < at && !is_closed && self.closed_by_node.contains_key(conn)
         };
-        let could_be_told = self.first_requests.iter().any(was_open);
+        // A front node closes none to which a session belongs while there are others, such as half messages.
+        let was_closed_early = self.closed_by_node.get(&request.conn).is_some_and(|closed| *closed < at)
+            && !self.closed_by_client.contains(&request.conn);
+        let could_be_told = was_closed_early || self.first_requests.iter().any(was_open);
         let was_served = matches!(request.answers.first(), Some((_, Answer::Served(_))));
         let is_untold = request.released.is_none_or(|released| released > exit + LIMIT_SLACK);
         let is_lost = was_served && is_untold && could_be_told && held_since < at && !killed_between;
@@ -432,6 +444,31 @@
         spans.into_iter().any(|(from, until)| *from <= at && at <= *until + LIMIT_SLACK)
     }
 
+    fn check_dials(&mut self) {
+        let mut resets: BTreeMap<(u32, usize), Vec<Micros>> = BTreeMap::new();
+        for (at, event) in &self.record.events {
+            if let Event::ConnectionReset { server, node } = event {
+                resets.entry((*server, *node)).or_default().push(*at);
+            }
+        }
+        for ((server, node), times) in resets {
+            let excess = |from: Micros| {
+                let dials = times.iter().filter(|at| (from..from + SECOND).contains(at)).count();
+                dials.saturating_sub(MAX_DIALS_PER_SECOND + self.requests_around(node, from))
+            };
+            let Some(from) = times.iter().copied().find(|at| excess(*at) > 0) else { continue };
+            let description =
+                format!("front node {node} dialled s-{server:08x} in a loop, which resets each connection");
+            self.report(Rule::Limits, from, description);
+        }
+    }
+
+    /// Number of requests that were sent to a front node in the second before this time and the one after it.
+    fn requests_around(&self, node: usize, at: Micros) -> usize {
+        let span = at.saturating_sub(SECOND)..at + SECOND;
+        self.requests.values().filter(|request| request.node == node && span.contains(&request.sent)).count()
+    }
+
     fn check_concurrent_attempts(&mut self) {
         let mut found = Vec::new();
         for (id, request) in &self.requests {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod crossings;
 mod departures;
 mod discovery;
+pub mod end_paths;
 mod fleet_plan;
 pub mod judge;
 mod nodes;
--- a/crates/soak/src/nodes.rs
+++ b/crates/soak/src/nodes.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Whether it has run since this time, without being told to shut down.
+    pub fn has_run_since(&self, at: Micros) -> bool {
+        self.phase == Phase::Running && self.started <= at && self.suspended_until <= at
+    }
+
     /// Whether it was told to shut down and has not ended.
     pub fn is_shutting_down(&self) -> bool {
         matches!(self.phase, Phase::ShuttingDown(_))
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -5,6 +5,7 @@
 
 use crate::crossings::CrossingPlan;
 use crate::departures::DeparturePlan;
+use crate::end_paths::EndPathPlan;
 use crate::nodes::{KILL_DELAY, MAX_KILL_DEADLINE};
 use crate::record::{ClassTerms, ColdTerms, Effect, Micros, Terms};
 
@@ -63,6 +64,8 @@
     ServerResets(u32),
     /// A server loses the state of its idle connections: data on one is answered by a reset.
     ServerForgetsIdle(u32),
+    /// A server resets all its connections, and each new one as soon as it is accepted, for some time.
+    ServerResetsNew(u32),
     /// A server is announced as leaving, and is gone after this time.
     ServerLeaves(u32, Micros),
     /// The full list is published again.
@@ -106,6 +109,7 @@
             Fault::ServerResets(server) => Fault::ServerResets(next(server)),
             Fault::ServerForgetsIdle(server) => Fault::ServerForgetsIdle(next(server)),
             Fault::ServerLeaves(server, duration) => Fault::ServerLeaves(next(server), duration),
+            Fault::ServerResetsNew(server) => Fault::ServerResetsNew(next(server)),
             _ => return None,
         })
     }
@@ -214,6 +218,8 @@
     pub crossings: CrossingPlan,
     /// Clients that leave or fall silent while something is owed to them.
     pub departures: DeparturePlan,
+    /// Messages of servers that may be taken for something else.
+    pub end_paths: EndPathPlan,
     /// Additional abusive connections of each front node.
     pub crowd: u64,
     /// Time from the end of a process of a front node to its next start.
@@ -245,9 +251,11 @@
         let requests_until = REQUEST_PERIOD;
         let crossings = CrossingPlan::from_seed(seed);
         let departures = DeparturePlan::from_seed(seed);
+        let end_paths = EndPathPlan::from_seed(seed);
         // A quarter of the trials, and those in which ends are lost, last until delayed notifications of session
         // ends (8 s) are due.
-        let is_long = draws.chance(25) || crossings.ends > 0 || departures.delays_ends();
+        let is_long =
+            draws.chance(25) || crossings.ends > 0 || departures.delays_ends() || end_paths.unheard_moves > 0;
         let notified_by = if is_long { 8_300 * MS } else { 0 };
         let ends = requests_until + (longest_deadline + 1_200 * MS).max(notified_by);
         let has_racks = is_large || draws.chance(50);
@@ -270,6 +278,7 @@
             client_behavior: client_behavior(&mut draws),
             crossings,
             departures,
+            end_paths,
             crowd: draws.pick(&[0, 0, 60, 200]),
             restart_delay: RESTART_DELAY,
             listing_delay: departures.replacement().map_or(0, |(_, listed_after)| listed_after),
@@ -280,6 +289,11 @@
         plan.cpu_percent = overrides.cpu_percent.unwrap_or(plan.cpu_percent).clamp(1, 100);
         plan.draw_faults(&mut draws);
         plan.add_replacements();
+        plan.add_resetting_servers();
+        if plan.end_paths.before_answer > 0 {
+            // Front nodes have several connections to a server.
+            plan.crossings.max_streams = 1;
+        }
         plan.requests_until += plan.crossings.more_requests();
         plan.ends += plan.crossings.more_requests();
         plan
@@ -322,6 +336,16 @@
         self.faults.sort_by_key(|(at, _)| *at);
     }
 
+    /// Adds hot servers that reset each new connection.
+    fn add_resetting_servers(&mut self) {
+        let (first, count) = self.hot_servers;
+        for place in 0..count.min(self.end_paths.resetting_servers) {
+            let at = 2 * SECOND + Micros::from(place) * SECOND;
+            self.faults.push((at, Fault::ServerResetsNew((first + place) % self.servers)));
+        }
+        self.faults.sort_by_key(|(at, _)| *at);
+    }
+
     /// Repeats a fault at neighbouring servers, all at once or one after another.
     fn spread(&mut self, at: Micros, fault: Fault, draws: &mut Draws) {
         let part = u64::from(self.servers) * draws.pick(&[5, 20, 40]) / 100;
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -134,6 +134,18 @@
         /// Number of the client's new connection; `None` if the process that it was sent to accepts none any more.
         conn: Option<u64>,
     },
+    /// A session stands at a server that had no fault, although its client was told long ago that it is over.
+    SessionStands {
+        /// Session id.
+        id: u64,
+    },
+    /// A server has reset a connection as soon as it was accepted.
+    ConnectionReset {
+        /// The server.
+        server: u32,
+        /// The front node that made it.
+        node: usize,
+    },
     /// A client was told that its session is over or is to be opened again.
     Released {
         /// Session id.
--- a/crates/soak/src/rig.rs
+++ b/crates/soak/src/rig.rs
@@ -75,6 +75,10 @@
     CutClient { client: u64, cut: Cut },
     RepeatSignals { node: usize, process: u32 },
     StartHalfRequest { node: usize },
+    AnswerEnded { id: u64, token: u64, bytes: Vec<u8> },
+    CloseAfterAnswer { attempt: u64 },
+    AskAgain { id: u64 },
+    CheckStanding,
 }
 
 /// A connection or listener and its buffers.
@@ -105,6 +109,8 @@
     pub(crate) crossing_draws: Draws,
     /// Draws of the clients that leave.
     pub(crate) departure_draws: Draws,
+    /// Draws of the paths on which servers tell ends.
+    pub(crate) end_path_draws: Draws,
     started: Instant,
     poll: OwnedFd,
     pub(crate) endpoints: BTreeMap<u64, Endpoint>,
@@ -167,6 +173,7 @@
             draws,
             crossing_draws,
             departure_draws: Draws::new(plan.seed ^ 0xde9a_5eed),
+            end_path_draws: Draws::new(plan.seed ^ 0xe4d5_5eed),
             started: Instant::now(),
             poll: epoll::create(epoll::CreateFlags::CLOEXEC)?,
             endpoints: BTreeMap::new(),
@@ -230,6 +237,7 @@
             }
         }
         self.schedule_at(0, Action::SampleProcesses);
+        self.schedule_at(0, Action::CheckStanding);
     }
 
     /// Time since the start of the trial.
@@ -327,6 +335,10 @@
             Action::CutClient { client, cut } => self.cut_client(client, cut),
             Action::RepeatSignals { node, process } => self.repeat_signals(node, process),
             Action::StartHalfRequest { node } => self.start_half_request(node),
+            Action::AnswerEnded { id, token, bytes } => self.answer_ended(id, token, &bytes),
+            Action::CloseAfterAnswer { attempt } => self.close_after_answer(attempt),
+            Action::AskAgain { id } => self.ask_again(id),
+            Action::CheckStanding => self.check_standing(),
         }
     }
 
@@ -338,6 +350,7 @@
             Fault::ServerClosesIdle(server) => self.server_closes_idle(server),
             Fault::ServerResets(server) => self.server_resets(server),
             Fault::ServerForgetsIdle(server) => self.server_forgets_idle(server),
+            Fault::ServerResetsNew(server) => self.server_resets_new(server),
             Fault::ServerLeaves(server, duration) => self.server_leaves(server, duration),
             Fault::FullList => self.publish_full_list(),
             Fault::ListChanges(count) => self.republish(count),
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -52,6 +52,7 @@
     pub node: usize,
     pub process: u32,
     token: u64,
+    pub started: Micros,
 }
 
 /// State of a server.
@@ -75,6 +76,12 @@
     pub sessions: BTreeMap<u64, ActiveSession>,
     /// Releases to repeat on the next connection of a front node.
     unacknowledged: BTreeMap<usize, Vec<Message>>,
+    /// Connections of the attempts of each session.
+    pub attempt_tokens: BTreeMap<u64, Vec<u64>>,
+    /// Whether an end was told on the connection of an earlier attempt.
+    pub has_used_earlier: bool,
+    /// Until when each new connection is reset.
+    pub resets_new_until: Micros,
     /// Whether a connection with an end on its way was cut.
     pub was_cut_off: bool,
     /// Number of connections that each front node has made.
@@ -96,6 +103,9 @@
             listed_start: None,
             sessions: BTreeMap::new(),
             unacknowledged: BTreeMap::new(),
+            attempt_tokens: BTreeMap::new(),
+            has_used_earlier: false,
+            resets_new_until: 0,
             was_cut_off: false,
             accepted_connections: BTreeMap::new(),
             caught_up_at: 0,
@@ -103,6 +113,12 @@
             filler_addresses: BTreeSet::new(),
         }
     }
+
+    /// Whether it has had no fault so far: its process did not hang or die, and no connection was cut or silent.
+    pub fn is_sound(&self) -> bool {
+        let has_hung = self.caught_up_at > 0 || self.started.is_some();
+        !has_hung && !self.was_cut_off && !self.has_used_earlier && self.resets_new_until == 0
+    }
 }
 
 impl Rig {
@@ -124,6 +140,9 @@
             return;
         }
         let Some(token) = self.add_connection(Role::Server { server, node }, stream) else { return };
+        if self.resets_new(server, node) {
+            return self.close(token, true);
+        }
         let accepted = self.servers[server as usize].accepted_connections.entry(node).or_default();
         *accepted += 1;
         if *accepted <= DELAYED_CONNECTIONS {
@@ -175,6 +194,7 @@
         let rung = message.number(code::RUNG).unwrap_or(0);
         self.record(Event::SetUpReceived { attempt, id, server: server_id, node, rung, started });
         let reply = self.draw_reply();
+        self.servers[server as usize].attempt_tokens.entry(id).or_default().push(token);
         self.attempts.insert(attempt, Attempt { id, server, node, token, reply });
         let late = self.draws.chance(self.plan.server_behavior.late);
         let work_time = match late {
@@ -186,10 +206,23 @@
             SetUpReply::Ignores => {}
             _ if work_time > remaining && self.draws.chance(self.plan.server_behavior.drops_late) => {}
             SetUpReply::Resets => self.close(token, true),
+            SetUpReply::Serves => match self.deadline_answer(remaining) {
+                Some(after) => self.schedule_in(after, Action::CloseAfterAnswer { attempt }),
+                None => self.schedule_in(work_time, Action::AnswerSetUp { attempt }),
+            },
             _ => self.schedule_in(work_time, Action::AnswerSetUp { attempt }),
         }
     }
 
+    /// Answers a set-up as its time is over, and closes its connection.
+    pub(crate) fn close_after_answer(&mut self, number: u64) {
+        let Some(token) = self.attempts.get(&number).map(|attempt| attempt.token) else { return };
+        self.answer_set_up(number);
+        if !self.attempts.contains_key(&number) {
+            self.close(token, false);
+        }
+    }
+
     fn draw_reply(&mut self) -> SetUpReply {
         let ServerBehavior { refused, silent, reset, malformed, fragments, duplicated, .. } =
             self.plan.server_behavior;
@@ -245,6 +278,7 @@
                 self.write(token, &answer[..answer.len() / 2]);
                 return self.close(token, false);
             }
+            SetUpReply::Serves if self.ends_before_answer(&attempt, number, &description) => return,
             _ => ended(self, AttemptEnd::SetUp(description)),
         }
         self.start_session(&attempt);
@@ -274,7 +308,8 @@
     fn start_session(&mut self, attempt: &Attempt) {
         let (server, id) = (attempt.server, attempt.id);
         let process = self.nodes[attempt.node].process;
-        let session = ActiveSession { node: attempt.node, process, token: attempt.token };
+        let session =
+            ActiveSession { node: attempt.node, process, token: attempt.token, started: self.now() };
         self.servers[server as usize].sessions.insert(id, session);
         let lifetime = self.draws.between(800, 9_000) * MS;
         self.schedule_in(lifetime, Action::EndSession { server, id });
@@ -285,9 +320,9 @@
         let Some(session) = self.servers[server as usize].sessions.get(&id).copied() else { return };
         if self.servers[server as usize].health == Health::Healthy {
             if let Some(token) = self.connection_for(server, session) {
-                let value = self.draws.between(10, 90);
+                let load = self.noted_load();
                 let note = Message::new(kind::NOTE, id).with(code::NOTE_KIND, "port");
-                self.send(token, &note.with(code::NOTE_VALUE, format!("0.{value}")));
+                self.send(token, &note.with(code::NOTE_VALUE, format!("{:.2}", load as f64 / 100.0)));
             }
         }
         self.schedule_in(NOTE_INTERVAL, Action::SendNote { server, id });
@@ -314,7 +349,10 @@
         }
         self.servers[server as usize].sessions.remove(&id);
         let release = Message::release(id, cause::NORMAL);
-        let endpoint = self.connection_for(server, session).filter(|token| !self.cuts_end(server, *token));
+        let endpoint = match self.earlier_connection(server, id, session.token) {
+            Some(earlier) => Some(earlier),
+            None => self.connection_for(server, session).filter(|token| !self.cuts_end(server, *token)),
+        };
         let notified = endpoint.is_some_and(|token| self.endpoints[&token].read_delay == 0);
         if let Some(token) = endpoint {
             self.send(token, &release);
@@ -529,6 +567,7 @@
         let could_be_notified = |server: &&Server| {
             server.health == Health::Healthy
                 && (server.caught_up_at == 0 || server.caught_up_at + REACH_TIME < ended)
+                && (server.resets_new_until == 0 || server.resets_new_until + REACH_TIME < ended)
         };
         for server in self.servers.iter().filter(could_be_notified) {
             let belongs = |session: &&ActiveSession| (session.node, session.process) == (node, process);
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -109,6 +109,29 @@
     assert!(violated_rules(&late).contains(&Rule::Lost), "late");
 }
 
+#[test]
+fn detects_sessions_that_stand_for_nobody_and_ends_untold_on_a_connection_that_was_closed_for_room() {
+    assert_eq!(violations_with([(5 * SECOND, Event::SessionStands { id: 1 })]), [Rule::Lost]);
+    let mut record = valid_record();
+    record.events.retain(|(_, event)| !matches!(event, Event::Released { .. } | Event::SessionEnded { .. }));
+    record.events.push((8 * SECOND, Event::ClosedByNode { conn: 1 }));
+    record.events.push((9_500 * MS, Event::SessionEnded { id: 1, notified: true }));
+    record.events.sort_by_key(|(at, _)| *at);
+    assert_eq!(violated_rules(&record), [Rule::Lost]);
+}
+
+#[test]
+fn detects_a_loop_of_dials_to_a_server_that_resets_each_connection() {
+    let resets = |count: u64, interval: Micros| {
+        let reset = move |n| (SECOND + n * interval, Event::ConnectionReset { server: 7, node: 0 });
+        violations_with((0..count).map(reset))
+    };
+    // 40, and one for each of the two requests.
+    assert_eq!(resets(43, MS), [Rule::Limits]);
+    assert_eq!(resets(42, MS), []);
+    assert_eq!(resets(43, 25 * MS), [], "over more than a second");
+}
+
 #[test]
 fn unanswered_request_on_a_closed_connection_is_lost_unless_sent_just_before_the_close() {
     let asked = |id| Event::RequestSent { id, node: 0, conn: 9, class: 0, patience: SECOND };
