One test for refusals, and the soak looks for silent connections last

Cause: the causes that refuse a set-up stood twice in the handling of releases, and check_standing walked all endpoints for each session whose client was told of its end, before it looked at the time. Change: is_refusal serves both; the time is compared first. No behaviour changes.

--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -321,7 +321,7 @@
         }
         if !is_current_conn {
             // A refusal comes on the connection of its set-up; what tells the end of a session follows its answer.
-            if !matches!(cause, Some(cause::FULL | cause::ERROR | cause::NOT_SENT)) {
+            if !is_refusal(cause) {
                 self.sessions.entry(id).and_modify(|entry| entry.early_end = Some((conn, message)));
             }
             return;
@@ -341,8 +341,7 @@
     /// cause it may be a refusal, or confirm a give-up. One that tells the end of a session is none: the earlier attempt
     /// is known to be over, since no further attempt goes to a server at which one is in doubt.
     fn is_late_word(&self, entry: &SessionEntry, conn: ConnId, cause: Option<u8>) -> bool {
-        let tells_end =
-            !matches!(cause, Some(cause::FULL | cause::ERROR | cause::NOT_SENT | cause::ON_PURPOSE));
+        let tells_end = !is_refusal(cause) && cause != Some(cause::ON_PURPOSE);
         let is_usable = |on| self.pool.exists(on) && !self.pool.is_finishing(on);
         let is_of_earlier_attempt = entry.conn != Some(conn) && entry.earlier_conns.contains(&conn);
         is_of_earlier_attempt && entry.conn.is_some_and(is_usable) && !tells_end
@@ -441,6 +440,11 @@
     }
 }
 
+/// Whether a release with this cause answers a set-up, and cannot tell the end of a session.
+fn is_refusal(cause: Option<u8>) -> bool {
+    matches!(cause, Some(cause::FULL | cause::ERROR | cause::NOT_SENT))
+}
+
 /// What the cause of a playing session's end means, and the cause to send to its client, if it gets one.
 pub(super) fn interpret_end_cause(cause: Option<u8>) -> (Outcome, Option<u8>) {
     match cause {
--- a/crates/soak/src/end_paths.rs
+++ b/crates/soak/src/end_paths.rs
@@ -212,11 +212,13 @@
                 let Some(over_at) = self.requests.get(id).and_then(|request| request.told_over_at) else {
                     continue;
                 };
+                if over_at.max(session.started) + STANDING_LIMIT >= now {
+                    continue;
+                }
                 let node = &self.nodes[session.node];
                 let role = Role::Server { server: server.id - 1, node: session.node };
-                let is_silent = self.endpoints.values().any(|end| end.role == role && end.is_silent);
-                let is_judged = node.process == session.process && node.has_run_since(over_at) && !is_silent;
-                if is_judged && over_at.max(session.started) + STANDING_LIMIT < now {
+                let is_judged = node.process == session.process && node.has_run_since(over_at);
+                if is_judged && !self.endpoints.values().any(|end| end.role == role && end.is_silent) {
                     standing.push(*id);
                 }
             }
