Review case 6: other requests on the closed connection are lost too

Observed: requests behind the late second copy on its connection are set up after the connection was closed, and get no answer. Tried: a fresh paid request on the connection of each copy.

--- a/review/6/play.py
+++ b/review/6/play.py
@@ -54,19 +54,24 @@
         await copy.connect()
         copy.resend(request)
         again.append((copy, request))
+        # Another viewer's request on the same connection, which has crossed nothing.
+        again.append((copy, copy.open("adviser-signoff", TITLE, 0, 3, top=4)))
     await asyncio.sleep(6.0)
-    lost = 0
-    for copy, request in again:
+    lost = [0, 0]
+    for index, (copy, request) in enumerate(again):
         answers = [what for _, what, _ in copy.requests[request["id"]]["heard"]]
         if not answers:
-            lost += 1
+            lost[index % 2] += 1
             stands = [s.name for s in case.servers if request["id"] in s.sessions]
-            record.add("judge", "no answer to the second copy", session=f"{request['id']:016x}",
+            what = ("no answer to the second copy", "no answer to another request there")[index % 2]
+            record.add("judge", what, session=f"{request['id']:016x}",
                        connection="open" if copy.wire.open else "closed by the front node",
                        stands_at=",".join(stands) or "none")
     for one in silent:
         one.close()
-    return (1 if lost else 0), f"{lost} of {len(again)} requests got no answer on the connection of their second copy"
+    count = len(again) // 2
+    return (1 if sum(lost) else 0), (f"{lost[0]} of {count} requests got no answer on the connection of their second copy, "
+                                     f"{lost[1]} of {count} other requests on these connections got none")
 
 
 Case(HERE, kursfeld_settings(1), 15.0, 4800.0, sockets=256).run(play)
