--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,6 +1,7 @@
-"""A request crosses the end of its connection, and its second copy comes behind a crowd of silent connections."""
+"""A bad client hands over sessions under ever new ids, at full speed, for some seconds."""
 import asyncio
 import os
+import subprocess
 import sys
 import time
 
@@ -9,8 +10,49 @@
 from platform2 import *  # noqa
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-TITLE = 0x7F3A9C21E0B4D655
-SILENT = 500
+WATCHED = 0x7F3A9C21E0B4D655
+FLOOD_S = float(os.environ.get("FLOOD_S", "3"))
+MEMORY_MB = 192
+WATCH_S = 28.0  # after the flood
+
+
+def flood(host, port, server):
+    """One connection, set-ups that name sessions no media server holds; whatever comes is read."""
+    import select
+    one = socket.create_connection((host, port))
+    one.setblocking(False)
+    until, number, sent, back = time.time() + FLOOD_S, int.from_bytes(os.urandom(4), "big") << 32, 0, b""
+    data = memoryview(b"")
+    while time.time() < until:
+        if not data:
+            batch = []
+            for _ in range(400):
+                number += 1
+                fields = f"home:0;copies:3;top:2;viewer:{number:016x};at:s-{server:08x}"
+                batch.append(message(SET_UP, number, [(CLASS, "briefing"), (WAIT, 4000), (TITLE, f"{WATCHED:016x}"),
+                                                      (FIELDS, fields), (DESCRIPTION, b"offer")]))
+            sent += 400
+            data = memoryview(b"".join(batch))
+        ready, writable, _ = select.select([one], [one], [], 0.5)
+        if ready:
+            try:
+                if not one.recv(1 << 16):
+                    break
+            except OSError:
+                break
+        if writable:
+            try:
+                data = data[one.send(data):]
+            except BlockingIOError:
+                pass
+            except OSError:
+                break
+    print(sent, flush=True)
+
+
+def resident_mb(pid):
+    with open(f"/proc/{pid}/status", encoding="ascii") as file:
+        return next(int(line.split()[1]) for line in file if line.startswith("VmRSS")) / 1024.0
 
 
 async def play(case):
@@ -18,60 +60,48 @@
         case.server(0x100 + cell, cell)
     if not await case.start():
         return 2, "a front node was not ready"
-    front, record = case.fronts[0], case.record
-    resting = []
-    for number in range(5):
-        viewers = Viewers(case, 0, front.port)
-        await viewers.connect()
-        # Each connection carries a session that stands, as long as the case lasts.
-        first = viewers.open("briefing", TITLE, 0, 3)
+    front, record, viewers = case.fronts[0], case.record, case.fronts[0].viewers
+    pid = front.process.pid
+    # A few usual sessions play.
+    for _ in range(6):
+        first = viewers.open("briefing", WATCHED, 0, 3)
         await asyncio.wait_for(first["answered"], 5)
-        resting.append(viewers)
-    await asyncio.sleep(0.5)
-    silent = []
+    await asyncio.sleep(1.0)
+    record.add("front0", "memory", mb=f"{resident_mb(pid):.1f}")
+    bad = None
     if case.trouble:
-        for _ in range(SILENT):
-            one = socket.socket()
-            one.setblocking(False)
-            one.connect_ex((HOST, front.port))
-            silent.append(one)
-        record.add("bad clients", f"{SILENT} connect and say nothing")
-        await asyncio.sleep(0.02)
-    copies = []
-    for viewers in resting:
-        # The set-up is read, and the connection is reset 15 ms later; what was on its way to the viewer is lost.
-        viewers.deaf = True
-        request = viewers.open("adviser-signoff", TITLE, 0, 3, top=4)
-        copies.append((viewers, request))
-    await asyncio.sleep(0.015)
-    again = []
-    for viewers, request in copies:
-        viewers.wire.reset()
-        record.add("network", "connection reset under a request", session=f"{request['id']:016x}")
-    for viewers, request in copies:
-        # Once more, on a new connection.
-        copy = Viewers(case, 0, front.port)
-        await copy.connect()
-        copy.resend(request)
-        again.append((copy, request))
-        # Another viewer's request on the same connection, which has crossed nothing.
-        again.append((copy, copy.open("adviser-signoff", TITLE, 0, 3, top=4)))
-    await asyncio.sleep(6.0)
-    lost = [0, 0]
-    for index, (copy, request) in enumerate(again):
-        answers = [what for _, what, _ in copy.requests[request["id"]]["heard"]]
-        if not answers:
-            lost[index % 2] += 1
-            stands = [s.name for s in case.servers if request["id"] in s.sessions]
-            what = ("no answer to the second copy", "no answer to another request there")[index % 2]
-            record.add("judge", what, session=f"{request['id']:016x}",
-                       connection="open" if copy.wire.open else "closed by the front node",
-                       stands_at=",".join(stands) or "none")
-    for one in silent:
-        one.close()
-    count = len(again) // 2
-    return (1 if sum(lost) else 0), (f"{lost[0]} of {count} requests got no answer on the connection of their second copy, "
-                                     f"{lost[1]} of {count} other requests on these connections got none")
+        bad = subprocess.Popen([sys.executable, os.path.abspath(__file__), "flood", HOST, str(front.port), "256"],
+                               stdout=subprocess.PIPE, text=True)
+        record.add("bad client", "hands over unknown sessions at full speed")
+    most = 0.0
+    began = time.time()
+    usual, heard_at, silent_s = [], time.time(), 0.0
+    viewers.tested = None
+    while time.time() < began + FLOOD_S + WATCH_S:
+        if viewers.tested is not None:
+            heard_at, viewers.tested = time.time(), None
+        silent_s = max(silent_s, time.time() - heard_at)
+        viewers.wire.write(message(TEST, 1, [(CAUSE, b"\x00")]))
+        await asyncio.sleep(0.25)
+        if time.time() < began + FLOOD_S + 6 and viewers.wire.open:
+            # Usual viewers go on, four a second.
+            usual.append(viewers.open("briefing", WATCHED, 0, 3))
+        if front.ended_by_itself():
+            return 1, "the front node ended"
+        now = resident_mb(pid)
+        if now > most + 4:
+            record.add("front0", "memory", mb=f"{now:.1f}")
+        most = max(most, now)
+    sent = int(bad.communicate()[0] or 0) if bad else 0
+    unanswered = sum(not request["heard"] or request["heard"][0][0] > request["sent"] + request["patience"] + 550.0
+                     for request in usual)
+    record.add("judge", "usual viewers", asked=len(usual), unanswered_in_time=unanswered)
+    text = f"{sent} set-ups of the bad client in {FLOOD_S:.0f} s; the front node held {most:.0f} MB of its {MEMORY_MB} MB"
+    text += f"; it answered no test for up to {silent_s:.1f} s; {unanswered} of {len(usual)} usual viewers had no answer half a second after their time"
+    return (1 if most > MEMORY_MB or silent_s > 20.0 or unanswered else 0), text
 
 
-Case(HERE, kursfeld_settings(1), 15.0, 4800.0, sockets=256).run(play)
+if len(sys.argv) > 1 and sys.argv[1] == "flood":
+    flood(sys.argv[2], int(sys.argv[3]), int(sys.argv[4]))
+else:
+    Case(HERE, kursfeld_settings(1), 15.0, 4800.0).run(play)
