--- a/review/standins-2/platform2.py
+++ b/review/standins-2/platform2.py
@@ -637,6 +637,12 @@
         return True
 
     def run(self, play):
+        def stopped(*_):
+            for front in self.fronts:
+                front.kill()
+            os._exit(2)
+        signal.signal(signal.SIGTERM, stopped)
+
         async def bounded():
             return await asyncio.wait_for(play(self), 110)
         try:
