--- a/review/6/play.py
+++ b/review/6/play.py
@@ -72,6 +72,7 @@
     if case.trouble:
         bad = subprocess.Popen([sys.executable, os.path.abspath(__file__), "flood", HOST, str(front.port), "256"],
                                stdout=subprocess.PIPE, text=True)
+        case.children.append(bad)
         record.add("bad client", "hands over unknown sessions at full speed")
     most = 0.0
     began = time.time()
--- a/review/standins-2/platform2.py
+++ b/review/standins-2/platform2.py
@@ -607,6 +607,7 @@
     def __init__(self, folder, settings, idle_s, link_kb, fronts=1, sockets=1024):
         self.folder, self.settings, self.idle_s, self.link_kb = folder, settings, idle_s, link_kb
         self.sockets = sockets
+        self.children = []  # other processes that the case has started
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record = Record()
         self.temp = tempfile.mkdtemp(prefix="review-")
@@ -640,6 +641,8 @@
         def stopped(*_):
             for front in self.fronts:
                 front.kill()
+            for child in self.children:
+                child.kill()
             os._exit(2)
         signal.signal(signal.SIGTERM, stopped)
 
@@ -654,6 +657,9 @@
                 text += f"; front node {front.number} ended by itself with {front.process.returncode}"
                 verdict = verdict or 2
             front.kill()
+        for child in self.children:
+            child.kill()
+            child.wait()
         self.record.add("verdict", {0: "held", 1: "BROKEN", 2: "could not run"}[verdict], text=text)
         self.record.write(self.folder)
         keep = os.environ.get("KEEP_LOGS")
