Log each close of a client's connection with its reason and the requests it fails

Each close has a typed reason now (core/client_closes); it is logged at info where requests are failed by it or an id is in use, at debug where nothing belongs to the connection. A request that is given up because its client's connection has ended is logged at info too. No change of behaviour.

--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -10,6 +10,7 @@
 //! - `attempts`: set-ups sent to servers, their time-outs and ends.
 //! - `events`: what passes between the core and its edge.
 //! - `clients`: requests, give-ups and session ends from clients; the single answer to each request.
+//! - `client_closes`: closes of client connections by this node.
 //! - `client_notices`: ends and moves of sessions that clients are owed until they have received them.
 //! - `servers`: messages from servers about set-ups and playing sessions.
 //! - `hand_overs`: sessions that were handed over: which are taken, and which their servers may not hold.
@@ -31,6 +32,7 @@
 
 pub mod admission;
 mod attempts;
+mod client_closes;
 mod client_notices;
 mod clients;
 mod dial_backoff;
@@ -63,6 +65,7 @@
 
 use crate::wire::{cause, code, kind, Message};
 use admission::Admission;
+use client_closes::CloseReason;
 use client_notices::{ClientNotices, NoticeProof};
 use clients::PLATFORM_TICKET;
 use dial_backoff::DialBackoff;
@@ -407,7 +410,7 @@
                 self.admission.partial_received(self.now, client, &mut self.timers)
             }
             NodeEvent::ClientsWaiting => self.make_room_for_clients(out),
-            NodeEvent::ClientUnreadable(client) => self.close_client(client, out),
+            NodeEvent::ClientUnreadable(client) => self.close_client(client, CloseReason::Unreadable, out),
             NodeEvent::ClientClosed(client) => {
                 self.expect_copies_of(client);
                 self.client_closed(client, out);
@@ -416,7 +419,7 @@
             // forwarded.
             NodeEvent::ClientHalfClosed(client) => {
                 self.expect_copies_of(client);
-                self.close_client(client, out);
+                self.close_client(client, CloseReason::ClosedByClient, out);
             }
             NodeEvent::ClientWroteAfterClose(_) => self.expect_copies(),
             NodeEvent::ClosedClientGone(client) => self.closed_client_gone(client),
--- a/crates/platform/src/core/resends.rs
+++ b/crates/platform/src/core/resends.rs
@@ -18,6 +18,7 @@
 use salttally::interface::{Effect, Micros, Outcome, ServerId};
 use salttally::platform_settings::PlatformSettings;
 
+use super::client_closes::CloseReason;
 use super::client_notices::NoticeProof;
 use super::{cause, code, session_id, ClientId, Command, ConnId, Core, Decider, Event, Level, Message};
 use super::{DoubtfulAttempt, SessionEntry, Timer, FAILED_CAUSE, PLATFORM_TICKET};
@@ -157,12 +158,14 @@
         let Some(entry) = self.sessions.get_mut(&id) else { return };
         let is_written = entry.conn.is_some_and(|conn| self.pool.is_written(conn, id));
         if !is_written || entry.resend_until <= self.polled_at {
+            let text = format!("request {id:016x}: its client's connection has ended, given up");
+            out.push(Command::Log(Level::Info, text));
             return self.give_up(id, out);
         }
         entry.session.client = None;
         self.timers.set(entry.resend_until, Timer::ResendWindow(id));
         let text = format!("request {id:016x}: its client's connection has ended, a second copy may come");
-        out.push(Command::Log(Level::Debug, text));
+        out.push(Command::Log(Level::Info, text));
     }
 
     /// A client's connection has ended by no act of this node: a request that was sent shortly before may be sent once
@@ -204,7 +207,7 @@
         let is_copy = entry.digest == RequestDigest::of(message) && previous != Some(client);
         if !is_copy || entry.resend_until <= self.polled_at {
             self.counts.unusable += 1;
-            return self.close_client(client, out);
+            return self.close_client(client, CloseReason::IdInUse(id), out);
         }
         self.counts.resent += 1;
         let text = format!("request {id:016x}: its second copy takes it over");
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -10,6 +10,7 @@
 //!
 //! Steps 2 and 3 end shortly before the kill, whatever is still owed then.
 
+use super::client_closes::CloseReason;
 use super::*;
 
 /// Requests are served for this long after SIGTERM; later ones are refused at once.
@@ -136,14 +137,14 @@
         out.push(Command::Log(Level::Info, text));
         self.closing_clients = Some(BTreeSet::new());
         for client in clients {
-            self.close_client(client, out);
+            self.close_client(client, CloseReason::Shutdown, out);
         }
     }
 
     /// A client was answered that has connected after the others were closed: its connection is closed too.
     pub(super) fn close_client_of_shutdown(&mut self, client: ClientId, out: &mut Vec<Command>) {
         if self.closing_clients.is_some() {
-            self.close_client(client, out);
+            self.close_client(client, CloseReason::Shutdown, out);
         }
     }
 
