Past requests in a module of their own

core/resends held what is kept of requests that are over beside what becomes of second copies. The structures are in core/past_requests now; no change of behaviour.

--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -20,6 +20,7 @@
 //! - [`pool`]: connections to servers, each shared by many set-ups; what the end of a connection proves.
 //! - [`health`]: liveness checks of media servers that hold sessions.
 //! - `owed_ends`: ends of sessions that may have been lost with a connection to their server.
+//! - `past_requests`: what is known of requests that are over.
 //! - `releases`: releases that are resent to media servers until they are acknowledged.
 //! - `resends`: requests sent a second time because their connection has ended.
 //! - `restarts`: media servers whose processes may have been replaced.
@@ -44,6 +45,7 @@
 pub mod list_watch;
 mod listed_servers;
 mod owed_ends;
+mod past_requests;
 pub mod pool;
 mod releases;
 mod resends;
@@ -77,10 +79,11 @@
 use list_watch::{ListWatch, Update};
 use listed_servers::ListedServers;
 use owed_ends::{Loss, OwedEndsByServer};
+use past_requests::PastRequests;
 pub use pool::RoomCounts;
 use pool::{Pool, Withdrawn};
 use releases::Releases;
-use resends::{PastRequests, RequestDigest};
+use resends::RequestDigest;
 use restarts::Restarts;
 use servers::ConnectionEnd;
 use sessions::Sessions;
--- a/crates/platform/src/core/resends.rs
+++ b/crates/platform/src/core/resends.rs
@@ -12,30 +12,21 @@
 //! - Once the request is over, a [`PastRequest`] remembers its attempts. A second copy fails if one may have run, or
 //!   starts over where that is harmless, with what is known of the earlier attempts and with their number.
 
-use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use salttally::interface::{Effect, Micros, Outcome, ServerId};
+use salttally::interface::{Effect, Micros, Outcome};
 use salttally::platform_settings::PlatformSettings;
 
 use super::client_closes::CloseReason;
 use super::client_notices::NoticeProof;
+use super::past_requests::PastRequest;
 use super::{cause, code, session_id, ClientId, Command, ConnId, Core, Decider, Event, Level, Message};
-use super::{DoubtfulAttempt, SessionEntry, Timer, FAILED_CAUSE, PLATFORM_TICKET};
+use super::{SessionEntry, Timer, FAILED_CAUSE, PLATFORM_TICKET};
 
 /// A request that was sent at most this long before the end of its connection may be sent once more.
 const CROSSING_LIMIT: Micros = 50_000;
 /// Tolerance that the protocol adds to each time limit.
 const LIMIT_SLACK: Micros = 50_000;
-/// Maximum number of past requests of classes that must run at most once. New requests of such classes are
-/// refused while as many are remembered.
-const MAX_PAST_REQUESTS: usize = 16_384;
-/// Maximum number of past requests at which further ones of other classes are remembered.
-const MAX_REPEATABLE_PAST_REQUESTS: usize = MAX_PAST_REQUESTS / 2;
-/// Maximum number of past requests at which further hand-overs are remembered: a second copy of one wants no answer, and any
-/// client may send as many as it likes.
-const MAX_PAST_HAND_OVERS: usize = MAX_PAST_REQUESTS / 4;
-
 /// How long after the first copy of a request a second one can arrive: the crossing, and the time for a new
 /// connection.
 pub(super) fn resend_window(platform_settings: &PlatformSettings) -> Micros {
@@ -57,100 +48,6 @@
     }
 }
 
-/// What is remembered of a request that is over.
-#[derive(Clone, Debug)]
-pub(super) struct PastRequest {
-    digest: RequestDigest,
-    effect: Effect,
-    /// An attempt may have run.
-    may_have_run: bool,
-    /// Its session played.
-    has_played: bool,
-    /// Number of its attempts.
-    attempts: u32,
-    /// Attempts that may still run at their servers.
-    in_doubt: Vec<DoubtfulAttempt>,
-    /// The connections of its attempts.
-    conns: Vec<ConnId>,
-    /// End of its resend window.
-    resend_until: Micros,
-    /// When it is forgotten, no sooner than the end of the window.
-    expires_at: Micros,
-    /// Its client has handed its session over, which wants no answer.
-    was_handed_over: bool,
-}
-
-impl PastRequest {
-    /// Whether a second copy may be set up. A set-up that must run once is not repeated, nor one that is
-    /// recognised only by some servers for some time, and a session that has played is not played again.
-    fn may_start_over(&self) -> bool {
-        !self.may_have_run || self.effect == Effect::Safe && !self.has_played
-    }
-}
-
-/// The requests that are over and of which a second copy can still arrive.
-#[derive(Clone, Debug, Default)]
-pub(super) struct PastRequests {
-    requests: BTreeMap<u64, PastRequest>,
-    /// Those that were not remembered for lack of room.
-    forgotten: Vec<u64>,
-}
-
-impl PastRequests {
-    /// Whether no request that must run at most once may be accepted, since it could not be remembered.
-    pub fn is_full(&self) -> bool {
-        self.len() >= MAX_PAST_REQUESTS
-    }
-
-    /// Number of past requests.
-    pub fn len(&self) -> usize {
-        self.requests.len()
-    }
-
-    /// Number of attempts that were made for a past request.
-    pub fn attempts(&self, id: u64) -> u32 {
-        self.requests.get(&id).map_or(0, |past| past.attempts)
-    }
-
-    /// Removes and returns what is known of a past request.
-    pub fn take(&mut self, id: u64) -> Option<PastRequest> {
-        self.requests.remove(&id)
-    }
-
-    /// The server has acknowledged the give-up or the release of this session.
-    pub fn give_up_acknowledged(&mut self, id: u64, server: ServerId) {
-        if let Some(past) = self.requests.get_mut(&id) {
-            past.in_doubt.retain(|attempt| attempt.server != server);
-        }
-    }
-
-    /// The server has closed this connection: the attempts given up on it are over.
-    pub fn closed_by_server(&mut self, conn: ConnId, has_read_all: bool) {
-        let is_left = |attempt: &DoubtfulAttempt| !attempt.ends_with(conn, has_read_all);
-        self.requests.values_mut().for_each(|past| past.in_doubt.retain(is_left));
-    }
-
-    /// The attempts of a past request that may still run, if the request is remembered.
-    pub fn in_doubt(&mut self, id: u64) -> Option<&mut Vec<DoubtfulAttempt>> {
-        self.requests.get_mut(&id).map(|past| &mut past.in_doubt)
-    }
-
-    /// Requests that were not remembered for lack of room since the last call.
-    pub fn take_forgotten(&mut self) -> Vec<u64> {
-        std::mem::take(&mut self.forgotten)
-    }
-
-    fn remember(&mut self, id: u64, past: PastRequest) {
-        let must_be_kept = past.effect == Effect::Once && past.may_have_run && !past.was_handed_over;
-        let limit = if past.was_handed_over { MAX_PAST_HAND_OVERS } else { MAX_REPEATABLE_PAST_REQUESTS };
-        if must_be_kept || self.len() < limit {
-            self.requests.insert(id, past);
-        } else if !past.was_handed_over {
-            self.forgotten.push(id);
-        }
-    }
-}
-
 impl<D: Decider> Core<D> {
     /// The connection of an open request has ended. A set-up that was written goes on for the rest of the
     /// resend window; anything else is given up.
@@ -243,7 +140,7 @@
         out: &mut Vec<Command>,
     ) -> bool {
         let id = message.session;
-        let Some(past) = self.past_requests.requests.get_mut(&id) else { return false };
+        let Some(past) = self.past_requests.get(id) else { return false };
         let is_copy = past.digest == RequestDigest::of(message);
         if past.may_start_over() && (is_copy || !past.may_have_run) {
             return false;
@@ -268,7 +165,7 @@
         id: u64,
         out: &mut Vec<Command>,
     ) -> bool {
-        if !self.past_requests.requests.get(&id).is_some_and(|past| past.has_played) {
+        if !self.past_requests.get(id).is_some_and(|past| past.has_played) {
             return false;
         }
         let owed_end = self.client_notices.message(id).cloned();
@@ -325,13 +222,13 @@
 
     /// Until when a second copy of a request that is over may come, if it may.
     pub(super) fn second_copy_expected_until(&self, id: u64) -> Option<Micros> {
-        let past = self.past_requests.requests.get(&id)?;
+        let past = self.past_requests.get(id)?;
         Some(past.resend_until).filter(|until| *until > self.polled_at)
     }
 
     /// The resend window of a request is over.
     pub(super) fn resend_window_ended(&mut self, id: u64, out: &mut Vec<Command>) {
-        if let Some(expires_at) = self.past_requests.requests.get(&id).map(|past| past.expires_at) {
+        if let Some(expires_at) = self.past_requests.get(id).map(|past| past.expires_at) {
             if expires_at <= self.polled_at {
                 self.past_requests.take(id);
             } else {
