What is known of a request is kept for as long as its client may wait

Callers whose second copy was read more than 100 ms and the time to connect after the first had its connection closed with no answer, and others' requests behind it were lost. The protocol has the copy sent on a new connection and sets no time for that to come up, but the resend window did: the kept answer, the attempts and the copy's right to an answer ended with it (resends.rs, handle_request_under_known_id, resend_window_ended, remember_request).

Each is kept for the request's own time and half a second now; a time that is longer than any class has counts as the longest. A written set-up whose connection was reset goes on for that time, and a session that nobody was told of is released at its end, which is logged.

--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -126,6 +126,7 @@
             forwarded_parameters,
             digest: RequestDigest::of(message),
             resend_until: self.now + self.resend_window,
+            retained_until: self.retained_until(session.open_request.patience),
             ..SessionEntry::new(session, 0)
         };
         self.sessions.insert(id, entry);
@@ -244,6 +245,7 @@
         session.resume_playing(attempt);
         let entry = SessionEntry {
             resend_until: self.now + self.resend_window,
+            retained_until: self.now + self.resend_window,
             answer_sent: true,
             was_handed_over: true,
             ..SessionEntry::new(session, self.now)
--- a/crates/platform/src/core/events.rs
+++ b/crates/platform/src/core/events.rs
@@ -137,8 +137,8 @@
     ClientNotice(u64),
     /// Check whether a client's connection has been silent for too long.
     ClientIdle(ClientId),
-    /// The resend window of a request is over, or what is kept for its second copy.
-    ResendWindow(u64),
+    /// What is kept of a request for its second copy is of no more use.
+    RetentionEnd(u64),
     /// Check for silence of the coordinator, or connect to it again.
     ListWatch,
     /// The next step of the shutdown is due.
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -112,8 +112,10 @@
     pub has_followed_move: bool,
     /// What the request asks for.
     pub digest: RequestDigest,
-    /// Until when a second copy of the request can arrive.
+    /// Until when the request counts as having crossed the end of its connection.
     pub resend_until: Micros,
+    /// Until when a second copy of the request is answered by what is known of it.
+    pub retained_until: Micros,
     /// The answer, kept for a second copy of the request.
     pub kept_answer: Option<Message>,
     /// A client was sent the answer, or knew already that the session plays.
@@ -140,6 +142,7 @@
             has_followed_move: false,
             digest: RequestDigest::default(),
             resend_until: 0,
+            retained_until: 0,
             kept_answer: None,
             answer_sent: false,
             early_end: None,
@@ -261,7 +264,7 @@
     hand_overs: HandOvers,
     /// Requests that are over and of which a second copy can still arrive.
     past_requests: PastRequests,
-    /// How long after a request a second copy of it can arrive.
+    /// How long after a request the end of its connection counts as crossed by it.
     resend_window: Micros,
     shutdown_since: Option<Micros>,
     /// All sessions are being released; the process exits at this time even if releases are still unsent.
@@ -655,7 +658,7 @@
             Timer::StalledFinish(server) => self.check_stalled_finish(server, out),
             Timer::ClientNotice(id) => self.check_notice(id, out),
             Timer::ClientIdle(client) => self.client_idle(client, out),
-            Timer::ResendWindow(id) => self.resend_window_ended(id, out),
+            Timer::RetentionEnd(id) => self.retention_ended(id, out),
             Timer::ListWatch => self.list_watch.timer_fired(self.now, &mut self.timers, out),
             Timer::Shutdown => {}
         }
--- a/crates/platform/src/core/past_requests.rs
+++ b/crates/platform/src/core/past_requests.rs
@@ -34,7 +34,7 @@
     pub conns: Vec<ConnId>,
     /// End of its resend window.
     pub resend_until: Micros,
-    /// When it is forgotten, no sooner than the end of the window.
+    /// When it is forgotten: its client does not wait for an answer any more.
     pub expires_at: Micros,
     /// Its client has handed its session over, which wants no answer.
     pub was_handed_over: bool,
--- a/crates/platform/src/core/resends.rs
+++ b/crates/platform/src/core/resends.rs
@@ -3,36 +3,47 @@
 //!
 //! A client cannot know whether this node has read a request whose connection ends. The protocol lets it send
 //! a request that crosses such an end by [`CROSSING_LIMIT`] once more on a new connection, and counts both
-//! copies as one request. So what is known of a request outlives its connection:
+//! copies as one request. It sets no time for that connection to come up. So what is known of a request outlives its
+//! connection for as long as its client may wait for the answer, its *retention*:
 //!
-//! - While a second copy can still arrive, in the *resend window* of the request, a set-up that was written
-//!   goes on without a client, nothing new is started for it, and its answer is kept. The second copy takes the
-//!   request over. If none has arrived by the end of the window, the request is given up. The window ends once
-//!   everything that lay in the sockets by then has been read: a process that is stopped reads a second copy late.
+//! - If the connection ends in the *resend window* of the request, a set-up that was written goes on without a client,
+//!   and nothing new is started for it. Its answer, like any other, is kept. The second copy takes the request over. If
+//!   none has arrived by the end of the retention, the request is given up, and a session that nobody was told of is
+//!   released. Time limits end once everything that lay in the sockets by then has been read: a process that is stopped
+//!   reads a second copy late.
 //! - Once the request is over, a [`PastRequest`] remembers its attempts. A second copy fails if one may have run, or
 //!   starts over where that is harmless, with what is known of the earlier attempts and with their number.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use salttally::interface::{Effect, Micros, Outcome};
+use salttally::interface::{Micros, Outcome};
 use salttally::platform_settings::PlatformSettings;
 
 use super::client_closes::CloseReason;
 use super::client_notices::NoticeProof;
 use super::past_requests::PastRequest;
 use super::{cause, code, session_id, ClientId, Command, ConnId, Core, Decider, Event, Level, Message};
-use super::{SessionEntry, Timer, FAILED_CAUSE, PLATFORM_TICKET};
+use super::{SessionEntry, Timer, END_NOTICE_LIMIT, FAILED_CAUSE, PLATFORM_TICKET};
 
 /// A request that was sent at most this long before the end of its connection may be sent once more.
 const CROSSING_LIMIT: Micros = 50_000;
 /// Tolerance that the protocol adds to each time limit.
 const LIMIT_SLACK: Micros = 50_000;
-/// How long after the first copy of a request a second one can arrive: the crossing, and the time for a new
-/// connection.
+/// A request is lost if its answer comes later than this after the time for which its client waits.
+const MAX_ANSWER_DELAY: Micros = 500_000;
+
+/// How long after a request the end of its connection, which may be learnt of late, still counts as crossed by it.
 pub(super) fn resend_window(platform_settings: &PlatformSettings) -> Micros {
     CROSSING_LIMIT + LIMIT_SLACK + platform_settings.connect_timeout
 }
 
+/// How long what is known of a request is kept for a second copy: as long as its client may wait for the answer. A client
+/// that states a longer time than any class has is not kept waiting for, so that it cannot use up the room of others.
+fn retention(platform_settings: &PlatformSettings, patience: Micros) -> Micros {
+    let longest = platform_settings.longest_patience.max(END_NOTICE_LIMIT);
+    (patience.min(longest) + MAX_ANSWER_DELAY).max(resend_window(platform_settings))
+}
+
 /// Identifies what a request asks for. Copies of a request are equal in it; a different request under the same
 /// id is not.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -49,8 +60,13 @@
 }
 
 impl<D: Decider> Core<D> {
-    /// The connection of an open request has ended. A set-up that was written goes on for the rest of the
-    /// resend window; anything else is given up.
+    /// Until when a second copy of a request that has just arrived is answered by what is known of the first one.
+    pub(super) fn retained_until(&self, patience: Micros) -> Micros {
+        self.now + retention(&self.platform_settings, patience)
+    }
+
+    /// The connection of an open request has ended. If a second copy may come, a set-up that was written goes on until the
+    /// answer is due; anything else is given up.
     pub(super) fn client_of_request_gone(&mut self, id: u64, out: &mut Vec<Command>) {
         let Some(entry) = self.sessions.get_mut(&id) else { return };
         let is_written = entry.conn.is_some_and(|conn| self.pool.is_written(conn, id));
@@ -60,7 +76,7 @@
             return self.give_up(id, out);
         }
         entry.session.client = None;
-        self.timers.set(entry.resend_until, Timer::ResendWindow(id));
+        self.timers.set(entry.retained_until, Timer::RetentionEnd(id));
         let text = format!("request {id:016x}: its client's connection has ended, a second copy may come");
         out.push(Command::Log(Level::Info, text));
     }
@@ -90,8 +106,8 @@
     }
 
     /// A request arrived under the id of a session. If it is a second copy, it takes the request over, even if
-    /// the end of the first connection is still unknown here; an answer under this id would otherwise be taken
-    /// for the answer to the open request.
+    /// the end of the first connection is still unknown here. Any other one closes its connection: an answer under this id
+    /// would be taken for the answer to the open request.
     pub(super) fn handle_request_under_known_id(
         &mut self,
         client: ClientId,
@@ -101,23 +117,19 @@
         let id = message.session;
         let Some(entry) = self.sessions.get_mut(&id) else { return };
         let previous = entry.session.client.map(|(client, _)| client);
-        let is_copy = entry.digest == RequestDigest::of(message) && previous != Some(client);
-        if !is_copy || entry.resend_until <= self.polled_at {
+        if entry.digest != RequestDigest::of(message) || previous == Some(client) {
             self.counts.unusable += 1;
             return self.close_client(client, CloseReason::IdInUse(id), out);
         }
         self.counts.resent += 1;
-        let text = format!("request {id:016x}: its second copy takes it over");
-        out.push(Command::Log(Level::Info, text));
         if entry.moving {
-            // The client would be told to come again at once; the session ends at its server as it is. The answer tells
-            // the client that it is over.
-            entry.answer_sent = false;
-            let viewer = entry.session.open_request.viewer;
-            self.forget_moved_client(viewer);
-            self.settle_notice(id, NoticeProof::CopyAnswered, out);
-            return out.push(Command::SendToClient(client, Message::release(id, FAILED_CAUSE)));
+            return self.fail_copy_of_moved(client, id, out);
+        }
+        if entry.session.playing().is_some() && entry.kept_answer.is_none() {
+            return self.fail_copy_after_retention(client, id, out);
         }
+        let text = format!("request {id:016x}: its second copy takes it over");
+        out.push(Command::Log(Level::Info, text));
         entry.session.client = Some((client, PLATFORM_TICKET));
         let answer = entry.kept_answer.clone();
         if let Some(previous) = previous {
@@ -131,6 +143,29 @@
         }
     }
 
+    /// A second copy of the request of a session that is being moved: its client would be told to come again at once. The
+    /// session ends at its server as it is, and the answer tells the client that it is over.
+    fn fail_copy_of_moved(&mut self, client: ClientId, id: u64, out: &mut Vec<Command>) {
+        let Some(entry) = self.sessions.get_mut(&id) else { return };
+        entry.answer_sent = false;
+        let viewer = entry.session.open_request.viewer;
+        self.forget_moved_client(viewer);
+        self.settle_notice(id, NoticeProof::CopyAnswered, out);
+        let text = format!("request {id:016x}: sent again after its session was moved, failed");
+        out.push(Command::Log(Level::Info, text));
+        out.push(Command::SendToClient(client, Message::release(id, FAILED_CAUSE)));
+    }
+
+    /// A second copy of the request of a session that plays, when its client waits no longer: the answer is not kept any
+    /// more. The client is told that it failed, and so the session ends.
+    fn fail_copy_after_retention(&mut self, client: ClientId, id: u64, out: &mut Vec<Command>) {
+        let text = format!("request {id:016x}: sent again after its client has stopped waiting, failed");
+        out.push(Command::Log(Level::Info, text));
+        out.push(Command::SendToClient(client, Message::release(id, FAILED_CAUSE)));
+        self.release_at_server(id, cause::NORMAL, out);
+        self.end_session(id, Outcome::Withdrawn, Vec::new(), None, out);
+    }
+
     /// A request arrived under the id of a past request; returns whether it has been dealt with. If not, it
     /// may start over.
     pub(super) fn handle_request_under_past_id(
@@ -195,12 +230,7 @@
         let has_played = session.playing().is_some();
         let may_have_run = has_played || session.may_have_run || !entry.in_doubt.is_empty();
         let attempts = entry.earlier_attempts + session.attempts;
-        // What must run once is remembered for as long as its client may wait for it.
-        let patience_end = match session.effect {
-            Effect::Once if may_have_run => session.overdue_at(self.platform_settings.answer_slack),
-            _ => 0,
-        };
-        let expires_at = entry.resend_until.max(patience_end);
+        let expires_at = entry.retained_until;
         if !may_have_run && attempts == 0 || expires_at <= self.polled_at {
             return;
         }
@@ -217,7 +247,7 @@
             was_handed_over: entry.was_handed_over,
         };
         self.past_requests.remember(id, past);
-        self.timers.set(entry.resend_until, Timer::ResendWindow(id));
+        self.timers.set(expires_at, Timer::RetentionEnd(id));
     }
 
     /// Until when a second copy of a request that is over may come, if it may.
@@ -226,16 +256,12 @@
         Some(past.resend_until).filter(|until| *until > self.polled_at)
     }
 
-    /// The resend window of a request is over.
-    pub(super) fn resend_window_ended(&mut self, id: u64, out: &mut Vec<Command>) {
-        if let Some(expires_at) = self.past_requests.get(id).map(|past| past.expires_at) {
-            if expires_at <= self.polled_at {
-                self.past_requests.take(id);
-            } else {
-                self.timers.set(expires_at, Timer::ResendWindow(id));
-            }
+    /// The client of a request does not wait for its answer any more, and no second copy is expected.
+    pub(super) fn retention_ended(&mut self, id: u64, out: &mut Vec<Command>) {
+        if self.past_requests.get(id).is_some_and(|past| past.expires_at <= self.polled_at) {
+            self.past_requests.take(id);
         }
-        let Some(entry) = self.sessions.get_mut(&id).filter(|entry| entry.resend_until <= self.polled_at)
+        let Some(entry) = self.sessions.get_mut(&id).filter(|entry| entry.retained_until <= self.polled_at)
         else {
             return;
         };
@@ -243,7 +269,8 @@
         if entry.awaits_second_copy() {
             self.give_up(id, out);
         } else if entry.session.playing().is_some() && !entry.answer_sent {
-            // No client has been told that the session plays.
+            let text = format!("session {id:016x}: no client was told that it plays, released");
+            out.push(Command::Log(Level::Info, text));
             self.release_at_server(id, cause::NORMAL, out);
             self.end_session(id, Outcome::Withdrawn, Vec::new(), None, out);
         }
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -267,9 +267,9 @@
         self.timers.cancel(overdue, Timer::AnswerDeadline(id));
         let took = self.now - attempt.sent_at;
         let answer = Message::new(kind::ANSWER, id).with(code::DESCRIPTION, description);
-        if self.polled_at < entry.resend_until {
+        if self.polled_at < entry.retained_until {
             entry.kept_answer = Some(answer.clone());
-            self.timers.set(entry.resend_until, Timer::ResendWindow(id));
+            self.timers.set(entry.retained_until, Timer::RetentionEnd(id));
         }
         entry.answer_sent = client.is_some();
         if let Some(client) = client {
