Requests that follow a close in the same read are answered, and set up for nobody

Callers whose request lay behind a message that closes its connection, in the same read, got no answer: the request was accepted on the connection that was closed already and set up at a media server, whose session nobody heard of (clients.rs, handle_request, accept_request). Such a request is refused with the promise of no effect now; a second copy gets its answer, or fails where there is none yet; a hand-over is taken without the connection.

--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -86,9 +86,9 @@
                 self.handle_request_under_known_id(client, message, out);
             }
             Ok(_) if self.handle_request_under_past_id(client, message, out) => {}
-            // The process is shutting down and forwards nothing any more; the client may ask another node at
-            // once.
-            Ok((_, None)) if self.refuses_requests() => {
+            // The process is shutting down, or the client's connection is closed here behind an earlier message. Nothing
+            // is forwarded any more; the client may ask again at once.
+            Ok((_, None)) if self.refuses_requests() || !self.admission.contains(client) => {
                 self.counts.refused += 1;
                 out.push(Command::SendToClient(client, Message::release(id, cause::NOT_SENT)));
             }
@@ -261,6 +261,7 @@
         self.sessions.insert(id, entry);
         self.admission.request_opened(client, id, &mut self.timers);
         self.admission.session_started(client, id);
+        self.detach_closed_client(id);
         self.events.push_back(Event::Resumed(request, at));
         self.watch_health(at);
         self.expect_note(at);
@@ -287,6 +288,12 @@
         }
     }
 
+    /// A session belongs to no connection that is closed already: its client is told of the end on another one.
+    pub(super) fn detach_closed_client(&mut self, id: u64) {
+        let Some(entry) = self.sessions.get_mut(&id) else { return };
+        entry.session.client = entry.session.client.filter(|(client, _)| self.admission.contains(*client));
+    }
+
     /// Gives up a request: no answer is sent, and the current attempt is withdrawn.
     pub(super) fn give_up(&mut self, id: u64, out: &mut Vec<Command>) {
         self.report_client_gone(id);
--- a/crates/platform/src/core/resends.rs
+++ b/crates/platform/src/core/resends.rs
@@ -140,7 +140,12 @@
             entry.answer_sent = true;
             self.admission.session_started(client, id);
             out.push(Command::SendToClient(client, answer));
+        } else if !self.admission.contains(client) {
+            // The connection of the copy is closed behind an earlier message: it cannot wait for its answer.
+            self.report_client_gone(id);
+            self.fail(id, out);
         }
+        self.detach_closed_client(id);
     }
 
     /// A second copy of the request of a session that is being moved: its client would be told to come again at once. The
