What lies in a client's socket is read and answered before its connection is closed

Callers whose request lay unread in the socket as the node closed their connection, more than one read behind the message that closes it, got no answer, though it had come longer ago than a crossing (node/closing.rs: a closed connection was not read any more).

--- a/crates/platform/src/core/client_closes.rs
+++ b/crates/platform/src/core/client_closes.rs
@@ -27,8 +27,11 @@
 }
 
 impl<D: Decider> Core<D> {
-    /// Closes a client's connection. Its open requests are answered as failed and given up.
+    /// Closes a client's connection, if it is not closed yet. Its open requests are answered as failed and given up.
     pub(super) fn close_client(&mut self, client: ClientId, reason: CloseReason, out: &mut Vec<Command>) {
+        if !self.admission.contains(client) {
+            return;
+        }
         let open_requests = self.admission.open_requests(client);
         log_close(client, reason, &open_requests, out);
         for id in open_requests {
--- a/crates/platform/src/core/tests/crossings.rs
+++ b/crates/platform/src/core/tests/crossings.rs
@@ -426,11 +426,11 @@
     );
     let mut node = TestNode { core, now: START, out: Vec::new() };
     node.core.start(START, (0..SERVER_COUNT).map(listed).collect(), 5, address(200), &mut node.out);
-    node.handle(NodeEvent::ClientConnected(ClientId(1)));
     node.advance(2 * SECOND);
     assert!(!node.core.is_ready());
     node.advance(2 * SECOND);
     assert!(node.core.is_ready(), "well within the 10 s of a restart");
+    node.handle(NodeEvent::ClientConnected(ClientId(1)));
     node.start_session(1, "paid");
     // A node that was started without a list cannot serve.
     let core = Core::new(
--- a/crates/platform/src/node/closing.rs
+++ b/crates/platform/src/node/closing.rs
@@ -1,8 +1,8 @@
 //! Client connections that are closed here: their writing side is closed, and they are kept for a while, so that no
 //! reset discards the bytes written last.
 //!
-//! What a client writes after the close is not read: it could not be answered, and the client sends a request that
-//! crosses the close once more on a new connection. Only bytes that cannot be decoded are read and discarded, since a
+//! What lies in the socket is read before the close and answered, up to a limit. What a client writes after the close is not
+//! read: it could not be answered, and the client sends a request that crosses the close once more on a new connection. Only bytes that cannot be decoded are read and discarded, since a
 //! client that sends them may read nothing before it has written everything.
 
 use std::io::Read;
@@ -10,11 +10,34 @@
 
 use rustix::event::epoll::{self, EventData, EventFlags};
 
+use super::connection::Connection;
 use super::sockets::would_block;
 use super::{Node, CLIENT, KIND_MASK, LINGERING, LINGER_TIMEOUT, MAX_DISCARDED_BYTES, READ_SIZE};
 use crate::core::{ClientId, NodeEvent};
 
+/// Reads from a connection before it is closed, at most: as much as a socket holds in its usual size.
+const READS_BEFORE_CLOSE: usize = 16;
+
 impl Node {
+    /// Closes a client's connection once what lies in its socket is read, and the answers to it are written.
+    pub(super) fn close_client(&mut self, client: ClientId) {
+        let token = CLIENT | client.0;
+        let is_read = |connection: &Connection| {
+            !connection.closing && !connection.half_closed && !connection.unreadable
+        };
+        let mut reads = 0;
+        while reads < READS_BEFORE_CLOSE && self.connections.get(&token).is_some_and(is_read) {
+            if !self.read_connection(token) {
+                break;
+            }
+            reads += 1;
+        }
+        match self.connections.contains_key(&token) {
+            true => self.close(token),
+            false => self.closed_client_gone(token),
+        }
+    }
+
     /// Everything is written: a client's connection lingers for a while, a media server's is just closed.
     pub(super) fn shut_down(&mut self, token: u64) {
         let Some(connection) = self.connections.remove(&token) else { return };
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -406,7 +406,7 @@
             match command {
                 Command::SendToClient(client, message) => self.write(CLIENT | client.0, &message),
                 Command::SendToServer(conn, message) => self.write(SERVER | conn.0, &message),
-                Command::CloseClient(client) => self.close(CLIENT | client.0),
+                Command::CloseClient(client) => self.close_client(client),
                 Command::CloseServer(conn) => self.close(SERVER | conn.0),
                 Command::FinishServer(conn) => self.finish(SERVER | conn.0),
                 Command::Connect(conn, to) => self.dial(conn, to),
