--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -107,6 +107,11 @@
         self.handed_over_at > 0 && now < self.handed_over_at + HAND_OVER_DELAY
     }
 
+    /// Until when its client waits for the answer, once it was sent.
+    pub fn waits_until(&self) -> Option<Micros> {
+        Some(self.sent? + self.patience)
+    }
+
     /// The connection on which it waits for its answer, if it does.
     pub fn pending_on(&self) -> Option<u64> {
         (self.stage == Stage::Pending).then_some(self.client)
@@ -135,6 +140,21 @@
             // It would be written, and count as sent, only behind the rest of another request.
             return;
         }
+        let (id, bytes) = self.new_request(node, client, origin);
+        if self.draws.chance(self.plan.client_behavior.fragments) {
+            let (first, last) = bytes.split_at(bytes.len() * 2 / 3);
+            self.write(token, first);
+            self.endpoints.entry(token).and_modify(|endpoint| endpoint.pending_fragments += 1);
+            let bytes = last.to_vec();
+            self.schedule_in(30 * MS, Action::FinishRequest { id, token, bytes });
+        } else {
+            self.write(token, &bytes);
+            self.record_request_sent(id);
+        }
+    }
+
+    /// Draws a request that is to be sent on this connection; returns its id and its bytes.
+    fn new_request(&mut self, node: usize, client: u64, origin: RequestOrigin) -> (u64, Vec<u8>) {
         let class = usize::from(self.draws.chance(35));
         let id = self.draws.between(1 << 32, u64::MAX);
         let patience = self.patience(class);
@@ -162,16 +182,7 @@
             process,
         };
         self.requests.insert(id, request);
-        if self.draws.chance(self.plan.client_behavior.fragments) {
-            let (first, last) = bytes.split_at(bytes.len() * 2 / 3);
-            self.write(token, first);
-            self.endpoints.entry(token).and_modify(|endpoint| endpoint.pending_fragments += 1);
-            let bytes = last.to_vec();
-            self.schedule_in(30 * MS, Action::FinishRequest { id, token, bytes });
-        } else {
-            self.write(token, &bytes);
-            self.record_request_sent(id);
-        }
+        (id, bytes)
     }
 
     /// First cell that holds the title of a request.
@@ -260,7 +271,7 @@
         let Some(request) = self.requests.get(&id).filter(|request| request.stage == Stage::Pending) else {
             return;
         };
-        let (node, process, bytes) = (request.node, request.process, request.bytes.clone());
+        let (node, process, mut bytes) = (request.node, request.process, request.bytes.clone());
         let node_state = &self.nodes[node];
         let accepts = node_state.accepts_connections(self.now()) || node_state.is_shutting_down();
         let is_up = node_state.process == process && accepts;
@@ -275,7 +286,11 @@
         if let Some(request) = self.requests.get_mut(&id) {
             request.client = conn;
         }
+        let is_followed = self.now() < self.plan.requests_until && self.follows_copy();
+        let behind = is_followed.then(|| self.new_request(node, conn, RequestOrigin::Viewers));
+        bytes.extend(behind.iter().flat_map(|(_, bytes)| bytes));
         self.write(token, &bytes);
+        behind.into_iter().for_each(|(id, _)| self.record_request_sent(id));
     }
 
     /// The client of a request has gone and does not wait for its answer any more.
--- a/crates/soak/src/crossings.rs
+++ b/crates/soak/src/crossings.rs
@@ -10,6 +10,10 @@
 const LATEST_REQUEST_CUT: Micros = 45 * MS;
 /// Time within which a client that has lost its connection sends a request once more.
 const RESEND_TIME: Micros = 60 * MS;
+/// The same where the new connection comes up late, minimum and maximum, and the time that the client then still waits, at
+/// least.
+const LATE_RESEND_TIME: (Micros, Micros) = (50 * MS, 2_000 * MS);
+const MIN_WAIT_AFTER_RESEND: Micros = 300 * MS;
 /// Time after which the end of a silent client connection reaches the front node, minimum and maximum.
 const SILENCE: (Micros, Micros) = (200 * MS, 1_500 * MS);
 
@@ -28,6 +32,10 @@
     /// Set-ups on one connection at a time. With one, front nodes have several connections to a server in use, of which
     /// one is cut.
     pub max_streams: u64,
+    /// The new connection of a second copy comes up late.
+    pub late_copies: u64,
+    /// Another viewer's request follows a second copy in the same write.
+    pub requests_behind_copies: u64,
 }
 
 /// With ends that are lost, requests go on for this much longer: a server to which none go any more is silent, and is
@@ -41,7 +49,8 @@
         let (requests, ends) = (draws.pick(&[0, 5, 20]), draws.pick(&[0, 10, 40]));
         let moves = draws.pick(&[0, 30]);
         let max_streams = if ends > 0 { draws.pick(&[1, 1, 1, 32]) } else { 32 };
-        CrossingPlan { requests, ends, moves, max_streams }
+        let (late_copies, requests_behind_copies) = (draws.pick(&[0, 50]), draws.pick(&[0, 50, 100]));
+        CrossingPlan { requests, ends, moves, max_streams, late_copies, requests_behind_copies }
     }
 
     /// How much longer than usual requests are sent.
@@ -128,10 +137,21 @@
 
     /// Schedules the second copy of a request whose connection has ended; `previous` is that connection.
     pub(crate) fn send_again_soon(&mut self, id: u64, previous: Option<u64>) {
-        let after = self.crossing_draws.between(0, RESEND_TIME);
+        let mut after = self.crossing_draws.between(0, RESEND_TIME);
+        if self.crossing_draws.chance(self.plan.crossings.late_copies) {
+            let late = self.crossing_draws.between(LATE_RESEND_TIME.0, LATE_RESEND_TIME.1);
+            let waits_until = self.requests.get(&id).and_then(Request::waits_until).unwrap_or(0);
+            let latest = waits_until.saturating_sub(self.now() + MIN_WAIT_AFTER_RESEND);
+            after = after.max(late.min(latest));
+        }
         self.schedule_in(after, Action::SendAgain { id, previous });
     }
 
+    /// Whether another viewer's request follows a second copy in the same write.
+    pub(crate) fn follows_copy(&mut self) -> bool {
+        self.crossing_draws.chance(self.plan.crossings.requests_behind_copies)
+    }
+
     /// A server sends the end of a session on this connection; returns whether it is cut, and the end lost. Each server
     /// is cut off once, most often from a front node with another connection to it: a further cut would have the front
     /// node open a connection, which brings the end.
