The room for past requests is shared out among the connections they came on

Above half of the places, a connection that has its equal part gets no further paid request; of repeatable requests, the connection with the most makes room. core/shares counts by connection.

--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -114,7 +114,7 @@
         let earlier_attempts = self.past_requests.attempts(id);
         let request = Request { earlier_attempts, ..open_request.to_request(&session_id(id), has_moved) };
         let session = self.new_session(client, open_request);
-        if session.effect == Effect::Once && self.past_requests.is_full() {
+        if session.effect == Effect::Once && self.past_requests.is_full_for(client) {
             self.counts.refused += 1;
             return out.push(Command::SendToClient(client, Message::release(id, cause::FULL)));
         }
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -25,6 +25,7 @@
 //! - `resends`: requests sent a second time because their connection has ended.
 //! - `restarts`: media servers whose processes may have been replaced.
 //! - `sessions`: all sessions, indexed by server.
+//! - `shares`: items counted by client connection, for bounds that are shared out.
 //! - `shutdown`: the orderly end of the process.
 //! - `list_updates`: what updates of the server list end and withdraw.
 //! - [`list_watch`]: the numbered events of the server list.
@@ -52,6 +53,7 @@
 mod restarts;
 mod servers;
 mod sessions;
+mod shares;
 mod shutdown;
 mod unproven_sessions;
 
@@ -110,6 +112,8 @@
     pub moving: bool,
     /// It has come again since: it knows that the session is over.
     pub has_followed_move: bool,
+    /// The connection that its first copy came on.
+    pub requested_on: Option<ClientId>,
     /// What the request asks for.
     pub digest: RequestDigest,
     /// Until when the request counts as having crossed the end of its connection.
@@ -129,6 +133,7 @@
 impl SessionEntry {
     fn new(session: Session, playing_since: Micros) -> SessionEntry {
         let (forwarded_parameters, earlier_conns, in_doubt) = (Vec::new(), Vec::new(), Vec::new());
+        let requested_on = session.client.map(|(client, _)| client);
         SessionEntry {
             session,
             forwarded_parameters,
@@ -140,6 +145,7 @@
             was_handed_over: false,
             moving: false,
             has_followed_move: false,
+            requested_on,
             digest: RequestDigest::default(),
             resend_until: 0,
             retained_until: 0,
--- a/crates/platform/src/core/past_requests.rs
+++ b/crates/platform/src/core/past_requests.rs
@@ -1,4 +1,7 @@
 //! Requests that are over and of which a second copy can still arrive.
+//!
+//! Their number is bounded, and the bound is shared out among the connections that they came on: a client cannot use it up
+//! at the expense of others.
 
 use std::collections::BTreeMap;
 
@@ -6,12 +9,16 @@
 
 use super::in_doubt::DoubtfulAttempt;
 use super::resends::RequestDigest;
-use super::ConnId;
+use super::shares::Shares;
+use super::{ClientId, ConnId};
 
 /// Maximum number of past requests of classes that must run at most once. New requests of such classes are
 /// refused while as many are remembered.
 const MAX_PAST_REQUESTS: usize = 16_384;
-/// Maximum number of past requests at which further ones of other classes are remembered.
+/// Above this number of past requests, a connection that has its equal part of it gets no further request of such a class.
+const SHARED_PAST_REQUESTS: usize = MAX_PAST_REQUESTS / 2;
+/// Maximum number of past requests at which further ones of other classes are remembered. Above it, the connection with the
+/// most of them makes room.
 const MAX_REPEATABLE_PAST_REQUESTS: usize = MAX_PAST_REQUESTS / 2;
 /// Maximum number of past requests at which further hand-overs are remembered: a second copy of one wants no answer, and any
 /// client may send as many as it likes.
@@ -20,6 +27,8 @@
 /// What is remembered of a request that is over.
 #[derive(Clone, Debug)]
 pub(super) struct PastRequest {
+    /// The connection that its first copy came on.
+    pub client: Option<ClientId>,
     pub digest: RequestDigest,
     pub effect: Effect,
     /// An attempt may have run.
@@ -41,6 +50,11 @@
 }
 
 impl PastRequest {
+    /// Whether it must not be forgotten while a second copy can arrive.
+    fn must_be_kept(&self) -> bool {
+        self.effect == Effect::Once && self.may_have_run && !self.was_handed_over
+    }
+
     /// Whether a second copy may be set up. A set-up that must run once is not repeated, nor one that is
     /// recognised only by some servers for some time, and a session that has played is not played again.
     pub fn may_start_over(&self) -> bool {
@@ -52,6 +66,9 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct PastRequests {
     requests: BTreeMap<u64, PastRequest>,
+    /// Those that must be kept, and the others.
+    kept: Shares,
+    repeatable: Shares,
     /// Those that were not remembered for lack of room.
     forgotten: Vec<u64>,
 }
@@ -62,6 +79,14 @@
         self.len() >= MAX_PAST_REQUESTS
     }
 
+    /// Whether no further request that must run at most once may be accepted from this connection: it could not be
+    /// remembered, or would take the room of others.
+    pub fn is_full_for(&self, client: ClientId) -> bool {
+        let own = self.kept.count(Some(client));
+        let exceeds_share = own * self.kept.clients() >= SHARED_PAST_REQUESTS;
+        self.is_full() || self.len() >= SHARED_PAST_REQUESTS && exceeds_share
+    }
+
     /// Number of past requests.
     pub fn len(&self) -> usize {
         self.requests.len()
@@ -79,7 +104,9 @@
 
     /// Removes and returns what is known of a past request.
     pub fn take(&mut self, id: u64) -> Option<PastRequest> {
-        self.requests.remove(&id)
+        let past = self.requests.remove(&id)?;
+        self.shares(&past).remove(past.client, id);
+        Some(past)
     }
 
     /// The server has acknowledged the give-up or the release of this session.
@@ -107,12 +134,32 @@
 
     /// Remembers a request that is over, if there is room.
     pub fn remember(&mut self, id: u64, past: PastRequest) {
-        let must_be_kept = past.effect == Effect::Once && past.may_have_run && !past.was_handed_over;
+        self.take(id);
         let limit = if past.was_handed_over { MAX_PAST_HAND_OVERS } else { MAX_REPEATABLE_PAST_REQUESTS };
-        if must_be_kept || self.len() < limit {
-            self.requests.insert(id, past);
-        } else if !past.was_handed_over {
-            self.forgotten.push(id);
+        if !past.must_be_kept() && self.len() >= limit && !self.makes_room_for(&past) {
+            if !past.was_handed_over {
+                self.forgotten.push(id);
+            }
+            return;
+        }
+        self.shares(&past).add(past.client, id);
+        self.requests.insert(id, past);
+    }
+
+    /// Forgets a request of the connection with the most, if that has more than the one of this request.
+    fn makes_room_for(&mut self, past: &PastRequest) -> bool {
+        let own = self.repeatable.count(past.client);
+        let other = self.repeatable.item_of_largest_above(own + 1).filter(|_| !past.was_handed_over);
+        let is_forgotten = other.is_some_and(|other| self.take(other).is_some());
+        self.forgotten.extend(other);
+        is_forgotten
+    }
+
+    fn shares(&mut self, past: &PastRequest) -> &mut Shares {
+        if past.must_be_kept() {
+            &mut self.kept
+        } else {
+            &mut self.repeatable
         }
     }
 }
--- a/crates/platform/src/core/resends.rs
+++ b/crates/platform/src/core/resends.rs
@@ -240,6 +240,7 @@
             return;
         }
         let past = PastRequest {
+            client: entry.requested_on,
             digest: entry.digest,
             effect: session.effect,
             may_have_run,
--- a/crates/platform/src/core/tests/resends.rs
+++ b/crates/platform/src/core/tests/resends.rs
@@ -387,6 +387,38 @@
     assert_eq!(set_ups(&out), 0);
 }
 
+// Guards against a client whose requests use up the room for those of others.
+#[test]
+fn flood_of_one_clients_requests_leaves_room_to_others() {
+    const SHARED: u64 = 8_192;
+    let remember = |node: &mut TestNode<Controller>, client: u64, id: u64, class: &str| {
+        let entry = SessionEntry {
+            in_doubt: vec![DoubtfulAttempt::new(ServerId(0), ConnId(1))],
+            retained_until: node.now + RETENTION,
+            requested_on: Some(ClientId(client)),
+            ..node.core.test_entry(class)
+        };
+        node.core.remember_request(id, &entry);
+    };
+    // A repeatable request of another client is remembered in place of one of the flood.
+    let mut node = TestNode::new();
+    (0..2 * SHARED).for_each(|id| remember(&mut node, 7, 1_000_000 + id, "clip"));
+    remember(&mut node, 8, 9, "clip");
+    assert!(node.core.past_requests.get(9).is_some());
+    assert_eq!(node.core.past_requests.len(), SHARED as usize);
+    // The connection of a flood of paid requests gets no further one, and others do.
+    let mut node = TestNode::new();
+    (0..SHARED).for_each(|id| remember(&mut node, 7, 1_000_000 + id, "paid"));
+    remember(&mut node, 8, 10, "paid");
+    for (client, is_refused) in [(7, true), (8, false)] {
+        node.handle(NodeEvent::ClientConnected(ClientId(client)));
+        let request = request_message(100 + client, "paid", "");
+        let out = node.handle(NodeEvent::ClientMessage(ClientId(client), request));
+        let refused = sent_to_client(&out).any(|message| message.cause() == Some(cause::FULL));
+        assert_eq!(refused, is_refused, "client {client}");
+    }
+}
+
 impl<D: Decider> Core<D> {
     /// An entry of a request of this class, as if it had just been accepted.
     fn test_entry(&self, class: &str) -> SessionEntry {
