A process that shuts down listens for late second copies until shortly before the kill

Callers whose request crossed the close of a process that ends, and whose new connection came up late, were refused there: the process waited for second copies for 100 ms and the time to connect (resends.rs, expect_copies), a limit that no sentence of the protocol sets, and exited up to 2 s before its kill. Where a request has crossed a close it waits for as long as the classes let clients wait now, and at most until shortly before the kill, as for everything that is owed. a_request_that_crosses_the_close_of_the_exit_is_answered_on_a_connection_that_comes_up_late failed before (connection refused) and passes.

--- a/crates/daemon/tests/front_node_exit.rs
+++ b/crates/daemon/tests/front_node_exit.rs
@@ -212,3 +212,22 @@
     drop((first, crossing, copy));
     assert!(node.wait_for_exit(EARLIEST_KILL).is_some_and(|status| status.success()));
 }
+
+// Guards against an exit before the second copy of a request that crossed the close comes on a connection that comes up late.
+#[test]
+fn a_request_that_crosses_the_close_of_the_exit_is_answered_on_a_connection_that_comes_up_late() {
+    let (_servers, node) = start_node("exit-late-crossing");
+    let mut first = active_viewer(&node);
+    let mut crossing = active_viewer(&node);
+    terminate(&node);
+    assert!(first.closes(EARLIEST_KILL));
+    let request = request_for_cell(1, "clip", 0);
+    crossing.send(&request);
+    assert_eq!(crossing.next(SECOND), None);
+    drop((first, crossing));
+    thread::sleep(700 * MS);
+    let mut copy = node.viewer();
+    copy.send(&request);
+    let answer = copy.next(SECOND).expect("an answer to the second copy");
+    assert_eq!((answer.kind, answer.session), (kind::RELEASE, 1));
+}
--- a/crates/platform/src/core/resends.rs
+++ b/crates/platform/src/core/resends.rs
@@ -90,9 +90,9 @@
         }
     }
 
-    /// A request has crossed the end of its connection, and may be sent once more.
+    /// A request has crossed the end of its connection, and may be sent once more while its client waits.
     pub(super) fn expect_copies(&mut self) {
-        self.copies_expected_until = self.now + self.resend_window;
+        self.copies_expected_until = self.retained_until(self.platform_settings.longest_patience);
     }
 
     /// A server connection accepts no bytes: gives up the requests without a client whose set-ups are not
