All client connections of no use give way at once where others wait in the listener's queue

Of the connections that are of no use and old enough to have been read, 8 were closed in 20 ms (admission.rs, make_room), which no sentence of the protocol sets. All of them give way now; of idle ones and those of playing sessions up to 8, as before. The rest of the wait is the 0.1 s that each one is kept for. all_connections_of_no_use_give_way_at_once_and_idle_ones_a_few_at_a_time: 61 are closed, 8 before.

--- a/crates/platform/src/core/admission.rs
+++ b/crates/platform/src/core/admission.rs
@@ -20,8 +20,8 @@
 const IDLE_TIMEOUT: Micros = 8_000_000;
 /// What a client writes at first, or next, is read within this time.
 const READ_TIME: Micros = 100_000;
-/// Maximum number of connections closed at once when no place is left.
-const MAX_CLOSED_AT_ONCE: usize = 8;
+/// Number of connections closed at once when no place is left. Only of those that are of no use more are closed.
+const CLOSED_AT_ONCE: usize = 8;
 
 /// Number of open requests from which on each client is held to an equal part of them. The time of a decision grows
 /// with their number, and so does the wait of all others.
@@ -149,9 +149,11 @@
         self.least_useful(now, Use::Stopped, excess)
     }
 
-    /// No further connection can be accepted, and clients wait: returns the connections to close.
+    /// No further connection can be accepted, and clients wait: returns the connections to close. Requests may wait behind a
+    /// crowd, so all connections that are of no use give way at once.
     pub fn make_room(&self, now: Micros) -> Vec<ClientId> {
-        self.least_useful(now, Use::Playing, MAX_CLOSED_AT_ONCE)
+        let useless = self.least_useful(now, Use::Stopped, usize::MAX).len();
+        self.least_useful(now, Use::Playing, useless.max(CLOSED_AT_ONCE))
     }
 
     /// The least useful connections up to this use, at most `count` of them.
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -773,6 +773,23 @@
     assert_eq!(closed, 4, "no place is left at all: {out:?}");
 }
 
+// Guards against requests that wait in the listener's queue behind a crowd of which few connections give way at once.
+#[test]
+fn all_connections_of_no_use_give_way_at_once_and_idle_ones_a_few_at_a_time() {
+    let mut node = TestNode::new();
+    let test = Message::new(kind::TEST, 1).with(code::CAUSE, [0]);
+    for id in 2..=100 {
+        node.handle(NodeEvent::ClientConnected(ClientId(id)));
+        if id <= 40 {
+            node.handle(NodeEvent::ClientMessage(ClientId(id), test.clone()));
+        }
+    }
+    node.advance(SECOND / 10);
+    let closed = |out: Vec<Command>| without_logs(out).len();
+    assert_eq!(closed(node.handle(NodeEvent::ClientsWaiting)), 61, "the silent ones");
+    assert_eq!(closed(node.handle(NodeEvent::ClientsWaiting)), 8, "idle ones");
+}
+
 // Guards against requests that wait behind thousands of another client's.
 #[test]
 fn refuses_requests_beyond_a_clients_share_while_too_many_are_open() {
