--- a/crates/daemon/tests/front_node_exit.rs
+++ b/crates/daemon/tests/front_node_exit.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use node::scripted::{request_for_cell, serve_sessions, wait_for_message, ScriptedServers};
+use node::scripted::{request_for_cell, serve_sessions, wait_for_message, with_parameter, ScriptedServers};
 use node::{Node, SECOND};
 use rustix::process::Signal;
 use salttally_platform::wire::{cause, code, kind, Message};
@@ -231,3 +231,21 @@
     let answer = copy.next(SECOND).expect("an answer to the second copy");
     assert_eq!((answer.kind, answer.session), (kind::RELEASE, 1));
 }
+
+// Guards against clients that are closed only as the kill is near because a second copy is expected: what crosses that close
+// could not be sent once more.
+#[test]
+fn clients_are_closed_long_before_the_kill_though_a_second_copy_is_expected() {
+    let (_servers, node) = start_node("exit-early-close");
+    let mut first = active_viewer(&node);
+    let crossing = active_viewer(&node);
+    let signalled = terminate(&node);
+    sleep_until(signalled + REQUEST_GRACE - 30 * MS);
+    crossing.send(&with_parameter(request_for_cell(1, "clip", 0), code::CLASS, "none"));
+    thread::sleep(10 * MS);
+    SockRef::from(&crossing.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(crossing);
+    assert!(first.closes(EARLIEST_KILL));
+    assert!(signalled.elapsed() < REQUEST_GRACE + SECOND / 2, "{:?}", signalled.elapsed());
+    Viewer::connect(node.listen).expect("the process listens for the second copy");
+}
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -3,10 +3,10 @@
 //! 1. The protocol lets clients send requests for some time after SIGTERM: these are served as before. Later ones are
 //!    refused at once, since clients may go on using open connections until the kill.
 //! 2. When every request has been answered, or the kill is near, all sessions are released. What is owed outlives the
-//!    wish to exit: the process goes on until media servers and clients have acknowledged the releases, moves are
-//!    over, and no second copy of a request can arrive.
-//! 3. Then the connections of the clients are closed, while the process still listens. A request that crosses the
-//!    close is sent once more on a new connection, and is refused there.
+//!    wish to exit: the process goes on until media servers and clients have acknowledged the releases, and moves are
+//!    over.
+//! 3. Then the connections of the clients are closed, while the process still listens, until no second copy of a request
+//!    can arrive. A request that crosses the close is sent once more on a new connection, and is refused there.
 //!
 //! Steps 2 and 3 end shortly before the kill, whatever is still owed then.
 
@@ -79,7 +79,8 @@
             self.close_clients(out);
         }
         let is_closed = self.closing_clients.as_ref().is_some_and(BTreeSet::is_empty);
-        if is_due || is_closed && !self.is_anything_owed() {
+        let is_copy_expected = now < self.copies_expected_until;
+        if is_due || is_closed && !self.is_anything_owed() && !is_copy_expected {
             self.log_owed(out);
             self.finished = true;
             out.push(Command::Exit);
@@ -92,14 +93,10 @@
         }
     }
 
-    /// Whether media servers or clients are still to be told of something, or a request may still arrive whose client
-    /// has had no answer.
+    /// Whether media servers or clients are still to be told of something.
     fn is_anything_owed(&self) -> bool {
         let owed_to_servers = self.pool.has_unsent() || self.has_releases();
-        !self.sessions.is_empty()
-            || owed_to_servers
-            || !self.client_notices.is_empty()
-            || self.now < self.copies_expected_until
+        !self.sessions.is_empty() || owed_to_servers || !self.client_notices.is_empty()
     }
 
     /// Logs what is still owed as the process exits.
