Exit tests share the crossing of the close and the copy after it

Two tests of a request that crosses the close of the exit stood with the same lines, and three with the same copy.

--- a/crates/daemon/tests/front_node_exit.rs
+++ b/crates/daemon/tests/front_node_exit.rs
@@ -157,10 +157,7 @@
     SockRef::from(&viewer.stream).set_linger(Some(Duration::ZERO)).unwrap();
     drop(viewer);
     thread::sleep(60 * MS);
-    let mut copy = node.viewer();
-    copy.send(&request);
-    let answer = copy.next(SECOND).expect("an answer to the second copy");
-    assert_eq!((answer.kind, answer.session), (kind::RELEASE, 1));
+    send_copy_and_read_answer(&node, &request);
 }
 
 // Guards against signals in series that shorten the shutdown.
@@ -194,22 +191,32 @@
     assert!(signalled.elapsed() < EARLIEST_KILL, "{:?}", signalled.elapsed());
 }
 
-// Guards against a request that is lost because it was written before its client saw the close of the exit.
-#[test]
-fn a_request_that_crosses_the_close_of_the_exit_is_answered_on_its_next_connection() {
-    let (_servers, mut node) = start_node("exit-crossing");
-    let mut first = active_viewer(&node);
-    let mut crossing = active_viewer(&node);
-    terminate(&node);
+/// A request that crosses the close of its connection by the exit: the two connections that were closed, and the request.
+fn cross_the_close(node: &Node) -> (Viewer, Viewer, Message) {
+    let mut first = active_viewer(node);
+    let mut crossing = active_viewer(node);
+    terminate(node);
     assert!(first.closes(EARLIEST_KILL));
     let request = request_for_cell(1, "clip", 0);
     crossing.send(&request);
     assert_eq!(crossing.next(SECOND), None);
+    (first, crossing, request)
+}
+
+fn send_copy_and_read_answer(node: &Node, request: &Message) {
     let mut copy = node.viewer();
-    copy.send(&request);
+    copy.send(request);
     let answer = copy.next(SECOND).expect("an answer to the second copy");
     assert_eq!((answer.kind, answer.session), (kind::RELEASE, 1));
-    drop((first, crossing, copy));
+}
+
+// Guards against a request that is lost because it was written before its client saw the close of the exit.
+#[test]
+fn a_request_that_crosses_the_close_of_the_exit_is_answered_on_its_next_connection() {
+    let (_servers, mut node) = start_node("exit-crossing");
+    let (first, crossing, request) = cross_the_close(&node);
+    send_copy_and_read_answer(&node, &request);
+    drop((first, crossing));
     assert!(node.wait_for_exit(EARLIEST_KILL).is_some_and(|status| status.success()));
 }
 
@@ -217,19 +224,10 @@
 #[test]
 fn a_request_that_crosses_the_close_of_the_exit_is_answered_on_a_connection_that_comes_up_late() {
     let (_servers, node) = start_node("exit-late-crossing");
-    let mut first = active_viewer(&node);
-    let mut crossing = active_viewer(&node);
-    terminate(&node);
-    assert!(first.closes(EARLIEST_KILL));
-    let request = request_for_cell(1, "clip", 0);
-    crossing.send(&request);
-    assert_eq!(crossing.next(SECOND), None);
+    let (first, crossing, request) = cross_the_close(&node);
     drop((first, crossing));
     thread::sleep(700 * MS);
-    let mut copy = node.viewer();
-    copy.send(&request);
-    let answer = copy.next(SECOND).expect("an answer to the second copy");
-    assert_eq!((answer.kind, answer.session), (kind::RELEASE, 1));
+    send_copy_and_read_answer(&node, &request);
 }
 
 // Guards against clients that are closed only as the kill is near because a second copy is expected: what crosses that close
