Soak: a client that waits to send its request once more does not give it up meanwhile

Traced by the records: the request crosses the close of a process that shuts down, its copy waits for a connection that comes up late, and the client's own give-up, drawn before, comes first (8.0924 s sent and closed, 8.1032 s given up, no copy).

--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -498,6 +498,10 @@
             return;
         }
         let (client, node) = (request.client, request.node);
+        if !self.clients.contains_key(&client) {
+            // It has crossed the end of its connection, and is sent once more first.
+            return;
+        }
         if self.draws.chance(30) {
             if let Some(token) = self.clients.get(&client).map(|client| client.token) {
                 self.close(token, false);
