Past requests and unproven sessions share one bookkeeping of shares by connection

core/shares had been written beside the same groups and sizes in core/unproven_sessions (change_group). Shares is generic in what a connection holds now, and both bounds use it.

--- a/crates/platform/src/core/past_requests.rs
+++ b/crates/platform/src/core/past_requests.rs
@@ -3,7 +3,7 @@
 //! Their number is bounded, and the bound is shared out among the connections that they came on: a client cannot use it up
 //! at the expense of others.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use salttally::interface::{Effect, Micros, ServerId};
 
@@ -67,8 +67,8 @@
 pub(super) struct PastRequests {
     requests: BTreeMap<u64, PastRequest>,
     /// Those that must be kept, and the others.
-    kept: Shares,
-    repeatable: Shares,
+    kept: Shares<BTreeSet<u64>>,
+    repeatable: Shares<BTreeSet<u64>>,
     /// Those that were not remembered for lack of room.
     forgotten: Vec<u64>,
 }
@@ -105,7 +105,9 @@
     /// Removes and returns what is known of a past request.
     pub fn take(&mut self, id: u64) -> Option<PastRequest> {
         let past = self.requests.remove(&id)?;
-        self.shares(&past).remove(past.client, id);
+        self.shares(&past).change(past.client, |ids| {
+            ids.remove(&id);
+        });
         Some(past)
     }
 
@@ -142,20 +144,23 @@
             }
             return;
         }
-        self.shares(&past).add(past.client, id);
+        self.shares(&past).change(past.client, |ids| {
+            ids.insert(id);
+        });
         self.requests.insert(id, past);
     }
 
     /// Forgets a request of the connection with the most, if that has more than the one of this request.
     fn makes_room_for(&mut self, past: &PastRequest) -> bool {
         let own = self.repeatable.count(past.client);
-        let other = self.repeatable.item_of_largest_above(own + 1).filter(|_| !past.was_handed_over);
+        let largest = self.repeatable.largest_above(own + 1).filter(|_| !past.was_handed_over);
+        let other = largest.and_then(|ids| ids.last().copied());
         let is_forgotten = other.is_some_and(|other| self.take(other).is_some());
         self.forgotten.extend(other);
         is_forgotten
     }
 
-    fn shares(&mut self, past: &PastRequest) -> &mut Shares {
+    fn shares(&mut self, past: &PastRequest) -> &mut Shares<BTreeSet<u64>> {
         if past.must_be_kept() {
             &mut self.kept
         } else {
--- a/crates/platform/src/core/unproven_sessions.rs
+++ b/crates/platform/src/core/unproven_sessions.rs
@@ -18,10 +18,11 @@
 //! A note on a session proves it; a proven session does not count and is never displaced.
 
 use std::collections::btree_map::Entry;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use salttally::interface::ServerId;
 
+use super::shares::{Share, Shares};
 use super::ClientId;
 
 /// Memory of a handed-over session with all that is kept for it here and by the decider.
@@ -61,6 +62,12 @@
     by_server: BTreeMap<ServerId, usize>,
 }
 
+impl Share for Group {
+    fn len(&self) -> usize {
+        self.sessions.len()
+    }
+}
+
 /// An unproven session.
 #[derive(Clone, Copy, Debug)]
 struct Claim {
@@ -75,10 +82,7 @@
 pub(super) struct UnprovenSessions {
     claims: BTreeMap<u64, Claim>,
     by_server: BTreeMap<ServerId, usize>,
-    /// By connection, whether it is still open or not.
-    groups: BTreeMap<ClientId, Group>,
-    /// The groups by size.
-    sizes: BTreeSet<(usize, ClientId)>,
+    groups: Shares<Group>,
     /// Number of sessions at servers that were not listed when they were handed over.
     unlisted: usize,
     last_order: u64,
@@ -91,8 +95,7 @@
         UnprovenSessions {
             claims: BTreeMap::new(),
             by_server: BTreeMap::new(),
-            groups: BTreeMap::new(),
-            sizes: BTreeSet::new(),
+            groups: Shares::default(),
             unlisted: 0,
             last_order: 0,
             limit: (memory_bytes / MEMORY_DIVISOR / SESSION_BYTES).max(1),
@@ -106,8 +109,7 @@
 
     /// Number of unproven sessions of the connection that has handed this one over; 0 if it is not one of them.
     pub fn rank(&self, id: u64) -> usize {
-        let group = self.claims.get(&id).and_then(|claim| self.groups.get(&claim.client));
-        group.map_or(0, |group| group.sessions.len())
+        self.claims.get(&id).map_or(0, |claim| self.groups.count(Some(claim.client)))
     }
 
     /// Number of unproven sessions at a server.
@@ -117,15 +119,14 @@
 
     /// Whether a connection has handed sessions of this server over that has at most half as many as the one with the most.
     pub fn is_named_by_small_group(&self, server: ServerId) -> bool {
-        let largest = self.sizes.last().map_or(0, |(size, _)| *size);
-        let small = self.sizes.iter().take_while(|(size, _)| 2 * size <= largest);
-        let mut groups = small.filter_map(|(_, client)| self.groups.get(client));
-        groups.any(|group| group.by_server.contains_key(&server))
+        let largest = self.groups.largest_above(0).map_or(0, Share::len);
+        let mut small = self.groups.by_size().take_while(|(size, _)| 2 * size <= largest);
+        small.any(|(_, group)| group.by_server.contains_key(&server))
     }
 
     /// Decides on one more session. `places` is the number of places of its server, or `None` if it is not listed.
     pub fn decide(&self, client: ClientId, server: ServerId, places: Option<usize>) -> Decision {
-        let own = self.groups.get(&client);
+        let own = self.groups.get(Some(client));
         let own_at_server = own.and_then(|group| group.by_server.get(&server)).copied().unwrap_or(0);
         match places {
             None if self.unlisted >= (self.limit / UNLISTED_DIVISOR).max(1) => {
@@ -137,9 +138,7 @@
         if self.claims.len() < self.limit {
             return Decision::Take;
         }
-        let own_size = own.map_or(0, |group| group.sessions.len());
-        let largest = self.sizes.last().filter(|(size, _)| own_size + 1 < *size);
-        let largest = largest.and_then(|(_, client)| self.groups.get(client));
+        let largest = self.groups.largest_above(self.groups.count(Some(client)) + 1);
         let latest = largest.and_then(|group| group.sessions.last_key_value());
         latest.map_or(Decision::Refuse(Refusal::MemoryFull), |(_, id)| Decision::TakeInPlaceOf(*id))
     }
@@ -151,7 +150,7 @@
         self.claims.insert(id, claim);
         self.unlisted += usize::from(!is_listed);
         *self.by_server.entry(server).or_default() += 1;
-        self.change_group(claim.client, |group| {
+        self.groups.change(Some(claim.client), |group| {
             group.sessions.insert(claim.order, id);
             *group.by_server.entry(server).or_default() += 1;
         });
@@ -162,24 +161,11 @@
         let Some(claim) = self.claims.remove(&id) else { return };
         self.unlisted -= usize::from(!claim.is_listed);
         decrement(&mut self.by_server, claim.server);
-        self.change_group(claim.client, |group| {
+        self.groups.change(Some(claim.client), |group| {
             group.sessions.remove(&claim.order);
             decrement(&mut group.by_server, claim.server);
         });
     }
-
-    fn change_group(&mut self, client: ClientId, change: impl FnOnce(&mut Group)) {
-        let group = self.groups.entry(client).or_default();
-        let size_before = group.sessions.len();
-        change(group);
-        let size = group.sessions.len();
-        self.sizes.remove(&(size_before, client));
-        if size > 0 {
-            self.sizes.insert((size, client));
-        } else {
-            self.groups.remove(&client);
-        }
-    }
 }
 
 /// Counts one less under a server; a count of zero is removed.
