One piece of code for copies that fail, and one for sessions that are released and ended

The line of the log reads 'sent again, failed:' and the reason. The comment of retention said that the longest class bounds a client's time; it is that or 8 s, if longer.

--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -283,8 +283,7 @@
             self.give_up(id, out);
         } else if entry.session.playing().is_some() {
             let cause = message.cause().unwrap_or(cause::ON_PURPOSE);
-            self.release_at_server(id, cause, out);
-            self.end_session(id, Outcome::Withdrawn, Vec::new(), None, out);
+            self.release_and_end(id, cause, None, out);
         }
     }
 
@@ -395,6 +394,19 @@
         self.events.push_back(Event::Ended { session, attempt, server, outcome, last, report });
     }
 
+    /// Releases a playing session at its server and ends it; its client is sent a release with `client_cause`, see
+    /// [`Core::end_session`].
+    pub(super) fn release_and_end(
+        &mut self,
+        id: u64,
+        server_cause: u8,
+        client_cause: Option<u8>,
+        out: &mut Vec<Command>,
+    ) {
+        self.release_at_server(id, server_cause, out);
+        self.end_session(id, Outcome::Withdrawn, Vec::new(), client_cause, out);
+    }
+
     /// A session does not play at this server any more.
     pub(super) fn session_left(&mut self, server: ServerId) {
         self.health.session_ended(server);
@@ -411,8 +423,7 @@
         if entry.session.answer_pending() {
             self.fail(id, out);
         } else if entry.session.playing().is_some() && (is_due || !entry.moving) {
-            self.release_at_server(id, cause::BROKEN, out);
-            self.end_session(id, Outcome::Withdrawn, Vec::new(), Some(cause::BROKEN), out);
+            self.release_and_end(id, cause::BROKEN, Some(cause::BROKEN), out);
         }
     }
 
--- a/crates/platform/src/core/resends.rs
+++ b/crates/platform/src/core/resends.rs
@@ -16,7 +16,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use salttally::interface::{Micros, Outcome};
+use salttally::interface::Micros;
 use salttally::platform_settings::PlatformSettings;
 
 use super::client_closes::CloseReason;
@@ -37,8 +37,9 @@
     CROSSING_LIMIT + LIMIT_SLACK + platform_settings.connect_timeout
 }
 
-/// How long what is known of a request is kept for a second copy: as long as its client may wait for the answer. A client
-/// that states a longer time than any class has is not kept waiting for, so that it cannot use up the room of others.
+/// How long what is known of a request is kept for a second copy: as long as its client may wait for the answer. The time that
+/// the client states counts up to that of the longest class, or the limit for telling an end where that is longer: a client
+/// cannot use up the room of others by stating an endless one.
 fn retention(platform_settings: &PlatformSettings, patience: Micros) -> Micros {
     let longest = platform_settings.longest_patience.max(END_NOTICE_LIMIT);
     (patience.min(longest) + MAX_ANSWER_DELAY).max(resend_window(platform_settings))
@@ -156,19 +157,14 @@
         let viewer = entry.session.open_request.viewer;
         self.forget_moved_client(viewer);
         self.settle_notice(id, NoticeProof::CopyAnswered, out);
-        let text = format!("request {id:016x}: sent again after its session was moved, failed");
-        out.push(Command::Log(Level::Info, text));
-        out.push(Command::SendToClient(client, Message::release(id, FAILED_CAUSE)));
+        answer_copy_as_failed(client, id, "its session was moved", out);
     }
 
     /// A second copy of the request of a session that plays, when its client waits no longer: the answer is not kept any
     /// more. The client is told that it failed, and so the session ends.
     fn fail_copy_after_retention(&mut self, client: ClientId, id: u64, out: &mut Vec<Command>) {
-        let text = format!("request {id:016x}: sent again after its client has stopped waiting, failed");
-        out.push(Command::Log(Level::Info, text));
-        out.push(Command::SendToClient(client, Message::release(id, FAILED_CAUSE)));
-        self.release_at_server(id, cause::NORMAL, out);
-        self.end_session(id, Outcome::Withdrawn, Vec::new(), None, out);
+        answer_copy_as_failed(client, id, "its answer is not kept any more", out);
+        self.release_and_end(id, cause::NORMAL, None, out);
     }
 
     /// A request arrived under the id of a past request; returns whether it has been dealt with. If not, it
@@ -191,9 +187,7 @@
         self.counts.taken += 1;
         self.counts.resent += 1;
         self.counts.failed += 1;
-        let text = format!("request {id:016x}: sent again although a set-up may have run, failed");
-        out.push(Command::Log(Level::Info, text));
-        out.push(Command::SendToClient(client, Message::release(id, FAILED_CAUSE)));
+        answer_copy_as_failed(client, id, "a set-up may have run", out);
         true
     }
 
@@ -277,8 +271,12 @@
         } else if entry.session.playing().is_some() && !entry.answer_sent {
             let text = format!("session {id:016x}: no client was told that it plays, released");
             out.push(Command::Log(Level::Info, text));
-            self.release_at_server(id, cause::NORMAL, out);
-            self.end_session(id, Outcome::Withdrawn, Vec::new(), None, out);
+            self.release_and_end(id, cause::NORMAL, None, out);
         }
     }
 }
+
+fn answer_copy_as_failed(client: ClientId, id: u64, why: &str, out: &mut Vec<Command>) {
+    out.push(Command::Log(Level::Info, format!("request {id:016x}: sent again, failed: {why}")));
+    out.push(Command::SendToClient(client, Message::release(id, FAILED_CAUSE)));
+}
--- a/crates/platform/src/core/servers.rs
+++ b/crates/platform/src/core/servers.rs
@@ -424,8 +424,7 @@
                 Level::Debug,
                 format!("session {id:016x} still plays after its move, releasing it"),
             ));
-            self.release_at_server(id, cause::ON_PURPOSE, out);
-            self.end_session(id, Outcome::Withdrawn, Vec::new(), Some(cause::BROKEN), out);
+            self.release_and_end(id, cause::ON_PURPOSE, Some(cause::BROKEN), out);
         }
     }
 }
