The reads before a close and at the exit are one loop

node/closing had a read loop of its own beside that of node/exit, which looked after each read for what the read itself returns. Both call read_repeatedly.

--- a/crates/platform/src/node/closing.rs
+++ b/crates/platform/src/node/closing.rs
@@ -25,12 +25,8 @@
         let is_read = |connection: &Connection| {
             !connection.closing && !connection.half_closed && !connection.unreadable
         };
-        let mut reads = 0;
-        while reads < READS_BEFORE_CLOSE && self.connections.get(&token).is_some_and(is_read) {
-            if !self.read_connection(token) {
-                break;
-            }
-            reads += 1;
+        if self.connections.get(&token).is_some_and(is_read) {
+            self.read_repeatedly(token, READS_BEFORE_CLOSE);
         }
         match self.connections.contains_key(&token) {
             true => self.close(token),
--- a/crates/platform/src/node/exit.rs
+++ b/crates/platform/src/node/exit.rs
@@ -68,11 +68,7 @@
                 self.flush(token);
                 continue;
             }
-            for _ in 0..READS_PER_TURN {
-                if !self.read_connection(token) {
-                    break;
-                }
-            }
+            self.read_repeatedly(token, READS_PER_TURN);
             self.process_queues(out);
             self.close(token);
             self.process_queues(out);
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -592,6 +592,15 @@
         self.may_have_unread = true;
     }
 
+    /// Reads from a connection while more may wait there, at most this often.
+    fn read_repeatedly(&mut self, token: u64, max_reads: usize) {
+        for _ in 0..max_reads {
+            if !self.read_connection(token) {
+                return;
+            }
+        }
+    }
+
     /// Reads once from a connection. Returns whether more may wait there.
     fn read_connection(&mut self, token: u64) -> bool {
         let Some(connection) = self.connections.get_mut(&token) else { return false };
