Tests of copies share the servers that refuse each set-up

front_node_late_copies repeated the servers of front_node_resends; refuse_set_ups stands beside serve_set_ups now, assertions are as they were.

--- a/crates/daemon/tests/front_node_late_copies.rs
+++ b/crates/daemon/tests/front_node_late_copies.rs
@@ -9,8 +9,8 @@
 use std::time::{Duration, Instant};
 
 use node::scripted::{
-    answer_set_up, read_until_silent, request_for_cell, serve_set_ups, wait_for_message, with_parameter,
-    ScriptedServers,
+    answer_set_up, read_until_silent, refuse_set_ups, request_for_cell, serve_set_ups, wait_for_message,
+    with_parameter, ScriptedServers,
 };
 use node::{Node, SECOND};
 use rustix::process::Signal;
@@ -93,7 +93,7 @@
 }
 
 /// The numbers of answers to the second copy and to the request of another viewer behind it. Two set-ups of a paid
-/// request, and two of one id at a time, fail the test.
+/// request fail the test.
 fn play_late_copy(first_copy: FirstCopy, class: &'static str, late: Duration) -> [usize; 2] {
     let mut servers = ScriptedServers::new(1);
     let set_ups = Arc::new(AtomicUsize::new(0));
@@ -187,15 +187,7 @@
     const MAX_ATTEMPTS: usize = 2;
     for late in LATE {
         let mut servers = ScriptedServers::new(3);
-        let set_ups = Arc::new(AtomicUsize::new(0));
-        for listener in &servers.listeners {
-            let set_ups = set_ups.clone();
-            serve_set_ups(listener.try_clone().unwrap(), move |connection, id| {
-                set_ups.fetch_add(1, Ordering::Relaxed);
-                thread::sleep(30 * MS);
-                connection.send(&Message::release(id, cause::FULL));
-            });
-        }
+        let set_ups = refuse_set_ups(&servers);
         let node = servers.start_node("late-attempts", |config| {
             config["settings"]["policy_limits"]["max_attempts"] = json!(MAX_ATTEMPTS);
         });
--- a/crates/daemon/tests/front_node_resends.rs
+++ b/crates/daemon/tests/front_node_resends.rs
@@ -3,13 +3,12 @@
 mod node;
 
 use std::net::Shutdown;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
 use node::scripted::{
-    answer_set_up, read_until_silent, request_for_cell, serve_set_ups, wait_for_message, ScriptedServers,
+    answer_set_up, read_until_silent, refuse_set_ups, request_for_cell, wait_for_message, ScriptedServers,
 };
 use node::{Node, SECOND};
 use salttally_platform::wire::{cause, kind, Message};
@@ -99,15 +98,7 @@
 fn a_second_copy_after_a_refusal_gets_the_attempts_that_are_left() {
     const MAX_ATTEMPTS: usize = 2;
     let mut servers = ScriptedServers::new(3);
-    let set_ups = Arc::new(AtomicUsize::new(0));
-    for listener in &servers.listeners {
-        let set_ups = set_ups.clone();
-        serve_set_ups(listener.try_clone().unwrap(), move |connection, id| {
-            set_ups.fetch_add(1, Ordering::Relaxed);
-            thread::sleep(Duration::from_millis(30));
-            connection.send(&Message::release(id, cause::FULL));
-        });
-    }
+    let set_ups = refuse_set_ups(&servers);
     let node = servers.start_node("resend-refused", |config| {
         config["settings"]["policy_limits"]["max_attempts"] = json!(MAX_ATTEMPTS);
     });
--- a/crates/daemon/tests/node/scripted.rs
+++ b/crates/daemon/tests/node/scripted.rs
@@ -4,6 +4,8 @@
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -298,6 +300,21 @@
     });
 }
 
+/// Serves the connections to all media servers as they come: each set-up is refused 30 ms after it has come. Returns their
+/// number so far.
+pub fn refuse_set_ups(servers: &ScriptedServers) -> Arc<AtomicUsize> {
+    let set_ups = Arc::new(AtomicUsize::new(0));
+    for listener in &servers.listeners {
+        let set_ups = set_ups.clone();
+        serve_set_ups(listener.try_clone().unwrap(), move |connection, id| {
+            set_ups.fetch_add(1, Ordering::Relaxed);
+            thread::sleep(Duration::from_millis(30));
+            connection.send(&Message::release(id, cause::FULL));
+        });
+    }
+    set_ups
+}
+
 /// Requests session 1, which then plays at the first server; returns the server's connection.
 pub fn start_session(servers: &ScriptedServers, viewer: &mut Viewer) -> Viewer {
     viewer.send(&request_for_cell(1, "clip", 0));
