Judge of the soak: retries read late, and first copies that were read, count when they happened

Cause: the budget counted an attempt when its server read it.

Change: a retry that its server read behind a time in which it did not read counts in the windows that hold all that time, and ends none; a request counts in the window of its latest copy as before, and in that of its first one if an attempt followed it before the latest was sent. Everything else is judged as before.

--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -352,3 +352,58 @@
     assert_eq!(violated_rules_if_notified_at(8_600 * MS), []);
     assert_eq!(violated_rules_if_notified_at(8_700 * MS), [Rule::Lost]);
 }
+
+/// A request with one retry, both refused by these servers.
+fn retried_request(id: u64, sent: Micros, read_at: [(Micros, u32); 2]) -> Vec<(Micros, Event)> {
+    let mut events =
+        vec![(sent, Event::RequestSent { id, node: 0, conn: 1, class: 0, patience: 4 * SECOND })];
+    for (place, (at, server)) in read_at.into_iter().enumerate() {
+        let attempt = 2 * id + place as u64;
+        events.push((at, set_up_received(attempt, id, server)));
+        events.push((at + MS, Event::AttemptEnded { attempt, end: AttemptEnd::NeverRan }));
+    }
+    events.push((sent + 4 * SECOND, Event::Answered { id, answer: Answer::Refused }));
+    events
+}
+
+#[test]
+fn retries_that_a_server_reads_after_it_hung_count_when_they_may_have_been_sent() {
+    let requests = || {
+        (0..4).flat_map(|n| {
+            let (id, sent) = (50 + n, 300 * MS + n * 600 * MS);
+            retried_request(id, sent, [(sent + MS, 30 + n as u32), (3 * SECOND + n * MS, 40 + n as u32)])
+        })
+    };
+    let hung_from = |from: Micros| {
+        let unresponsive = move |server| (from, Event::ServerUnresponsive { server, until: 3 * SECOND });
+        (40..43).map(unresponsive)
+    };
+    assert_eq!(violations_with(requests()), [Rule::Budget], "read as they came");
+    assert_eq!(
+        violations_with(requests().chain(hung_from(1_100 * MS))),
+        [Rule::Budget],
+        "sent in the window"
+    );
+    assert_eq!(violations_with(requests().chain(hung_from(900 * MS))), [], "perhaps sent before it");
+}
+
+#[test]
+fn budget_counts_a_request_with_its_first_copy_if_an_attempt_followed_it() {
+    let with_share = |resent: Micros, first_attempt_at: Micros| {
+        let mut record = valid_record();
+        record.terms.budget = Some((2 * SECOND, 0.0, 0.5));
+        for n in 0..3 {
+            let (id, sent) = (50 + n, (300 + 20 * n) * MS);
+            record.events.extend(retried_request(
+                id,
+                sent,
+                [(first_attempt_at + n * MS, 30), (first_attempt_at + (20 + n) * MS, 31)],
+            ));
+            record.events.push((resent, Event::RequestResent { id, conn: Some(9) }));
+        }
+        record.events.sort_by_key(|(at, _)| *at);
+        violated_rules(&record)
+    };
+    assert_eq!(with_share(2_700 * MS, 400 * MS), [], "three retries, 3.5 allowed");
+    assert_eq!(with_share(5 * SECOND, 4 * SECOND), [Rule::Budget], "neither copy in the window");
+}
