A release on a connection on which nothing passes is sent on another one

Seen: a session whose viewer was told that it is over plays on at its media server, for 8 s in service and for good at an exit.

Cause: a release was sent again only where its connection was gone. One on which nothing passes any more exists for as long as its peer does not end it.

Change: where nothing has come on the connection of a release for 0.25 s after it, the connection is finished; a server that is alive closes it once it has read everything, which settles the release as before. Where it does not close it in 0.25 s (twice as long with each further one) the release is sent on another connection. A give-up is not: its server might read it before the set-up that it ends, and confirm what still runs. Where other sessions are left at the server, a connection for their ends is opened.

--- a/crates/platform/src/core/pool.rs
+++ b/crates/platform/src/core/pool.rs
@@ -613,6 +613,22 @@
         self.pick(to, usize::MAX, &[]).is_some()
     }
 
+    /// Whether nothing has come on this connection for this long after something was sent on it at `sent_at`.
+    pub fn is_silent_since(&self, now: Micros, id: ConnId, sent_at: Micros, silence: Micros) -> bool {
+        let Some(conn) = self.connections.get(&id) else { return false };
+        conn.established_at.is_some_and(|established_at| {
+            let written_at = sent_at.max(established_at);
+            conn.last_received <= written_at && written_at + silence <= now
+        })
+    }
+
+    /// Whether this connection was finished here this long ago, and its server has not closed it.
+    pub fn is_finish_stalled(&self, now: Micros, id: ConnId, timeout: Micros) -> bool {
+        let conn = self.connections.get(&id).filter(|conn| conn.state == State::Finishing);
+        // It has no time any more once it was reported as stalled.
+        conn.is_some_and(|conn| conn.finished_at.is_none_or(|at| at + timeout <= now))
+    }
+
     /// Whether a connection can be opened without closing one on which a release may lie unread.
     pub fn has_room(&self) -> bool {
         let mut finishing = self.connections.values().filter(|conn| conn.state == State::Finishing);
--- a/crates/platform/src/core/releases.rs
+++ b/crates/platform/src/core/releases.rs
@@ -3,6 +3,10 @@
 //! A message written on a connection that is reset may never be read: a lost release would leave the session
 //! playing at its media server. The server answers a release. Until then the release is kept, and resent when its
 //! connection is gone.
+//!
+//! A connection on which nothing passes any more cannot be told from one whose server has nothing to say. So a connection
+//! that is silent behind a release is finished: a server that is alive closes it once it has read everything. If it does
+//! not, the release is sent on another connection. A give-up is not: its server might read it before the set-up.
 
 use super::listed_servers::ReplacedServer;
 use super::*;
@@ -13,6 +17,12 @@
 const FIRST_RELEASE_CHECK: Micros = 250_000;
 /// The same pause for a media server that could not be reached.
 const FIRST_UNREACHABLE_CHECK: Micros = 1_000_000;
+/// Silence behind a release after which its connection is finished.
+const FINISH_AFTER_SILENCE: Micros = 250_000;
+/// Time within which a server that is alive closes a finished connection; doubles with each further one of a release.
+const FIRST_CLOSE_TIMEOUT: Micros = 250_000;
+/// Maximum number of doublings.
+const MAX_DOUBLINGS: u32 = 5;
 /// Maximum number of releases kept.
 const MAX_KEPT_RELEASES: usize = 4_096;
 /// Maximum number of these of sessions that only a client's word speaks for.
@@ -27,6 +37,8 @@
     /// Only a client's word speaks for its session.
     is_unproven: bool,
     conn: Option<ConnId>,
+    /// Number of connections that were given up because their server did not close them.
+    stalled: u32,
     /// When sending it was last tried.
     last_tried: Micros,
     expires_at: Micros,
@@ -131,6 +143,7 @@
             message,
             is_unproven,
             conn,
+            stalled: 0,
             last_tried: self.now,
             expires_at: self.now + RELEASE_LIFETIME,
             next_pause: 2 * pause,
@@ -234,9 +247,36 @@
         }
         self.timers.set(self.now + release.next_pause, Timer::ReleaseCheck(key.0, key.1));
         release.next_pause *= 2;
+        self.finish_if_silent(key, out);
         self.resend_if_lost(key, out);
     }
 
+    /// Finishes the connection of a release if nothing has come on it since.
+    fn finish_if_silent(&mut self, key: (u64, ServerId), out: &mut Vec<Command>) {
+        let Some(release) = self.releases.server_releases.get(&key) else { return };
+        let Some(conn) = release.conn.filter(|_| self.ends_session(key, release)) else { return };
+        if !self.pool.is_silent_since(self.now, conn, release.last_tried, FINISH_AFTER_SILENCE) {
+            return;
+        }
+        self.pool.finish_if_idle(self.now, conn, out);
+        if self.health.holds_sessions(key.1) && !self.pool.is_up(key.1) {
+            // The ends of its other sessions need a connection.
+            self.check_health(key.1, true, out);
+        }
+    }
+
+    /// Whether this is the release of a session that is over here, and no give-up of an attempt.
+    fn ends_session(&self, key: (u64, ServerId), release: &UnacknowledgedRelease) -> bool {
+        !release.is_give_up && !self.sessions.contains_key(&key.0)
+    }
+
+    /// Whether the server of a release does not close the connection on which it was sent.
+    fn is_stalled(&self, key: (u64, ServerId), release: &UnacknowledgedRelease) -> bool {
+        let timeout = FIRST_CLOSE_TIMEOUT << release.stalled.min(MAX_DOUBLINGS);
+        let is_stalled = |conn| self.pool.is_finish_stalled(self.now, conn, timeout);
+        self.ends_session(key, release) && release.conn.is_some_and(is_stalled)
+    }
+
     fn log_forgotten_release(&self, id: u64, server: ServerId, why: &str, out: &mut Vec<Command>) {
         let text = format!("session {id:016x}: its release at s-{:08x} is given up: {why}", server.0);
         out.push(Command::Log(Level::Info, text));
@@ -252,17 +292,23 @@
         has_connection || may_dial && (self.releasing_until.is_none() || self.pool.has_room())
     }
 
+    /// Resends a release whose connection is gone, or is not closed by its server.
     fn resend_if_lost(&mut self, key: (u64, ServerId), out: &mut Vec<Command>) {
         let Some(release) = self.releases.server_releases.get(&key) else { return };
         let Some(address) = self.servers.address(key.1) else { return };
         let to = (key.1, address);
-        if release.conn.is_some_and(|conn| self.pool.exists(conn)) || !self.may_send_release(to) {
+        let is_stalled = self.is_stalled(key, release);
+        let is_on_its_way = !is_stalled && release.conn.is_some_and(|conn| self.pool.exists(conn));
+        if is_on_its_way || !self.may_send_release(to) {
             return;
         }
         let message = release.message.clone();
         self.counts.releases_again += 1;
         let conn = self.pool.send(self.now, to, None, message, &mut self.timers, out);
         let release = self.releases.server_releases.entry(key);
-        release.and_modify(|release| (release.last_tried, release.conn) = (self.now, conn));
+        release.and_modify(|release| {
+            (release.last_tried, release.conn) = (self.now, conn);
+            release.stalled += u32::from(is_stalled);
+        });
     }
 }
