Releases of sessions that play are sent before those of made-up ones

The log names neither their releases nor that they are unacknowledged.

Cause: at the exit more servers are to be told than there are connections. Releases that found no room were sent in the order of their last attempt and then of their session's number, and the room went to whichever numbers are small: those that a client makes up.

Change: releases of sessions that are known to play go first.

--- a/crates/platform/src/core/releases.rs
+++ b/crates/platform/src/core/releases.rs
@@ -157,16 +157,20 @@
         !self.releases.server_releases.is_empty()
     }
 
-    /// Resends the releases that were lost with their connections or found no room, the longest waiting
-    /// first, as far as there is room now. A release sent within the last `pause` is left alone.
+    /// Resends the releases that were lost with their connections or found no room, as far as there is room now: those of
+    /// sessions that are known to play first, the longest waiting of them first. A release sent within the last `pause` is
+    /// left alone.
     pub(super) fn send_lost_releases(&mut self, pause: Micros, out: &mut Vec<Command>) {
         let waits = |release: &UnacknowledgedRelease| {
             release.conn.is_none() || release.last_tried + pause <= self.now
         };
         let waiting = self.releases.server_releases.iter().filter(|(_, release)| waits(release));
-        let mut waiting: Vec<_> = waiting.map(|(key, release)| (release.last_tried, *key)).collect();
+        let with_order = |(key, release): (&(u64, ServerId), &UnacknowledgedRelease)| {
+            (release.is_unproven, release.last_tried, *key)
+        };
+        let mut waiting: Vec<_> = waiting.map(with_order).collect();
         waiting.sort_unstable();
-        waiting.into_iter().for_each(|(_, key)| self.resend_if_lost(key, out));
+        waiting.into_iter().for_each(|(_, _, key)| self.resend_if_lost(key, out));
     }
 
     /// Keeps a release for each session at a media server that cannot be reached: the clients are told that
--- a/crates/platform/src/core/tests/shutdown.rs
+++ b/crates/platform/src/core/tests/shutdown.rs
@@ -42,22 +42,28 @@
     );
 }
 
-#[test]
-fn sends_each_release_once_with_more_servers_than_connections() {
-    const SERVERS: u32 = 40;
+/// Number of servers, more than there are connections.
+const SERVERS: u32 = 40;
+
+fn node_with_many_servers() -> TestNode<ScriptedDecider> {
     let core = Core::new(ScriptedDecider::default(), platform_settings(), resources(24), START);
     let mut node = TestNode { core, now: START, out: Vec::new() };
     node.core.start(START, (0..SERVERS).map(listed).collect(), 5, address(200), &mut node.out);
     node.list_frame(1, 5, Payload::Unchanged);
     node.handle(NodeEvent::ClientConnected(ClientId(1)));
-    for server in 0..SERVERS {
-        let id = u64::from(server) + 1;
-        node.core.decider.0.push_back(Action::SetUp(session_id(id), ServerId(server), SECOND));
-        let out = node.send_request(id, "clip");
-        let established = node.establish(&out);
-        let (conn, _) = sent_set_up(&established).expect("set up");
-        node.handle(NodeEvent::ServerMessage(conn, answer_message(id)));
-    }
+    node
+}
+
+fn play_at(node: &mut TestNode<ScriptedDecider>, id: u64, server: u32) {
+    node.core.decider.0.push_back(Action::SetUp(session_id(id), ServerId(server), SECOND));
+    let out = node.send_request(id, "clip");
+    let established = node.establish(&out);
+    let (conn, _) = sent_set_up(&established).expect("set up");
+    node.handle(NodeEvent::ServerMessage(conn, answer_message(id)));
+}
+
+/// The sessions that are released at their servers until the exit, in order, and the number of connections dialled.
+fn shut_down(node: &mut TestNode<ScriptedDecider>) -> (Vec<u64>, usize) {
     node.handle(NodeEvent::Shutdown);
     let (mut released, mut dials) = (Vec::new(), 0);
     for _ in 0..350 {
@@ -70,11 +76,36 @@
             break;
         }
     }
+    (released, dials)
+}
+
+#[test]
+fn sends_each_release_once_with_more_servers_than_connections() {
+    let mut node = node_with_many_servers();
+    (0..SERVERS).for_each(|server| play_at(&mut node, u64::from(server) + 1, server));
+    let (released, dials) = shut_down(&mut node);
     let sessions: BTreeSet<u64> = released.iter().copied().collect();
     assert_eq!((sessions.len(), released.len()), (SERVERS as usize, SERVERS as usize), "{released:?}");
     assert!(dials <= 2 * SERVERS as usize, "{dials} dials");
 }
 
+// Guards against sessions that play on after an exit because the releases of made-up ones took the connections.
+#[test]
+fn sessions_that_play_are_released_before_made_up_ones() {
+    const FIRST_PLAYING: u64 = 1_000;
+    let mut node = node_with_many_servers();
+    let (with_made_up, with_playing) = (0..25_u32, 25..SERVERS);
+    for server in with_made_up {
+        let made_up = request_message(u64::from(server) + 1, "paid", &format!(";at:s-{server:08x}"));
+        let out = node.handle(NodeEvent::ClientMessage(ClientId(1), made_up));
+        node.establish(&out);
+    }
+    let playing = with_playing.len();
+    with_playing.for_each(|server| play_at(&mut node, FIRST_PLAYING + u64::from(server), server));
+    let (released, _) = shut_down(&mut node);
+    assert!(released[..playing].iter().all(|id| *id >= FIRST_PLAYING), "{released:?}");
+}
+
 #[test]
 fn connections_of_hung_servers_leave_room_for_releases_to_others() {
     let mut node = node_with_few_descriptors(24);
