--- a/crates/platform/src/core/releases.rs
+++ b/crates/platform/src/core/releases.rs
@@ -59,6 +59,12 @@
         self.server_releases.keys().copied()
     }
 
+    /// Numbers of releases, of those of sessions that only a client's word speaks for, and of those on no connection.
+    pub fn counts(&self) -> [usize; 3] {
+        let waiting = self.server_releases.values().filter(|release| release.conn.is_none()).count();
+        [self.server_releases.len(), self.unproven, waiting]
+    }
+
     fn insert(&mut self, key: (u64, ServerId), release: UnacknowledgedRelease) {
         self.remove(key);
         self.unproven += usize::from(release.is_unproven);
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -99,7 +99,7 @@
         !self.sessions.is_empty() || owed_to_servers || !self.client_notices.is_empty()
     }
 
-    /// Logs what is still owed as the process exits.
+    /// Logs what is still owed as the process exits: a line for each, of which only so many are written, and a sum.
     fn log_owed(&self, out: &mut Vec<Command>) {
         let notices = self.client_notices.sessions();
         let notices =
@@ -109,6 +109,17 @@
             format!("shutdown: session {id:016x}: its release at s-{:08x} is not acknowledged", server.0)
         });
         out.extend(notices.chain(releases).map(|text| Command::Log(Level::Info, text)));
+        if !self.is_anything_owed() {
+            return;
+        }
+        let [notices, _] = self.client_notices.counts();
+        let [releases, unproven, waiting] = self.releases.counts();
+        let sessions = self.sessions.len();
+        let text = format!(
+            "shutdown: not acknowledged: {releases} releases ({unproven} of sessions that only a client's word speaks for, \
+             {waiting} without a connection), {notices} notices; {sessions} sessions not released"
+        );
+        out.push(Command::Log(Level::Warn, text));
     }
 
     fn begin_releasing(&mut self, since: Micros, out: &mut Vec<Command>) {
