A shutdown ends made-up sessions only once the servers of the others know

Cause: a client that goes on handing over sessions while they are all released keeps 512 to be ended in each turn; each turn took 23 ms and opened some ten connections, and the clients of sessions that play were told up to 1.7 s late.

Change: sessions that only a client's word speaks for wait until the releases of the others are acknowledged, or half of the time until the exit is over. Releases that wait for a connection are tried every 10 ms instead of with each turn of 1 ms.

--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -417,12 +417,12 @@
     }
 
     /// Ends a session at shutdown: an open request fails, and a playing session is released at its client and
-    /// its media server. A move takes its course, unless the end of the shutdown is due.
-    pub(super) fn end_for_shutdown(&mut self, id: u64, is_due: bool, out: &mut Vec<Command>) {
+    /// its media server.
+    pub(super) fn end_for_shutdown(&mut self, id: u64, out: &mut Vec<Command>) {
         let Some(entry) = self.sessions.get(&id) else { return };
         if entry.session.answer_pending() {
             self.fail(id, out);
-        } else if entry.session.playing().is_some() && (is_due || !entry.moving) {
+        } else if entry.session.playing().is_some() {
             self.release_and_end(id, cause::BROKEN, Some(cause::BROKEN), out);
         }
     }
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -275,6 +275,8 @@
     shutdown_since: Option<Micros>,
     /// All sessions are being released; the process exits at this time even if releases are still unsent.
     releasing_until: Option<Micros>,
+    /// During the release of all sessions: until when those wait for which only a client's word speaks.
+    unproven_ends_from: Micros,
     /// Once nothing is owed any more: the clients whose connections were closed here, and that have not closed them.
     closing_clients: Option<BTreeSet<ClientId>>,
     /// Until when second copies of requests may arrive that crossed the ends of their connections.
@@ -321,6 +323,7 @@
             resend_window,
             shutdown_since: None,
             releasing_until: None,
+            unproven_ends_from: 0,
             closing_clients: None,
             copies_expected_until: 0,
             finished: false,
--- a/crates/platform/src/core/releases.rs
+++ b/crates/platform/src/core/releases.rs
@@ -45,6 +45,17 @@
     next_pause: Micros,
 }
 
+/// Numbers of releases that have not been acknowledged yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ReleaseCounts {
+    /// All of them.
+    pub kept: usize,
+    /// Those of sessions that only a client's word speaks for.
+    pub unproven: usize,
+    /// Those that wait for a connection.
+    pub waiting: usize,
+}
+
 /// The releases that have not been acknowledged yet.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Releases {
@@ -59,10 +70,10 @@
         self.server_releases.keys().copied()
     }
 
-    /// Numbers of releases, of those of sessions that only a client's word speaks for, and of those on no connection.
-    pub fn counts(&self) -> [usize; 3] {
+    /// Numbers of releases.
+    pub fn counts(&self) -> ReleaseCounts {
         let waiting = self.server_releases.values().filter(|release| release.conn.is_none()).count();
-        [self.server_releases.len(), self.unproven, waiting]
+        ReleaseCounts { kept: self.server_releases.len(), unproven: self.unproven, waiting }
     }
 
     fn insert(&mut self, key: (u64, ServerId), release: UnacknowledgedRelease) {
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -2,15 +2,16 @@
 //!
 //! 1. The protocol lets clients send requests for some time after SIGTERM: these are served as before. Later ones are
 //!    refused at once, since clients may go on using open connections until the kill.
-//! 2. When every request has been answered, or the kill is near, all sessions are released. What is owed outlives the
-//!    wish to exit: the process goes on until media servers and clients have acknowledged the releases, and moves are
-//!    over.
+//! 2. When every request has been answered, or the kill is near, all sessions are released, those that are known to play
+//!    first. What is owed outlives the wish to exit: the process goes on until media servers and clients have acknowledged
+//!    the releases, and moves are over.
 //! 3. Then the connections of the clients are closed, while the process still listens, until no second copy of a request
 //!    can arrive. A request that crosses the close is sent once more on a new connection, and is refused there.
 //!
 //! Steps 2 and 3 end shortly before the kill, whatever is still owed then.
 
 use super::client_closes::CloseReason;
+use super::releases::ReleaseCounts;
 use super::*;
 
 /// Requests are served for this long after SIGTERM; later ones are refused at once.
@@ -26,6 +27,8 @@
 /// Maximum number of sessions that are ended at once, and the pause before the next ones: clients are heard in between.
 const MAX_ENDS_PER_TURN: usize = 512;
 const RELEASE_INTERVAL: Micros = 1_000;
+/// Interval at which releases that wait for a connection are tried.
+const WAITING_RELEASE_INTERVAL: Micros = 10_000;
 /// Time before the kill for the last messages to reach their readers.
 const FLUSH_MARGIN: Micros = 150_000;
 
@@ -67,9 +70,10 @@
         }
         let Some(deadline) = self.releasing_until else { return };
         let is_due = now >= deadline;
-        let sessions = self.proven_first(self.sessions.keys().copied().collect());
+        let sessions = self.sessions_to_end(is_due);
+        let has_more = sessions.len() > MAX_ENDS_PER_TURN;
         for id in sessions.into_iter().take(MAX_ENDS_PER_TURN) {
-            self.end_for_shutdown(id, is_due, out);
+            self.end_for_shutdown(id, out);
         }
         self.deliver_events(out);
         self.send_lost_releases(RELEASE_RETRY_INTERVAL, out);
@@ -86,13 +90,31 @@
             out.push(Command::Exit);
         } else {
             let copies_until = Some(self.copies_expected_until).filter(|until| *until > now);
-            let has_more = self.sessions.values().any(|entry| !entry.moving);
-            let interval = if has_more { RELEASE_INTERVAL } else { RELEASE_RETRY_INTERVAL };
+            let interval = match self.releases.counts() {
+                _ if has_more => RELEASE_INTERVAL,
+                counts if counts.waiting > 0 => WAITING_RELEASE_INTERVAL,
+                _ => RELEASE_RETRY_INTERVAL,
+            };
             let next_check = copies_until.unwrap_or(Micros::MAX).min(now + interval);
             self.timers.set(next_check, Timer::Shutdown);
         }
     }
 
+    /// The sessions that may be ended now, in order. There may be so many for which only a client's word speaks that they
+    /// use up the connections and the processor time: they wait until the servers of the others know, or half of the time
+    /// is over. A move takes its course, unless the end of the shutdown is due.
+    fn sessions_to_end(&self, is_due: bool) -> Vec<u64> {
+        let may_end = |entry: &SessionEntry| is_due || !entry.moving;
+        let ids = self.sessions.iter().filter(|(_, entry)| may_end(entry)).map(|(id, _)| *id);
+        let (unproven, proven): (Vec<u64>, Vec<u64>) = ids.partition(|id| self.hand_overs.is_unproven(*id));
+        let counts = self.releases.counts();
+        let is_server_owed = !proven.is_empty() || counts.kept > counts.unproven;
+        if is_server_owed && self.now < self.unproven_ends_from {
+            return proven;
+        }
+        proven.into_iter().chain(self.proven_first(unproven)).collect()
+    }
+
     /// Whether media servers or clients are still to be told of something.
     fn is_anything_owed(&self) -> bool {
         let owed_to_servers = self.pool.has_unsent() || self.has_releases();
@@ -113,10 +135,10 @@
             return;
         }
         let [notices, _] = self.client_notices.counts();
-        let [releases, unproven, waiting] = self.releases.counts();
+        let ReleaseCounts { kept, unproven, waiting } = self.releases.counts();
         let sessions = self.sessions.len();
         let text = format!(
-            "shutdown: not acknowledged: {releases} releases ({unproven} of sessions that only a client's word speaks for, \
+            "shutdown: not acknowledged: {kept} releases ({unproven} of sessions that only a client's word speaks for, \
              {waiting} without a connection), {notices} notices; {sessions} sessions not released"
         );
         out.push(Command::Log(Level::Warn, text));
@@ -125,6 +147,7 @@
     fn begin_releasing(&mut self, since: Micros, out: &mut Vec<Command>) {
         let deadline = self.earliest_kill(since) - FLUSH_MARGIN;
         self.releasing_until = Some(deadline);
+        self.unproven_ends_from = self.now + deadline.saturating_sub(self.now) / 2;
         // What is owed has to be sent before the kill.
         self.dial_backoff.clear();
         self.timers.set(deadline, Timer::Shutdown);
--- a/crates/platform/src/core/tests/shutdown.rs
+++ b/crates/platform/src/core/tests/shutdown.rs
@@ -62,6 +62,13 @@
     node.handle(NodeEvent::ServerMessage(conn, answer_message(id)));
 }
 
+/// A client hands over a session that its server may not hold.
+fn make_up_at(node: &mut TestNode<ScriptedDecider>, id: u64, server: u32) {
+    let made_up = request_message(id, "paid", &format!(";at:s-{server:08x}"));
+    let out = node.handle(NodeEvent::ClientMessage(ClientId(1), made_up));
+    node.establish(&out);
+}
+
 /// The sessions that are released at their servers until the exit, in order, and the number of connections dialled.
 fn shut_down(node: &mut TestNode<ScriptedDecider>) -> (Vec<u64>, usize) {
     node.handle(NodeEvent::Shutdown);
@@ -95,17 +102,39 @@
     const FIRST_PLAYING: u64 = 1_000;
     let mut node = node_with_many_servers();
     let (with_made_up, with_playing) = (0..25_u32, 25..SERVERS);
-    for server in with_made_up {
-        let made_up = request_message(u64::from(server) + 1, "paid", &format!(";at:s-{server:08x}"));
-        let out = node.handle(NodeEvent::ClientMessage(ClientId(1), made_up));
-        node.establish(&out);
-    }
+    with_made_up.for_each(|server| make_up_at(&mut node, u64::from(server) + 1, server));
     let playing = with_playing.len();
     with_playing.for_each(|server| play_at(&mut node, FIRST_PLAYING + u64::from(server), server));
     let (released, _) = shut_down(&mut node);
     assert!(released[..playing].iter().all(|id| *id >= FIRST_PLAYING), "{released:?}");
 }
 
+// Guards against sessions that play on after an exit because ending made-up ones took the time.
+#[test]
+fn made_up_sessions_are_not_ended_before_the_others_are_known_to_be() {
+    const PLAYING: u64 = 1_000;
+    let mut node = node_with_many_servers();
+    (1..SERVERS).for_each(|server| make_up_at(&mut node, u64::from(server), server));
+    play_at(&mut node, PLAYING, 0);
+    node.handle(NodeEvent::Shutdown);
+    let release =
+        |out: &[Command]| sent_to_server(out, kind::RELEASE).first().map(|(_, first)| first.session);
+    let is_told = |out: &[Command]| sent_to_client(out).any(|message| message.session == 1);
+    let mut first_release = None;
+    while first_release.is_none() {
+        let out = node.tick_without_closes();
+        first_release = release(&out);
+        assert!(!is_told(&out));
+        node.now += SECOND / 100;
+    }
+    assert_eq!(first_release, Some(PLAYING));
+    let acknowledged = Message::new(kind::RELEASE_ACK, PLAYING);
+    let conn = node.core.pool.connections_to(ServerId(0))[0];
+    node.handle_without_closes(NodeEvent::ServerMessage(conn, acknowledged));
+    let out = node.advance(SECOND / 5);
+    assert!(is_told(&out), "{out:?}");
+}
+
 #[test]
 fn connections_of_hung_servers_leave_room_for_releases_to_others() {
     let mut node = node_with_few_descriptors(24);
