A process with long turns exits earlier, and takes no hand-overs while it exits

Cause: the exit begins 0.15 s before the kill and takes two to three turns of the event loop: with 24 clients that hand over made-up sessions and a quarter of a core a turn takes 0.1 s. Each hand-over that lies in the sockets then was still taken, with a session, a release and a notice that nobody hears.

Change: the exit begins two turns earlier, by the longest turn since the sessions are released and 0.1 s at most, so that it is never more than 0.25 s before the kill; a process that exits passes hand-overs over.

--- a/crates/platform/src/core/clients.rs
+++ b/crates/platform/src/core/clients.rs
@@ -81,6 +81,8 @@
                     false => out.push(Command::SendToClient(client, Message::release(id, cause::INVALID))),
                 }
             }
+            // The process exits, and can tell nobody of an end any more.
+            Ok((_, Some(_))) if self.finished => {}
             Ok((open_request, Some(at))) => self.resume_session(client, id, open_request, ServerId(at), out),
             Ok(_) if self.sessions.contains_key(&id) => {
                 self.handle_request_under_known_id(client, message, out);
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -277,6 +277,9 @@
     releasing_until: Option<Micros>,
     /// During the release of all sessions: until when those wait for which only a client's word speaks.
     unproven_ends_from: Micros,
+    /// During the same, when the shutdown is looked at again, and by how much that was late at most: a turn of the event loop.
+    next_shutdown_check: Option<Micros>,
+    longest_turn: Micros,
     /// Once nothing is owed any more: the clients whose connections were closed here, and that have not closed them.
     closing_clients: Option<BTreeSet<ClientId>>,
     /// Until when second copies of requests may arrive that crossed the ends of their connections.
@@ -324,6 +327,8 @@
             shutdown_since: None,
             releasing_until: None,
             unproven_ends_from: 0,
+            next_shutdown_check: None,
+            longest_turn: 0,
             closing_clients: None,
             copies_expected_until: 0,
             finished: false,
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -31,6 +31,10 @@
 const WAITING_RELEASE_INTERVAL: Micros = 10_000;
 /// Time before the kill for the last messages to reach their readers.
 const FLUSH_MARGIN: Micros = 150_000;
+/// A busy process, or one with little processor time, needs this many turns of its event loop for the exit.
+const TURNS_TO_EXIT: Micros = 2;
+/// Maximum time for these turns. An exit sooner would refuse requests that cross it long before the kill.
+const MAX_TURNS_MARGIN: Micros = 100_000;
 
 impl<D: Decider> Core<D> {
     /// Begins the shutdown; a second call changes nothing.
@@ -69,7 +73,9 @@
             self.begin_releasing(since, out);
         }
         let Some(deadline) = self.releasing_until else { return };
-        let is_due = now >= deadline;
+        let lateness = self.next_shutdown_check.map_or(0, |due| now.saturating_sub(due));
+        self.longest_turn = self.longest_turn.max(lateness);
+        let is_due = now + (TURNS_TO_EXIT * self.longest_turn).min(MAX_TURNS_MARGIN) >= deadline;
         let sessions = self.sessions_to_end(is_due);
         let has_more = sessions.len() > MAX_ENDS_PER_TURN;
         for id in sessions.into_iter().take(MAX_ENDS_PER_TURN) {
@@ -96,6 +102,7 @@
                 _ => RELEASE_RETRY_INTERVAL,
             };
             let next_check = copies_until.unwrap_or(Micros::MAX).min(now + interval);
+            self.next_shutdown_check = Some(next_check);
             self.timers.set(next_check, Timer::Shutdown);
         }
     }
--- a/crates/platform/src/core/tests/shutdown.rs
+++ b/crates/platform/src/core/tests/shutdown.rs
@@ -147,3 +147,38 @@
     }
     assert!(node.core.pool.has_room(), "{:?}", node.core.pool.room_counts());
 }
+
+/// The earliest kill, as long after the signal as the settings of these tests say, and the time of the exit before it.
+const EARLIEST_KILL: Micros = 3_700_000;
+const EXIT_MARGIN: Micros = 150_000;
+
+/// Shuts a node down whose turns take this long, with a session that its server does not release; returns when it exits.
+fn exit_with_turns_of(turn: Micros) -> (TestNode<ScriptedDecider>, Micros) {
+    let mut node = node_with_many_servers();
+    play_at(&mut node, 1, 0);
+    node.handle(NodeEvent::Shutdown);
+    let signal_at = node.now;
+    while !node.tick_without_closes().contains(&Command::Exit) {
+        node.now += turn;
+    }
+    let exit_after = node.now - signal_at;
+    (node, exit_after)
+}
+
+// Guards against requests without an answer since the process is killed before it has closed its clients.
+#[test]
+fn a_process_with_long_turns_exits_earlier() {
+    let (_, exit_after) = exit_with_turns_of(SECOND / 100);
+    assert!((EARLIEST_KILL - EXIT_MARGIN..EARLIEST_KILL).contains(&exit_after), "{exit_after}");
+    let (_, exit_after) = exit_with_turns_of(130_000);
+    assert!(exit_after < EARLIEST_KILL - EXIT_MARGIN, "{exit_after}");
+}
+
+// Guards against the same where clients that hand sessions over take the time.
+#[test]
+fn a_process_that_exits_takes_no_hand_overs() {
+    let (mut node, _) = exit_with_turns_of(SECOND / 100);
+    let held = node.core.sessions.len();
+    make_up_at(&mut node, 2, 1);
+    assert_eq!(node.core.sessions.len(), held);
+}
