--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 mod departures;
 mod discovery;
 pub mod end_paths;
+pub mod evidence;
 mod fleet_plan;
 pub mod hand_over_floods;
 pub mod judge;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,6 +7,7 @@
 use std::thread;
 
 use clap::Parser;
+use salttally_soak::evidence;
 use salttally_soak::plan::Overrides;
 use salttally_soak::trial::{play, Outcome, Program, Verdict};
 
@@ -102,6 +103,7 @@
     if outcome.violations.len() > 8 {
         text += &format!("    and {} more\n", outcome.violations.len() - 8);
     }
+    evidence::of_violations(outcome).iter().for_each(|line| text += &format!("        {line}\n"));
     for log in outcome.logs.iter().filter(|_| !outcome.violations.is_empty()) {
         text += &format!("    log {}\n", log.display());
     }
