Judge of the soak: a kill belongs to the process that was told to shut down, an exit to the one that runs

Cause: a kill after an earlier shutdown counted as planned unless the process had exited in between; where that process had been killed too, the next one's unplanned kill was taken for its own.

Change: both look for an end of the process in between. Kills of a process that shuts down, and early exits, are judged as before.

Measured: both new tests fail with the check as it was.

--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -253,15 +253,19 @@
 
     /// Time at which a fault, not a planned shutdown, killed the process that received the request.
     fn killed_by_fault(&self, request: &Request) -> Option<Micros> {
-        let killed = self.kills.get(&request.node)?.iter().find(|at| **at >= request.sent)?;
+        let killed = *self.kills.get(&request.node)?.iter().find(|at| **at >= request.sent)?;
         let shutdowns = self.shutdowns.get(&request.node).into_iter().flatten();
-        let exited = |shutdown_at: Micros| {
-            self.exits.get(&request.node).into_iter().flatten().find(|at| **at >= shutdown_at)
+        let of_this_process = |shutdown: &&Micros| {
+            **shutdown <= killed && !self.has_ended_between(request.node, **shutdown, killed)
         };
-        let during_shutdown = shutdowns
-            .filter(|shutdown_at| *shutdown_at <= killed)
-            .any(|shutdown_at| exited(*shutdown_at).is_none_or(|at| at > killed));
-        (!during_shutdown).then_some(*killed)
+        shutdowns.into_iter().all(|shutdown| !of_this_process(&shutdown)).then_some(killed)
+    }
+
+    /// Whether a process of this front node exited or was killed between these times.
+    fn has_ended_between(&self, node: usize, from: Micros, before: Micros) -> bool {
+        let kills = self.kills.get(&node).into_iter().flatten();
+        let exits = self.exits.get(&node).into_iter().flatten();
+        kills.chain(exits).any(|end| (from..before).contains(end))
     }
 
     fn check_answers(&mut self) {
@@ -412,9 +416,12 @@
         is_lost.then_some((deadline, description))
     }
 
-    /// The first exit of a front node after this time, if it was requested, and not shortly before the kill.
+    /// The exit of the process that a front node had at this time, if it was requested, and not shortly before the kill.
     fn early_exit(&self, node: usize, after: Micros) -> Option<Micros> {
         let exit = self.exits.get(&node)?.iter().copied().find(|exit| *exit >= after)?;
+        if self.has_ended_between(node, after, exit) {
+            return None;
+        }
         let shutdown = self.shutdowns.get(&node)?.iter().copied().rfind(|shutdown| *shutdown <= exit)?;
         let is_early = exit < shutdown + self.record.terms.kill_after.saturating_sub(LAST_EXIT_MARGIN);
         (is_early && after + LATEST_END_BEFORE_EXIT < exit && after + MAX_TIME_TO_EXIT > exit).then_some(exit)
@@ -426,8 +433,6 @@
         let request = self.requests.get(&id)?;
         let held_since = request.handed_over.map_or(request.sent, |at| at + HAND_OVER_DELAY);
         let exit = self.early_exit(request.node, at)?;
-        let killed_between =
-            self.kills.get(&request.node).into_iter().flatten().any(|kill| (at..exit).contains(kill));
         let was_open = |(conn, (node, first)): (&u64, &(usize, Micros))| {
             let is_closed = self.closed_by_client.contains(conn)
                 || self.closed_by_node.get(conn).is_some_and(|closed| *closed < at);
@@ -439,7 +444,7 @@
         let could_be_told = was_closed_early || self.first_requests.iter().any(was_open);
         let was_served = matches!(request.answers.first(), Some((_, Answer::Served(_))));
         let is_untold = request.released.is_none_or(|released| released > exit + LIMIT_SLACK);
-        let is_lost = was_served && is_untold && could_be_told && held_since < at && !killed_between;
+        let is_lost = was_served && is_untold && could_be_told && held_since < at;
         is_lost.then(|| (exit, format!("the client of {id:016x} got no notice of its end before the exit")))
     }
 
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -407,3 +407,29 @@
     assert_eq!(with_share(2_700 * MS, 400 * MS), [], "three retries, 3.5 allowed");
     assert_eq!(with_share(5 * SECOND, 4 * SECOND), [Rule::Budget], "neither copy in the window");
 }
+
+/// A request that has no answer when its connection ends.
+fn request_cut_at(sent: Micros, ended: Micros) -> [(Micros, Event); 2] {
+    let request = Event::RequestSent { id: 50, node: 0, conn: 9, class: 0, patience: SECOND };
+    [(sent, request), (ended, Event::ClosedByNode { conn: 9 })]
+}
+
+#[test]
+fn a_kill_is_planned_only_for_the_process_that_was_told_to_shut_down() {
+    let planned =
+        [(2 * SECOND, Event::ShutdownRequested { node: 0 }), (4_200 * MS, Event::Killed { node: 0 })];
+    let of_next_process = (5_100 * MS, Event::Killed { node: 0 });
+    let at_planned = request_cut_at(4_100 * MS, 4_200 * MS);
+    assert_eq!(violations_with(planned.clone().into_iter().chain(at_planned)), [Rule::Lost]);
+    let at_unplanned = request_cut_at(5 * SECOND, 5_100 * MS).into_iter().chain([of_next_process]);
+    assert_eq!(violations_with(planned.into_iter().chain(at_unplanned)), []);
+}
+
+#[test]
+fn a_request_that_crossed_a_kill_did_not_cross_the_exit_of_the_next_process() {
+    let not_sent_again = (7_030 * MS, Event::RequestResent { id: 50, conn: None });
+    let crossing = || request_cut_at(7 * SECOND, 7_020 * MS).into_iter().chain([not_sent_again.clone()]);
+    assert_eq!(violations_with(crossing()), [Rule::Lost], "the process that exits at 10 s");
+    let killed = (7_020 * MS, Event::Killed { node: 0 });
+    assert_eq!(violations_with(crossing().chain([killed])), []);
+}
