Judge of the soak: an end is not owed that its server forgot before it could tell it

Cause: a session ends while its front node has no connection to the server, which owes the end on the next one; the process dies before there is one and is replaced at once under its id, which the list tells after 9 s.

Change: such an end is recorded as forgotten where it was written on no connection, none was open at the death, and its time limit is not over. One that was cut off with its connection, or forgotten later, is judged as before.

--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -90,6 +90,8 @@
     /// It crossed the end of its connection, and its process accepted no other.
     is_not_sent_again: bool,
     released: Option<Micros>,
+    /// When its server forgot the end of its session, which it could not tell.
+    end_forgotten: Option<Micros>,
     /// Time of the latest hand-over of its session.
     handed_over: Option<Micros>,
     attempts: Vec<Attempt>,
@@ -199,6 +201,9 @@
                 Event::Released { id } | Event::EndedByClient { id } => {
                     self.requests.entry(*id).or_default().released.get_or_insert(*at);
                 }
+                Event::EndForgotten { id } => {
+                    self.requests.entry(*id).or_default().end_forgotten = Some(*at);
+                }
                 Event::SetUpReceived { attempt, id, server, .. } => {
                     let attempts = &mut self.requests.entry(*id).or_default().attempts;
                     attempt_of.insert(*attempt, (*id, attempts.len()));
@@ -410,7 +415,8 @@
         let held_since = request.handed_over.unwrap_or(request.sent);
         let same_process = !process_ended.into_iter().any(|end| *end > held_since && *end < deadline);
         let late = request.released.unwrap_or(Micros::MAX) > deadline;
-        let is_lost = was_served && late && same_process && self.record.ended_at > deadline;
+        let can_know = request.end_forgotten.is_none_or(|at| at > deadline);
+        let is_lost = was_served && late && same_process && can_know && self.record.ended_at > deadline;
         let description =
             format!("the client of {id:016x} got no notice of its end (front node notified: {notified})");
         is_lost.then_some((deadline, description))
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -210,6 +210,12 @@
         /// Whether a healthy server wrote the end to the front node on an open connection.
         notified: bool,
     },
+    /// The process of a server was replaced at once before it could write the end of a session on any connection, and the
+    /// front node had none to it: nothing but the list can tell it.
+    EndForgotten {
+        /// Session id.
+        id: u64,
+    },
     /// A front node released a session at its server.
     SessionReleased {
         /// Session id.
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -83,6 +83,8 @@
     pub sessions: BTreeMap<u64, ActiveSession>,
     /// Releases to repeat on the next connection of a front node.
     unacknowledged: BTreeMap<usize, Vec<Message>>,
+    /// Sessions whose releases were not written on any connection yet, each with its front node.
+    unwritten_ends: BTreeMap<u64, usize>,
     /// Connections of the attempts of each session.
     pub attempt_tokens: BTreeMap<u64, Vec<u64>>,
     /// Whether an end was told on the connection of an earlier attempt.
@@ -113,6 +115,7 @@
             listed_start: None,
             sessions: BTreeMap::new(),
             unacknowledged: BTreeMap::new(),
+            unwritten_ends: BTreeMap::new(),
             attempt_tokens: BTreeMap::new(),
             has_used_earlier: false,
             resets_new_until: 0,
@@ -159,6 +162,7 @@
         }
         let unacknowledged = self.servers[server as usize].unacknowledged.remove(&node).unwrap_or_default();
         unacknowledged.iter().for_each(|message| self.send(token, message));
+        self.servers[server as usize].unwritten_ends.retain(|_, owed_to| *owed_to != node);
     }
 
     /// Records the first byte of a set-up, if no earlier bytes are undecoded.
@@ -363,14 +367,18 @@
         }
         self.servers[server as usize].sessions.remove(&id);
         let release = Message::release(id, cause::NORMAL);
+        let open = self.connection_for(server, session);
         let endpoint = match self.earlier_connection(server, id, session.token) {
             Some(earlier) => Some(earlier),
-            None => self.connection_for(server, session).filter(|token| !self.cuts_end(server, *token)),
+            None => open.filter(|token| !self.cuts_end(server, *token)),
         };
         let notified = endpoint.is_some_and(|token| self.endpoints[&token].read_delay == 0);
         if let Some(token) = endpoint {
             self.send(token, &release);
         }
+        if open.is_none() {
+            self.servers[server as usize].unwritten_ends.insert(id, session.node);
+        }
         self.servers[server as usize].unacknowledged.entry(session.node).or_default().push(release);
         self.record(Event::SessionEnded { id, notified });
     }
@@ -451,6 +459,10 @@
             }
         }
         self.servers[server as usize].unacknowledged.clear();
+        let unwritten = std::mem::take(&mut self.servers[server as usize].unwritten_ends);
+        for (id, _) in unwritten.into_iter().filter(|(_, node)| is_replaced && !connected.contains(node)) {
+            self.record(Event::EndForgotten { id });
+        }
         if let Some(delay) = restart_after {
             self.schedule_in(delay, Action::ReviveServer { server });
         }
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -433,3 +433,23 @@
     let killed = (7_020 * MS, Event::Killed { node: 0 });
     assert_eq!(violations_with(crossing().chain([killed])), []);
 }
+
+#[test]
+fn an_end_is_not_owed_once_its_server_was_replaced_before_it_could_tell() {
+    let untold = |forgotten_at: Micros| {
+        let mut record = valid_record();
+        record.events.retain(|(_, event)| {
+            !matches!(
+                event,
+                Event::SessionEnded { .. } | Event::Released { .. } | Event::ShutdownRequested { .. }
+            ) && !matches!(event, Event::Exited { .. })
+        });
+        record.events.extend([
+            (600 * MS, Event::SessionEnded { id: 1, notified: false }),
+            (forgotten_at, Event::EndForgotten { id: 1 }),
+        ]);
+        violated_rules(&record)
+    };
+    assert_eq!(untold(2 * SECOND), []);
+    assert_eq!(untold(9 * SECOND), [Rule::Lost], "the limit was over");
+}
