Judge of the soak: an attempt that is read with the end of its connection was over before the next one

Cause: a server that reads with a delay gets a set-up and the end of its connection in one read, after the set-up of the next attempt has come to another server. By the times of the reads the two overlap, the one that was over as the second.

Change: an attempt that was given up within 1 ms of its read counts as over before another server's. One that was open for longer, or that its server ended, is judged as before.

Measured: the new test fails without it.

--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -34,6 +34,8 @@
 /// sent again waits for 75 ms at least, and health is checked every 150 ms.
 const MAX_DIALS_PER_SECOND: usize = 40;
 const SECOND: Micros = 1_000_000;
+/// What a server reads at once is recorded within this time.
+const READ_TIME: Micros = 1_000;
 /// A handed-over session counts as known to the front node this long after the hand-over.
 const HAND_OVER_DELAY: Micros = 200_000;
 
@@ -112,6 +114,12 @@
     fn ended_at(&self) -> Micros {
         self.end.as_ref().map_or(Micros::MAX, |(at, _)| *at)
     }
+
+    /// Whether its server read it together with the end of its connection: it was sent, and given up, earlier.
+    fn was_read_with_its_end(&self) -> bool {
+        let read_until = self.received + READ_TIME;
+        self.end.as_ref().is_some_and(|(at, end)| *end == AttemptEnd::GivenUp && *at <= read_until)
+    }
 }
 
 struct Evaluation<'a> {
@@ -492,7 +500,7 @@
                     // An attempt that was not read yet has arrived earlier than observed.
                     let unobserved = self.is_unobserved(first, second.received)
                         || self.is_unobserved(second, second.received);
-                    if is_elsewhere && unobserved {
+                    if is_elsewhere && (unobserved || second.was_read_with_its_end()) {
                         continue;
                     }
                     if first.ended_at() > second.received.saturating_add(slack) {
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -453,3 +453,25 @@
     assert_eq!(untold(2 * SECOND), []);
     assert_eq!(untold(9 * SECOND), [Rule::Lost], "the limit was over");
 }
+
+#[test]
+fn an_attempt_that_is_read_with_its_end_was_over_before_the_next_one() {
+    let with_earlier_ended = |after: Micros, end: AttemptEnd| {
+        let (sent, answered) = (300 * MS, 700 * MS);
+        let mut record = valid_record();
+        record.terms.budget = None;
+        record.events.extend([
+            (sent, Event::RequestSent { id: 50, node: 0, conn: 1, class: 0, patience: SECOND }),
+            (sent + 2 * MS, set_up_received(100, 50, 30)),
+            (sent + 5 * MS, set_up_received(101, 50, 31)),
+            (sent + 5 * MS + after, Event::AttemptEnded { attempt: 101, end }),
+            (answered, Event::AttemptEnded { attempt: 100, end: AttemptEnd::NeverRan }),
+            (answered, Event::Answered { id: 50, answer: Answer::Refused }),
+        ]);
+        record.events.sort_by_key(|(at, _)| *at);
+        violated_rules(&record)
+    };
+    assert_eq!(with_earlier_ended(0, AttemptEnd::GivenUp), []);
+    assert_eq!(with_earlier_ended(30 * MS, AttemptEnd::GivenUp), [Rule::Duplicate], "it was open");
+    assert_eq!(with_earlier_ended(0, AttemptEnd::NeverRan), [Rule::Duplicate], "its server ended it");
+}
