The room for hand-overs at servers that are not listed is shared out by connection

Cause: of sessions at servers that are not listed only a sixteenth of the unproven ones is kept. A client that makes sessions up uses that room up; any further hand-over was answered with one release, which nobody repeats.

Change: where the room is used up, the connection with the most such sessions makes room for one with fewer, as it does for the memory; the session that is given up for it is told once, as before. One that is taken is found lost after 1.5 s, and its end is owed until the client knows.

--- a/crates/platform/src/core/hand_overs.rs
+++ b/crates/platform/src/core/hand_overs.rs
@@ -136,7 +136,7 @@
             Decision::Take => None,
             Decision::TakeInPlaceOf(other) => {
                 self.counts.not_taken.displaced += 1;
-                self.give_up_hand_over(other);
+                self.give_up_hand_over(other, out);
                 None
             }
             Decision::Refuse(reason) => Some(reason),
@@ -205,11 +205,15 @@
 
     /// Forgets a session that only a client's word speaks for. It may play, so neither its client nor its server is told
     /// anything.
-    fn give_up_hand_over(&mut self, id: u64) {
+    fn give_up_hand_over(&mut self, id: u64, out: &mut Vec<Command>) {
+        let was_unlisted = self.hand_overs.unproven.is_unlisted(id);
         self.hand_overs.unproven.remove(id);
         let Some(entry) = self.sessions.remove(id) else { return };
         if let Some((client, _)) = entry.session.client {
             self.admission.session_ended(self.now, client, id, &mut self.timers);
+            if was_unlisted {
+                out.push(Command::SendToClient(client, Message::release(id, cause::BROKEN)));
+            }
         }
         let Some(attempt) = entry.session.current_attempt() else { return };
         let (server, attempt) = (attempt.server, attempt.number);
--- a/crates/platform/src/core/tests/hand_overs.rs
+++ b/crates/platform/src/core/tests/hand_overs.rs
@@ -42,6 +42,19 @@
     assert_eq!((not_taken.server_full, not_taken.displaced), (0, 5), "{not_taken:?}");
 }
 
+// Guards against an end that is told only once, on a connection that may be silent, because made-up sessions of servers that
+// are not listed have used up the room.
+#[test]
+fn the_end_of_a_session_at_a_server_that_is_gone_is_owed_beside_made_up_ones() {
+    const GONE: u32 = 70;
+    let mut node = node_with_little_memory();
+    (0..20).for_each(|id| drop(hand_over(&mut node, 2, 100 + id, GONE + id as u32)));
+    hand_over(&mut node, 1, 1, GONE);
+    let out = node.advance(3 * SECOND);
+    let told = sent_to_client(&out).filter(|message| message.kind == kind::RELEASE && message.session == 1);
+    assert!(told.count() >= 2, "told again until its client acknowledges it");
+}
+
 // Guards against the loss of an end, and of a session that its server has shown to play.
 #[test]
 fn what_a_server_says_of_a_session_that_was_not_taken_counts() {
--- a/crates/platform/src/core/unproven_sessions.rs
+++ b/crates/platform/src/core/unproven_sessions.rs
@@ -7,7 +7,8 @@
 //! - A connection hands over no more sessions of a server than the server has places.
 //! - All such sessions take no more than their part of the memory. When it is used up, the connection with the most
 //!   sessions makes room for one with fewer, the latest session first.
-//! - Of servers that are not listed, only a small part is taken: they can be listed any moment, or are gone.
+//! - Of servers that are not listed, only a small part is taken, shared out in the same way: they can be listed any moment, or
+//!   are gone.
 //!
 //! What is owed for such sessions, releases and notices, takes at most half of the room for all of them, those of connections
 //! with few sessions first.
@@ -39,7 +40,8 @@
     ServerFull,
     /// The memory for unproven sessions is used up, and no other connection has more of them.
     MemoryFull,
-    /// The server is not listed, and as many sessions of such servers are kept as may be.
+    /// The server is not listed, as many sessions of such servers are kept as may be, and no other connection has more of
+    /// them.
     Unlisted,
 }
 
@@ -54,6 +56,16 @@
     Refuse(Refusal),
 }
 
+/// The sessions of one connection at servers that were not listed when they were handed over, in the order of the hand-overs.
+#[derive(Clone, Debug, Default)]
+struct UnlistedGroup(BTreeMap<u64, u64>);
+
+impl Share for UnlistedGroup {
+    fn len(&self) -> usize {
+        self.0.len()
+    }
+}
+
 /// The sessions of one connection.
 #[derive(Clone, Debug, Default)]
 struct Group {
@@ -83,6 +95,7 @@
     claims: BTreeMap<u64, Claim>,
     by_server: BTreeMap<ServerId, usize>,
     groups: Shares<Group>,
+    unlisted_groups: Shares<UnlistedGroup>,
     /// Number of sessions at servers that were not listed when they were handed over.
     unlisted: usize,
     last_order: u64,
@@ -96,6 +109,7 @@
             claims: BTreeMap::new(),
             by_server: BTreeMap::new(),
             groups: Shares::default(),
+            unlisted_groups: Shares::default(),
             unlisted: 0,
             last_order: 0,
             limit: (memory_bytes / MEMORY_DIVISOR / SESSION_BYTES).max(1),
@@ -112,6 +126,11 @@
         self.claims.get(&id).map_or(0, |claim| self.groups.count(Some(claim.client)))
     }
 
+    /// Whether this is an unproven session of a server that was not listed when it was handed over.
+    pub fn is_unlisted(&self, id: u64) -> bool {
+        self.claims.get(&id).is_some_and(|claim| !claim.is_listed)
+    }
+
     /// Number of unproven sessions at a server.
     pub fn count_at(&self, server: ServerId) -> usize {
         self.by_server.get(&server).copied().unwrap_or(0)
@@ -130,7 +149,7 @@
         let own_at_server = own.and_then(|group| group.by_server.get(&server)).copied().unwrap_or(0);
         match places {
             None if self.unlisted >= (self.limit / UNLISTED_DIVISOR).max(1) => {
-                return Decision::Refuse(Refusal::Unlisted);
+                return self.decide_on_unlisted(client);
             }
             Some(places) if own_at_server >= places => return Decision::Refuse(Refusal::ServerFull),
             _ => {}
@@ -143,12 +162,25 @@
         latest.map_or(Decision::Refuse(Refusal::MemoryFull), |(_, id)| Decision::TakeInPlaceOf(*id))
     }
 
+    /// The room for sessions of servers that are not listed is used up.
+    fn decide_on_unlisted(&self, client: ClientId) -> Decision {
+        let own = self.unlisted_groups.count(Some(client));
+        let largest = self.unlisted_groups.largest_above(own + 1);
+        let latest = largest.and_then(|group| group.0.last_key_value());
+        latest.map_or(Decision::Refuse(Refusal::Unlisted), |(_, id)| Decision::TakeInPlaceOf(*id))
+    }
+
     /// Adds a session that is taken.
     pub fn add(&mut self, id: u64, client: ClientId, server: ServerId, is_listed: bool) {
         self.last_order += 1;
         let claim = Claim { client, order: self.last_order, server, is_listed };
         self.claims.insert(id, claim);
-        self.unlisted += usize::from(!is_listed);
+        if !is_listed {
+            self.unlisted += 1;
+            self.unlisted_groups.change(Some(client), |group| {
+                group.0.insert(claim.order, id);
+            });
+        }
         *self.by_server.entry(server).or_default() += 1;
         self.groups.change(Some(claim.client), |group| {
             group.sessions.insert(claim.order, id);
@@ -159,7 +191,12 @@
     /// A session is over, or its server has sent a note on it.
     pub fn remove(&mut self, id: u64) {
         let Some(claim) = self.claims.remove(&id) else { return };
-        self.unlisted -= usize::from(!claim.is_listed);
+        if !claim.is_listed {
+            self.unlisted -= 1;
+            self.unlisted_groups.change(Some(claim.client), |group| {
+                group.0.remove(&claim.order);
+            });
+        }
         decrement(&mut self.by_server, claim.server);
         self.groups.change(Some(claim.client), |group| {
             group.sessions.remove(&claim.order);
