A copy of a request is counted once for the budget, though its first copy had no attempt

Cause: a copy that begins anew was counted as one more request unless attempts had been made for the first one, so a request that was refused without an attempt, and sent once more, raised the budget twice.

Change: with a budget, the sessions of the requests of its window are remembered; a copy is no further request. Without a budget nothing changes.

Measured: the new test fails without it.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -98,6 +98,8 @@
     mean_lengths: Vec<f64>,
     /// Recent requests: time, and the cells that hold the title (the first one and their number).
     requests: VecDeque<(Micros, u32, u32)>,
+    /// With a budget: the sessions of these, each with the time. A copy of a request is no further one.
+    counted_requests: BTreeMap<SessionId, Micros>,
     /// Times of recent attempts beyond each session's first.
     retries: VecDeque<Micros>,
     list_state: ListState,
@@ -115,7 +117,7 @@
             f,
             "{load:?} {:?} {:?}",
             self.sessions,
-            (&self.planned_moves, &self.requests, &self.retries, self.list_state)
+            (&self.planned_moves, &self.requests, &self.counted_requests, &self.retries, self.list_state)
         )
     }
 }
@@ -140,6 +142,7 @@
             planned_moves: BTreeMap::new(),
             mean_lengths,
             requests: VecDeque::new(),
+            counted_requests: BTreeMap::new(),
             retries: VecDeque::new(),
             list_state: ListState::Unknown,
             tick_scheduled: false,
@@ -683,10 +686,8 @@
             Event::Request(request) => match self.settings.classes.get(request.class) {
                 None => out.push(Action::Refuse(request.session.clone(), self.settings.max_hold_off)),
                 Some(class) => {
-                    if request.earlier_attempts == 0 {
-                        self.requests.push_back((self.now, request.first_cell, request.cell_count));
-                    }
                     let session = Session::new(request, class, &self.settings.ladder, self.now);
+                    self.count_request(request);
                     self.sessions.insert(request.session.clone(), session);
                     self.place_session(&request.session, out);
                 }
@@ -771,6 +772,24 @@
         }
     }
 
+    /// How long requests and retries are remembered.
+    fn request_window(&self) -> Micros {
+        self.settings.budget.map_or(0, |budget| budget.window).max(REQUEST_RATE_WINDOW)
+    }
+
+    /// Counts a request for the rate of requests and for the budget, unless it is a copy of one that was.
+    fn count_request(&mut self, request: &Request) {
+        let counted_at = self.counted_requests.get(&request.session);
+        let was_counted = counted_at.is_some_and(|at| *at + self.request_window() >= self.now);
+        if was_counted || request.earlier_attempts > 0 {
+            return;
+        }
+        if self.settings.budget.is_some() {
+            self.counted_requests.insert(request.session.clone(), self.now);
+        }
+        self.requests.push_back((self.now, request.first_cell, request.cell_count));
+    }
+
     /// Handles the end of a session's latest attempt; the session may get another one.
     fn finish(&mut self, id: &SessionId, attempt: u32, outcome: Outcome, last: bool, out: &mut Vec<Action>) {
         let Some(session) = self.sessions.get(id) else { return };
@@ -896,8 +915,9 @@
             let now = self.now;
             self.planned_moves.retain(|_, plan| plan.1 + VIEWER_MOVE_INTERVAL > now);
             self.servers.forget_starts_until(now.saturating_sub(self.settings.warm_up));
-            let window = self.settings.budget.map_or(0, |budget| budget.window).max(REQUEST_RATE_WINDOW);
+            let window = self.request_window();
             self.requests.retain(|(at, ..)| at + window >= now);
+            self.counted_requests.retain(|_, at| *at + window >= now);
             self.retries.retain(|at| at + window >= now);
         }
     }
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -168,3 +168,20 @@
     let summed = sessions.playing_kb(&controller.settings);
     assert!((walked.0 - summed.0).abs() + (walked.1 - summed.1).abs() < 1e-6, "{walked:?}, {summed:?}");
 }
+
+// Guards against retries over the budget, which copies of refused requests would raise.
+#[test]
+fn a_copy_of_a_request_that_had_no_attempt_is_not_counted_again() {
+    let (mut controller, mut out) = (Controller::new(settings(), 1), Vec::new());
+    let mut request_at = |seconds: Micros, number: u64| {
+        let request = random_request(number, &mut |_| 0);
+        controller.handle(seconds * SECOND, &Event::Request(request), &mut out);
+        assert!(matches!(out.last(), Some(Action::WakeAt(..) | Action::Refuse(..))), "no server is listed");
+        controller.handle(seconds * SECOND, &Event::Wake(0), &mut out);
+        controller.requests.len()
+    };
+    assert_eq!(request_at(100, 1), 1);
+    assert_eq!(request_at(101, 1), 1, "its copy");
+    assert_eq!(request_at(101, 2), 2);
+    assert_eq!(request_at(115, 1), 1, "the window is over");
+}
