The release of an earlier attempt is not sent again once its session is set up there anew

Cause: the release of an attempt whose connection was reset is kept until the server has confirmed it. The server reset each new connection for 2 s; meanwhile the session was set up there by the next attempt and played. The release went out with the next connection, and ended it. The server's confirmation by cause 31 stands for an end by the viewer, who is owed no release.

Change: such a release is dropped where the session was set up at the address since; the one process there holds one session of an id. The same where the list gives the address another id, which moves the release.

Measured: the new test fails without it: the release follows on the set-up, on the same connection.

--- a/crates/platform/src/core/releases.rs
+++ b/crates/platform/src/core/releases.rs
@@ -247,7 +247,13 @@
         for server in replaced {
             let releases = self.releases.server_releases.iter();
             let of_server = releases.filter(|((_, at), _)| *at == server.id);
-            let sessions: Vec<u64> = of_server.map(|((id, _), _)| *id).collect();
+            let address = self.servers.address(server.successor);
+            let is_due = |id: u64, release: &UnacknowledgedRelease| {
+                let since = release.expires_at - RELEASE_LIFETIME;
+                !address.is_some_and(|address| self.is_set_up_since(id, address, since))
+            };
+            let due = of_server.filter(|((id, _), release)| is_due(*id, release));
+            let sessions: Vec<u64> = due.map(|((id, _), _)| *id).collect();
             for id in sessions {
                 self.release_at(id, server.successor, cause::BROKEN, out);
             }
@@ -313,10 +319,19 @@
         has_connection || may_dial && (self.releasing_until.is_none() || self.pool.has_room())
     }
 
+    /// Whether a session was set up at this address since its release: sent again, that would end it.
+    fn is_set_up_since(&self, id: u64, address: SocketAddr, since: Micros) -> bool {
+        let attempt = self.sessions.get(&id).and_then(|entry| entry.session.current_attempt());
+        attempt.is_some_and(|attempt| attempt.address == address && attempt.sent_at >= since)
+    }
+
     /// Resends a release whose connection is gone, or is not closed by its server.
     fn resend_if_lost(&mut self, key: (u64, ServerId), out: &mut Vec<Command>) {
         let Some(release) = self.releases.server_releases.get(&key) else { return };
         let Some(address) = self.servers.address(key.1) else { return };
+        if self.is_set_up_since(key.0, address, release.expires_at - RELEASE_LIFETIME) {
+            return self.releases.remove(key);
+        }
         let to = (key.1, address);
         let is_stalled = self.is_stalled(key, release);
         let is_on_its_way = !is_stalled && release.conn.is_some_and(|conn| self.pool.exists(conn));
--- a/crates/platform/src/core/tests/releases.rs
+++ b/crates/platform/src/core/tests/releases.rs
@@ -12,7 +12,7 @@
 }
 
 /// Number of releases sent within this time, with each dialled connection established at once.
-fn releases_within(node: &mut TestNode<Controller>, span: Micros) -> usize {
+fn releases_within(node: &mut TestNode<impl Decider>, span: Micros) -> usize {
     let (until, mut count) = (node.now + span, 0);
     while node.now < until {
         let out = node.advance(SECOND / 20);
@@ -358,3 +358,24 @@
         _ => None,
     })
 }
+
+// Guards against a session that is ended by the release of an earlier attempt, which was lost and is sent again.
+#[test]
+fn the_release_of_an_earlier_attempt_is_not_sent_again_once_the_session_plays_there() {
+    let mut node = TestNode::with(ScriptedDecider::default());
+    node.core.release_at(1, ServerId(0), cause::NORMAL, &mut node.out);
+    let out = std::mem::take(&mut node.out);
+    let dialed = out.iter().find_map(|command| match command {
+        Command::Connect(conn, _) => Some(*conn),
+        _ => None,
+    });
+    node.now += SECOND / 10;
+    node.handle(NodeEvent::ConnectEnded(dialed.expect("dialled"), Err(DialError::TimedOut)));
+    node.core.decider.0.push_back(Action::SetUp(session_id(1), ServerId(0), SECOND));
+    let out = node.send_request(1, "clip");
+    let out = node.establish(&out);
+    let (conn, _) = sent_set_up(&out).expect("set up");
+    let sent_with_set_up = sent_to_server(&out, kind::RELEASE).len();
+    node.handle(NodeEvent::ServerMessage(conn, answer_message(1)));
+    assert_eq!(sent_with_set_up + releases_within(&mut node, 3 * SECOND), 0);
+}
