Judge of the soak: the end of an earlier attempt's session is not owed to a client that plays by a later one

Cause: a server may end the session of an attempt before it answers it, while the client's connection is cut. Its front node tries again, and the client is served by another attempt.

Change: such an end is recorded while no later attempt has arrived, and is judged unless the client was served by one that arrived after it.

--- a/crates/soak/src/end_paths.rs
+++ b/crates/soak/src/end_paths.rs
@@ -113,15 +113,20 @@
             self.schedule_in(EARLY_END_LEAD, Action::Close { token, reset: true });
         } else {
             let answer = Message::new(kind::ANSWER, id).with(code::DESCRIPTION, description.to_vec());
-            self.schedule_in(EARLY_END_LEAD, Action::AnswerEnded { id, token, bytes: answer.bytes() });
+            let bytes = answer.bytes();
+            self.schedule_in(EARLY_END_LEAD, Action::AnswerEnded { id, attempt: number, token, bytes });
         }
         true
     }
 
     /// Answers a set-up whose session is over already.
-    pub(crate) fn answer_ended(&mut self, id: u64, token: u64, bytes: &[u8]) {
-        if self.endpoints.contains_key(&token) {
-            self.write(token, bytes);
+    pub(crate) fn answer_ended(&mut self, id: u64, attempt: u64, token: u64, bytes: &[u8]) {
+        if !self.endpoints.contains_key(&token) {
+            return;
+        }
+        self.write(token, bytes);
+        // The session of a later attempt is another one.
+        if self.latest_attempts.get(&id) == Some(&attempt) {
             self.record(Event::SessionEnded { id, notified: true });
         }
     }
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -99,6 +99,18 @@
     attempts: Vec<Attempt>,
 }
 
+impl Request {
+    /// Whether its client was served by an attempt that arrived after this time: what ended by then was another one.
+    fn was_served_by_attempt_after(&self, at: Micros) -> bool {
+        let Some((_, Answer::Served(description))) = self.answers.first() else { return false };
+        let made = |attempt: &Attempt| match &attempt.end {
+            Some((_, AttemptEnd::SetUp(made))) => made == description,
+            _ => false,
+        };
+        self.attempts.iter().any(|attempt| made(attempt) && attempt.received > at)
+    }
+}
+
 #[derive(Clone)]
 struct Attempt {
     server: u32,
@@ -423,8 +435,10 @@
         let held_since = request.handed_over.unwrap_or(request.sent);
         let same_process = !process_ended.into_iter().any(|end| *end > held_since && *end < deadline);
         let late = request.released.unwrap_or(Micros::MAX) > deadline;
+        let is_of_earlier_attempt = request.was_served_by_attempt_after(at);
         let can_know = request.end_forgotten.is_none_or(|at| at > deadline);
-        let is_lost = was_served && late && same_process && can_know && self.record.ended_at > deadline;
+        let is_owed = was_served && same_process && can_know && !is_of_earlier_attempt;
+        let is_lost = is_owed && late && self.record.ended_at > deadline;
         let description =
             format!("the client of {id:016x} got no notice of its end (front node notified: {notified})");
         is_lost.then_some((deadline, description))
--- a/crates/soak/src/rig.rs
+++ b/crates/soak/src/rig.rs
@@ -75,7 +75,7 @@
     CutClient { client: u64, cut: Cut },
     RepeatSignals { node: usize, process: u32 },
     StartHalfRequest { node: usize },
-    AnswerEnded { id: u64, token: u64, bytes: Vec<u8> },
+    AnswerEnded { id: u64, attempt: u64, token: u64, bytes: Vec<u8> },
     CloseAfterAnswer { attempt: u64 },
     ResetNew { token: u64, server: u32, node: usize, is_set_up: bool },
     AskAgain { id: u64 },
@@ -131,6 +131,8 @@
     pub(crate) servers: Vec<Server>,
     pub(crate) attempts: BTreeMap<u64, crate::servers::Attempt>,
     pub(crate) next_attempt: u64,
+    /// The latest attempt of each request.
+    pub(crate) latest_attempts: BTreeMap<u64, u64>,
     pub(crate) discovery: Discovery,
     pub(crate) clients: BTreeMap<u64, Client>,
     pub(crate) requests: BTreeMap<u64, Request>,
@@ -197,6 +199,7 @@
             servers: (0..plan.servers).map(Server::new).collect(),
             attempts: BTreeMap::new(),
             next_attempt: 0,
+            latest_attempts: BTreeMap::new(),
             discovery: Discovery::default(),
             clients: BTreeMap::new(),
             requests: BTreeMap::new(),
@@ -350,7 +353,9 @@
             Action::CutClient { client, cut } => self.cut_client(client, cut),
             Action::RepeatSignals { node, process } => self.repeat_signals(node, process),
             Action::StartHalfRequest { node } => self.start_half_request(node),
-            Action::AnswerEnded { id, token, bytes } => self.answer_ended(id, token, &bytes),
+            Action::AnswerEnded { id, attempt, token, bytes } => {
+                self.answer_ended(id, attempt, token, &bytes)
+            }
             Action::CloseAfterAnswer { attempt } => self.close_after_answer(attempt),
             Action::ResetNew { token, server, node, is_set_up } => {
                 self.reset_new(token, server, node, is_set_up);
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -205,6 +205,7 @@
         let id = message.id;
         self.next_attempt += 1;
         let attempt = self.next_attempt;
+        self.latest_attempts.insert(id, attempt);
         let (server_id, started) = (self.servers[server as usize].id, self.servers[server as usize].started);
         let rung = message.number(code::RUNG).unwrap_or(0);
         self.record(Event::SetUpReceived { attempt, id, server: server_id, node, rung, started });
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -475,3 +475,18 @@
     assert_eq!(with_earlier_ended(30 * MS, AttemptEnd::GivenUp), [Rule::Duplicate], "it was open");
     assert_eq!(with_earlier_ended(0, AttemptEnd::NeverRan), [Rule::Duplicate], "its server ended it");
 }
+
+#[test]
+fn the_end_of_an_earlier_attempts_session_is_not_owed_to_a_client_that_plays() {
+    let untold_with_end_at = |ended_at: Micros| {
+        let mut record = valid_record();
+        record.events.retain(|(_, event)| {
+            !matches!(event, Event::SessionEnded { .. } | Event::Released { .. } | Event::Exited { .. })
+                && !matches!(event, Event::ShutdownRequested { .. })
+        });
+        record.events.push((ended_at, Event::SessionEnded { id: 1, notified: true }));
+        violated_rules(&record)
+    };
+    assert_eq!(untold_with_end_at(100 * MS), [], "the attempt that served it arrived at 101 ms");
+    assert_eq!(untold_with_end_at(102 * MS), [Rule::Lost]);
+}
