A release remembers since when it is kept; what the shutdown asks of releases has names

The start of a release was derived from its end in two places, and the shutdown counted all waiting releases in each turn to compare two other numbers.

--- a/crates/platform/src/core/releases.rs
+++ b/crates/platform/src/core/releases.rs
@@ -41,7 +41,7 @@
     stalled: u32,
     /// When sending it was last tried.
     last_tried: Micros,
-    expires_at: Micros,
+    kept_since: Micros,
     next_pause: Micros,
 }
 
@@ -70,6 +70,16 @@
         self.server_releases.keys().copied()
     }
 
+    /// Whether a release is kept of a session that is known to have played.
+    pub fn has_proven(&self) -> bool {
+        self.server_releases.len() > self.unproven
+    }
+
+    /// Whether a release waits for a connection.
+    pub fn is_any_waiting(&self) -> bool {
+        self.server_releases.values().any(|release| release.conn.is_none())
+    }
+
     /// Numbers of releases.
     pub fn counts(&self) -> ReleaseCounts {
         let waiting = self.server_releases.values().filter(|release| release.conn.is_none()).count();
@@ -162,7 +172,7 @@
             conn,
             stalled: 0,
             last_tried: self.now,
-            expires_at: self.now + RELEASE_LIFETIME,
+            kept_since: self.now,
             next_pause: 2 * pause,
         };
         self.releases.insert(key, release);
@@ -247,12 +257,8 @@
         for server in replaced {
             let releases = self.releases.server_releases.iter();
             let of_server = releases.filter(|((_, at), _)| *at == server.id);
-            let address = self.servers.address(server.successor);
-            let is_due = |id: u64, release: &UnacknowledgedRelease| {
-                let since = release.expires_at - RELEASE_LIFETIME;
-                !address.is_some_and(|address| self.is_set_up_since(id, address, since))
-            };
-            let due = of_server.filter(|((id, _), release)| is_due(*id, release));
+            let Some(address) = self.servers.address(server.successor) else { continue };
+            let due = of_server.filter(|((id, _), release)| !self.is_set_up_again(*id, address, release));
             let sessions: Vec<u64> = due.map(|((id, _), _)| *id).collect();
             for id in sessions {
                 self.release_at(id, server.successor, cause::BROKEN, out);
@@ -268,7 +274,7 @@
     /// Resends a release if it was lost with its connection, and schedules the next check.
     pub(super) fn check_release(&mut self, key: (u64, ServerId), out: &mut Vec<Command>) {
         let Some(release) = self.releases.server_releases.get_mut(&key) else { return };
-        if self.now >= release.expires_at || !self.servers.contains(key.1) {
+        if self.now >= release.kept_since + RELEASE_LIFETIME || !self.servers.contains(key.1) {
             self.releases.remove(key);
             return self.log_forgotten_release(key.0, key.1, "not acknowledged in time", out);
         }
@@ -320,16 +326,16 @@
     }
 
     /// Whether a session was set up at this address since its release: sent again, that would end it.
-    fn is_set_up_since(&self, id: u64, address: SocketAddr, since: Micros) -> bool {
+    fn is_set_up_again(&self, id: u64, address: SocketAddr, release: &UnacknowledgedRelease) -> bool {
         let attempt = self.sessions.get(&id).and_then(|entry| entry.session.current_attempt());
-        attempt.is_some_and(|attempt| attempt.address == address && attempt.sent_at >= since)
+        attempt.is_some_and(|attempt| attempt.address == address && attempt.sent_at >= release.kept_since)
     }
 
     /// Resends a release whose connection is gone, or is not closed by its server.
     fn resend_if_lost(&mut self, key: (u64, ServerId), out: &mut Vec<Command>) {
         let Some(release) = self.releases.server_releases.get(&key) else { return };
         let Some(address) = self.servers.address(key.1) else { return };
-        if self.is_set_up_since(key.0, address, release.expires_at - RELEASE_LIFETIME) {
+        if self.is_set_up_again(key.0, address, release) {
             return self.releases.remove(key);
         }
         let to = (key.1, address);
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -96,10 +96,12 @@
             out.push(Command::Exit);
         } else {
             let copies_until = Some(self.copies_expected_until).filter(|until| *until > now);
-            let interval = match self.releases.counts() {
-                _ if has_more => RELEASE_INTERVAL,
-                counts if counts.waiting > 0 => WAITING_RELEASE_INTERVAL,
-                _ => RELEASE_RETRY_INTERVAL,
+            let interval = if has_more {
+                RELEASE_INTERVAL
+            } else if self.releases.is_any_waiting() {
+                WAITING_RELEASE_INTERVAL
+            } else {
+                RELEASE_RETRY_INTERVAL
             };
             let next_check = copies_until.unwrap_or(Micros::MAX).min(now + interval);
             self.next_shutdown_check = Some(next_check);
@@ -114,8 +116,7 @@
         let may_end = |entry: &SessionEntry| is_due || !entry.moving;
         let ids = self.sessions.iter().filter(|(_, entry)| may_end(entry)).map(|(id, _)| *id);
         let (unproven, proven): (Vec<u64>, Vec<u64>) = ids.partition(|id| self.hand_overs.is_unproven(*id));
-        let counts = self.releases.counts();
-        let is_server_owed = !proven.is_empty() || counts.kept > counts.unproven;
+        let is_server_owed = !proven.is_empty() || self.releases.has_proven();
         if is_server_owed && self.now < self.unproven_ends_from {
             return proven;
         }
