Unproven sessions: one rule of displacement and one kind of group for memory and unlisted servers

The room for sessions at unlisted servers had a type, a rule and bookkeeping of its own, equal to those for the memory.

--- a/crates/platform/src/core/unproven_sessions.rs
+++ b/crates/platform/src/core/unproven_sessions.rs
@@ -56,16 +56,6 @@
     Refuse(Refusal),
 }
 
-/// The sessions of one connection at servers that were not listed when they were handed over, in the order of the hand-overs.
-#[derive(Clone, Debug, Default)]
-struct UnlistedGroup(BTreeMap<u64, u64>);
-
-impl Share for UnlistedGroup {
-    fn len(&self) -> usize {
-        self.0.len()
-    }
-}
-
 /// The sessions of one connection.
 #[derive(Clone, Debug, Default)]
 struct Group {
@@ -74,6 +64,18 @@
     by_server: BTreeMap<ServerId, usize>,
 }
 
+impl Group {
+    fn insert(&mut self, id: u64, claim: &Claim) {
+        self.sessions.insert(claim.order, id);
+        *self.by_server.entry(claim.server).or_default() += 1;
+    }
+
+    fn remove(&mut self, claim: &Claim) {
+        self.sessions.remove(&claim.order);
+        decrement(&mut self.by_server, claim.server);
+    }
+}
+
 impl Share for Group {
     fn len(&self) -> usize {
         self.sessions.len()
@@ -95,7 +97,8 @@
     claims: BTreeMap<u64, Claim>,
     by_server: BTreeMap<ServerId, usize>,
     groups: Shares<Group>,
-    unlisted_groups: Shares<UnlistedGroup>,
+    /// The sessions at servers that were not listed when they were handed over.
+    unlisted_groups: Shares<Group>,
     /// Number of sessions at servers that were not listed when they were handed over.
     unlisted: usize,
     last_order: u64,
@@ -149,7 +152,7 @@
         let own_at_server = own.and_then(|group| group.by_server.get(&server)).copied().unwrap_or(0);
         match places {
             None if self.unlisted >= (self.limit / UNLISTED_DIVISOR).max(1) => {
-                return self.decide_on_unlisted(client);
+                return displace(&self.unlisted_groups, client, Refusal::Unlisted);
             }
             Some(places) if own_at_server >= places => return Decision::Refuse(Refusal::ServerFull),
             _ => {}
@@ -157,17 +160,7 @@
         if self.claims.len() < self.limit {
             return Decision::Take;
         }
-        let largest = self.groups.largest_above(self.groups.count(Some(client)) + 1);
-        let latest = largest.and_then(|group| group.sessions.last_key_value());
-        latest.map_or(Decision::Refuse(Refusal::MemoryFull), |(_, id)| Decision::TakeInPlaceOf(*id))
-    }
-
-    /// The room for sessions of servers that are not listed is used up.
-    fn decide_on_unlisted(&self, client: ClientId) -> Decision {
-        let own = self.unlisted_groups.count(Some(client));
-        let largest = self.unlisted_groups.largest_above(own + 1);
-        let latest = largest.and_then(|group| group.0.last_key_value());
-        latest.map_or(Decision::Refuse(Refusal::Unlisted), |(_, id)| Decision::TakeInPlaceOf(*id))
+        displace(&self.groups, client, Refusal::MemoryFull)
     }
 
     /// Adds a session that is taken.
@@ -177,15 +170,10 @@
         self.claims.insert(id, claim);
         if !is_listed {
             self.unlisted += 1;
-            self.unlisted_groups.change(Some(client), |group| {
-                group.0.insert(claim.order, id);
-            });
+            self.unlisted_groups.change(Some(client), |group| group.insert(id, &claim));
         }
         *self.by_server.entry(server).or_default() += 1;
-        self.groups.change(Some(claim.client), |group| {
-            group.sessions.insert(claim.order, id);
-            *group.by_server.entry(server).or_default() += 1;
-        });
+        self.groups.change(Some(client), |group| group.insert(id, &claim));
     }
 
     /// A session is over, or its server has sent a note on it.
@@ -193,18 +181,21 @@
         let Some(claim) = self.claims.remove(&id) else { return };
         if !claim.is_listed {
             self.unlisted -= 1;
-            self.unlisted_groups.change(Some(claim.client), |group| {
-                group.0.remove(&claim.order);
-            });
+            self.unlisted_groups.change(Some(claim.client), |group| group.remove(&claim));
         }
         decrement(&mut self.by_server, claim.server);
-        self.groups.change(Some(claim.client), |group| {
-            group.sessions.remove(&claim.order);
-            decrement(&mut group.by_server, claim.server);
-        });
+        self.groups.change(Some(claim.client), |group| group.remove(&claim));
     }
 }
 
+/// Decides on one more session of a connection where the room for these groups is used up: the largest one makes room for a
+/// smaller one, with its latest session.
+fn displace(groups: &Shares<Group>, client: ClientId, refusal: Refusal) -> Decision {
+    let largest = groups.largest_above(groups.count(Some(client)) + 1);
+    let latest = largest.and_then(|group| group.sessions.last_key_value());
+    latest.map_or(Decision::Refuse(refusal), |(_, id)| Decision::TakeInPlaceOf(*id))
+}
+
 /// Counts one less under a server; a count of zero is removed.
 fn decrement(counts: &mut BTreeMap<ServerId, usize>, server: ServerId) {
     if let Entry::Occupied(mut count) = counts.entry(server) {
