--- a/crates/daemon/tests/front_node_owed_releases.rs
+++ b/crates/daemon/tests/front_node_owed_releases.rs
@@ -9,9 +9,10 @@
 use std::time::{Duration, Instant};
 
 use node::scripted::{
-    answer_set_up, request_for_cell, start_session, wait_for_message, with_parameter, ScriptedServers,
+    answer_set_up, request_for_cell, start_session, start_with_session, wait_for_message, with_parameter,
+    ScriptedServers,
 };
-use node::{Node, SECOND};
+use node::SECOND;
 use rustix::process::Signal;
 use salttally_platform::wire::{cause, code, kind, Message};
 use salttally_standin::platform::Viewer;
@@ -94,15 +95,6 @@
     assert!(since.elapsed() < 8 * SECOND);
 }
 
-/// A front node, a client's connection, and one to the server of its session on which nothing passes any more.
-fn session_on_silent_connection(name: &str) -> (ScriptedServers, Node, Viewer, Viewer) {
-    let mut servers = ScriptedServers::new(1);
-    let node = servers.start_node(name, |_| {});
-    let mut viewer = node.viewer();
-    let silent = start_session(&servers, &mut viewer);
-    (servers, node, viewer, silent)
-}
-
 /// Reads and acknowledges the release of session 1 on the next connection to its server.
 fn release_on_next_connection(servers: &ScriptedServers) -> Viewer {
     let mut next = servers.accept(0);
@@ -114,7 +106,7 @@
 // Guards against a session that plays for nobody because its release lies on a connection on which nothing passes any more.
 #[test]
 fn a_release_on_a_silent_connection_is_sent_on_another_one() {
-    let (servers, _node, viewer, _silent) = session_on_silent_connection("release-silent");
+    let (servers, _node, viewer, _silent) = start_with_session("release-silent", 1);
     viewer.send(&Message::release(1, cause::NORMAL));
     let since = Instant::now();
     let _next = release_on_next_connection(&servers);
@@ -124,14 +116,10 @@
 // Guards against the same at the exit.
 #[test]
 fn a_release_on_a_silent_connection_is_sent_on_another_one_before_the_exit() {
-    let (servers, mut node, viewer, _silent) = session_on_silent_connection("exit-release-silent");
+    let (servers, mut node, mut viewer, _silent) = start_with_session("exit-release-silent", 1);
     node.signal(Signal::TERM);
-    let acknowledge = Message::new(kind::RELEASE_ACK, 1);
-    let mut client = viewer;
-    wait_for_message(&mut client, kind::RELEASE, 1);
-    client.send(&acknowledge);
-    let next = release_on_next_connection(&servers);
-    drop(next);
-    drop(client);
+    wait_for_message(&mut viewer, kind::RELEASE, 1);
+    viewer.send(&Message::new(kind::RELEASE_ACK, 1));
+    drop((release_on_next_connection(&servers), viewer));
     assert!(node.wait_for_exit(SECOND).is_some_and(|status| status.success()));
 }
--- a/crates/daemon/tests/front_node_readdressed.rs
+++ b/crates/daemon/tests/front_node_readdressed.rs
@@ -8,9 +8,9 @@
 use std::time::{Duration, Instant};
 
 use node::scripted::{
-    answer_set_up, read_until_silent, request_for_cell, start_session, wait_for_message, ScriptedServers,
+    answer_set_up, read_until_silent, request_for_cell, start_with_session, wait_for_message, ScriptedServers,
 };
-use node::{Node, SECOND};
+use node::SECOND;
 use salttally_platform::wire::{kind, Message};
 use salttally_standin::platform::Viewer;
 use socket2::SockRef;
@@ -18,15 +18,6 @@
 /// Time limit for telling the end of a session whose server has died, with the tolerance of each limit.
 const END_NOTICE_LIMIT: Duration = Duration::from_millis(8_050);
 
-/// A front node with session 1 at the first of two listed servers.
-fn start_with_session(name: &str) -> (ScriptedServers, Node, Viewer, Viewer) {
-    let mut servers = ScriptedServers::new(2);
-    let node = servers.start_node(name, |_| {});
-    let mut viewer = node.viewer();
-    let connection = start_session(&servers, &mut viewer);
-    (servers, node, viewer, connection)
-}
-
 /// The process of the first server dies, and another one listens at its address at once.
 fn replace_process(servers: &mut ScriptedServers, connection: Viewer) {
     let address = servers.address(0);
@@ -40,7 +31,7 @@
 // Guards against ends that are told only when the list names the new process.
 #[test]
 fn an_end_with_a_process_that_was_replaced_is_told_in_its_time_limit_though_the_list_is_late() {
-    let (mut servers, node, mut viewer, connection) = start_with_session("readdressed-end");
+    let (mut servers, node, mut viewer, connection) = start_with_session("readdressed-end", 2);
     replace_process(&mut servers, connection);
     let died_at = Instant::now();
     let new_process = servers.listeners[0].try_clone().unwrap();
@@ -72,7 +63,7 @@
 // Guards against the loss of sessions that play on, because their only connection was reset.
 #[test]
 fn sessions_play_on_after_a_reset_of_the_only_connection_if_their_server_reports_them() {
-    let (servers, node, mut viewer, connection) = start_with_session("readdressed-alive");
+    let (servers, node, mut viewer, connection) = start_with_session("readdressed-alive", 2);
     SockRef::from(&connection.stream).set_linger(Some(Duration::ZERO)).unwrap();
     drop(connection);
     let mut next = servers.accept(0);
@@ -93,7 +84,7 @@
 // Guards against sessions that go on at the new process for nobody.
 #[test]
 fn what_was_set_up_at_a_new_process_under_the_old_id_is_released_there() {
-    let (mut servers, node, mut viewer, connection) = start_with_session("readdressed-set-up");
+    let (mut servers, node, mut viewer, connection) = start_with_session("readdressed-set-up", 2);
     replace_process(&mut servers, connection);
     let mut process = servers.accept(0);
     viewer.send(&request_for_cell(2, "clip", 0));
--- a/crates/daemon/tests/node/scripted.rs
+++ b/crates/daemon/tests/node/scripted.rs
@@ -325,6 +325,16 @@
     connection
 }
 
+/// A front node with this many listed servers and session 1 at the first of them: also the connections of its client and of its
+/// server.
+pub fn start_with_session(name: &str, servers: usize) -> (ScriptedServers, Node, Viewer, Viewer) {
+    let mut servers = ScriptedServers::new(servers);
+    let node = servers.start_node(name, |_| {});
+    let mut viewer = node.viewer();
+    let connection = start_session(&servers, &mut viewer);
+    (servers, node, viewer, connection)
+}
+
 /// Serves the connections to a media server as they come: answers each set-up at once and acknowledges each release.
 pub fn serve_sessions(listener: TcpListener) {
     thread::spawn(move || {
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -69,14 +69,37 @@
     }
 }
 
+impl TestNode<ScriptedDecider> {
+    /// A node that has heard the list, with this many servers and clients.
+    fn with_servers(servers: u32, clients: u64, resources: Resources) -> Self {
+        TestNode::start(ScriptedDecider::default(), platform_settings(), resources, servers, clients)
+    }
+
+    /// A client hands over a session that plays at this server by its word.
+    fn hand_over(&mut self, client: u64, id: u64, server: u32) -> Vec<Command> {
+        let message = request_message(id, "paid", &format!(";at:s-{server:08x}"));
+        self.handle(NodeEvent::ClientMessage(ClientId(client), message))
+    }
+}
+
 impl<D: Decider> TestNode<D> {
     fn with(decider: D) -> Self {
-        let core = Core::new(decider, platform_settings(), resources(256), START);
+        TestNode::start(decider, platform_settings(), resources(256), SERVER_COUNT, 1)
+    }
+
+    fn start(
+        decider: D,
+        platform_settings: PlatformSettings,
+        resources: Resources,
+        servers: u32,
+        clients: u64,
+    ) -> Self {
+        let core = Core::new(decider, platform_settings, resources, START);
         let mut node = TestNode { core, now: START, out: Vec::new() };
-        let known = (0..SERVER_COUNT).map(listed).collect();
+        let known = (0..servers).map(listed).collect();
         node.core.start(START, known, 5, address(200), &mut node.out);
         node.list_frame(1, 5, Payload::Unchanged);
-        node.handle(NodeEvent::ClientConnected(ClientId(1)));
+        (1..=clients).for_each(|client| drop(node.handle(NodeEvent::ClientConnected(ClientId(client)))));
         node
     }
 
--- a/crates/platform/src/core/tests/descriptor_limits.rs
+++ b/crates/platform/src/core/tests/descriptor_limits.rs
@@ -2,16 +2,11 @@
 
 use super::*;
 
-const SERVERS: u32 = 40;
+pub(super) const SERVERS: u32 = 40;
 
 /// A node with more servers than the connections that its descriptors allow.
 pub(super) fn node_with_few_descriptors(sockets: usize) -> TestNode<ScriptedDecider> {
-    let core = Core::new(ScriptedDecider::default(), platform_settings(), resources(sockets), START);
-    let mut node = TestNode { core, now: START, out: Vec::new() };
-    node.core.start(START, (0..SERVERS).map(listed).collect(), 5, address(200), &mut node.out);
-    node.list_frame(1, 5, Payload::Unchanged);
-    node.handle(NodeEvent::ClientConnected(ClientId(1)));
-    node
+    TestNode::with_servers(SERVERS, 1, resources(sockets))
 }
 
 pub(super) fn request_at(node: &mut TestNode<ScriptedDecider>, id: u64, server: u32) -> Vec<Command> {
--- a/crates/platform/src/core/tests/shutdown.rs
+++ b/crates/platform/src/core/tests/shutdown.rs
@@ -1,16 +1,13 @@
 //! The shutdown must finish before the earliest kill that the platform allows.
 
-use super::descriptor_limits::{node_with_few_descriptors, request_at};
+use super::descriptor_limits::{node_with_few_descriptors, request_at, SERVERS};
 use super::*;
 
 /// A node with this longest deadline, shutting down, with one request that its server never answers.
 fn shutting_down(longest_deadline: Micros) -> TestNode<ScriptedDecider> {
     let platform_settings = PlatformSettings { longest_patience: longest_deadline, ..platform_settings() };
-    let core = Core::new(ScriptedDecider::default(), platform_settings, resources(256), START);
-    let mut node = TestNode { core, now: START, out: Vec::new() };
-    node.core.start(START, (0..SERVER_COUNT).map(listed).collect(), 5, address(200), &mut node.out);
-    node.list_frame(1, 5, Payload::Unchanged);
-    node.handle(NodeEvent::ClientConnected(ClientId(1)));
+    let mut node =
+        TestNode::start(ScriptedDecider::default(), platform_settings, resources(256), SERVER_COUNT, 1);
     node.handle(NodeEvent::Shutdown);
     node.core.decider.0.push_back(Action::SetUp(session_id(9), ServerId(0), 0));
     let out = node.send_request(9, "clip");
@@ -42,18 +39,6 @@
     );
 }
 
-/// Number of servers, more than there are connections.
-const SERVERS: u32 = 40;
-
-fn node_with_many_servers() -> TestNode<ScriptedDecider> {
-    let core = Core::new(ScriptedDecider::default(), platform_settings(), resources(24), START);
-    let mut node = TestNode { core, now: START, out: Vec::new() };
-    node.core.start(START, (0..SERVERS).map(listed).collect(), 5, address(200), &mut node.out);
-    node.list_frame(1, 5, Payload::Unchanged);
-    node.handle(NodeEvent::ClientConnected(ClientId(1)));
-    node
-}
-
 fn play_at(node: &mut TestNode<ScriptedDecider>, id: u64, server: u32) {
     node.core.decider.0.push_back(Action::SetUp(session_id(id), ServerId(server), SECOND));
     let out = node.send_request(id, "clip");
@@ -64,8 +49,7 @@
 
 /// A client hands over a session that its server may not hold.
 fn make_up_at(node: &mut TestNode<ScriptedDecider>, id: u64, server: u32) {
-    let made_up = request_message(id, "paid", &format!(";at:s-{server:08x}"));
-    let out = node.handle(NodeEvent::ClientMessage(ClientId(1), made_up));
+    let out = node.hand_over(1, id, server);
     node.establish(&out);
 }
 
@@ -88,7 +72,7 @@
 
 #[test]
 fn sends_each_release_once_with_more_servers_than_connections() {
-    let mut node = node_with_many_servers();
+    let mut node = node_with_few_descriptors(24);
     (0..SERVERS).for_each(|server| play_at(&mut node, u64::from(server) + 1, server));
     let (released, dials) = shut_down(&mut node);
     let sessions: BTreeSet<u64> = released.iter().copied().collect();
@@ -100,7 +84,7 @@
 #[test]
 fn sessions_that_play_are_released_before_made_up_ones() {
     const FIRST_PLAYING: u64 = 1_000;
-    let mut node = node_with_many_servers();
+    let mut node = node_with_few_descriptors(24);
     let (with_made_up, with_playing) = (0..25_u32, 25..SERVERS);
     with_made_up.for_each(|server| make_up_at(&mut node, u64::from(server) + 1, server));
     let playing = with_playing.len();
@@ -113,7 +97,7 @@
 #[test]
 fn made_up_sessions_are_not_ended_before_the_others_are_known_to_be() {
     const PLAYING: u64 = 1_000;
-    let mut node = node_with_many_servers();
+    let mut node = node_with_few_descriptors(24);
     (1..SERVERS).for_each(|server| make_up_at(&mut node, u64::from(server), server));
     play_at(&mut node, PLAYING, 0);
     node.handle(NodeEvent::Shutdown);
@@ -154,7 +138,7 @@
 
 /// Shuts a node down whose turns take this long, with a session that its server does not release; returns when it exits.
 fn exit_with_turns_of(turn: Micros) -> (TestNode<ScriptedDecider>, Micros) {
-    let mut node = node_with_many_servers();
+    let mut node = node_with_few_descriptors(24);
     play_at(&mut node, 1, 0);
     node.handle(NodeEvent::Shutdown);
     let signal_at = node.now;
