--- a/crates/soak/src/judge/attempt_limits.rs
+++ b/crates/soak/src/judge/attempt_limits.rs
@@ -3,20 +3,11 @@
 use std::collections::BTreeSet;
 
 use super::{Attempt, Evaluation, Request, Rule, LIMIT_SLACK};
-use crate::record::Micros;
+use crate::record::{Micros, RetryBudget};
 
 /// Retries that the judge allows beyond the budget: the first of them may have left the window on its way to its server.
 const RETRIES_ON_THE_WAY: f64 = 1.0;
 
-/// The budget of the settings: a front node's attempts beyond each request's first, in any window of this length.
-#[derive(Clone, Copy)]
-struct RetryBudget {
-    window: Micros,
-    free: f64,
-    /// Further ones for each request in the window.
-    share: f64,
-}
-
 /// An attempt beyond the first of a request.
 #[derive(Clone, Copy)]
 struct Retry {
@@ -45,8 +36,7 @@
 impl Evaluation<'_> {
     pub(super) fn check_attempt_limits(&mut self) {
         self.check_attempts_of_requests();
-        let Some((window, free, share)) = self.record.terms.budget else { return };
-        let budget = RetryBudget { window, free, share };
+        let Some(budget) = self.record.terms.budget else { return };
         let nodes: BTreeSet<usize> = self.requests.values().map(|request| request.node).collect();
         for node in nodes {
             if let Some((at, description)) = self.excess_retries(node, budget) {
--- a/crates/soak/src/nodes.rs
+++ b/crates/soak/src/nodes.rs
@@ -196,10 +196,10 @@
         let mut safety = json!({"answer_slack_ms": 40, "drain_grace_ms": terms.drain_grace / MS,
             "warm_up_ms": terms.cold.warm_up / MS, "cold_from": terms.cold.cold_from,
             "fall_multiple": terms.cold.fall_multiple, "fall_ms": terms.cold.window / MS});
-        if let Some((window, free, share)) = terms.budget {
-            safety["look_back_ms"] = json!(window / MS);
-            safety["budget_free"] = json!(free);
-            safety["resend_ratio"] = json!(share);
+        if let Some(budget) = terms.budget {
+            safety["look_back_ms"] = json!(budget.window / MS);
+            safety["budget_free"] = json!(budget.free);
+            safety["resend_ratio"] = json!(budget.share);
         }
         let floors: Vec<u64> = plan.classes.iter().map(|class| class.terms.floor).collect();
         let tops: Vec<u64> = plan.classes.iter().map(|class| class.terms.top).collect();
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -8,7 +8,7 @@
 use crate::end_paths::EndPathPlan;
 use crate::hand_over_floods::HandOverFloodPlan;
 use crate::nodes::{KILL_DELAY, MAX_KILL_DEADLINE};
-use crate::record::{ClassTerms, ColdTerms, Effect, Micros, Terms};
+use crate::record::{ClassTerms, ColdTerms, Effect, Micros, RetryBudget, Terms};
 use crate::replacements::ReplacementPlan;
 
 const MS: Micros = 1_000;
@@ -430,7 +430,7 @@
             fall_multiple: 3.0,
             window: 1_500 * MS,
         },
-        budget: draws.chance(30).then_some((2 * SECOND, 4.0, 0.2)),
+        budget: draws.chance(30).then_some(RetryBudget { window: 2 * SECOND, free: 4.0, share: 0.2 }),
         sockets: draws.pick(&[160, 256, 512]) as usize,
         memory_mb: 64,
         kill_after: longest_deadline.min(MAX_KILL_DEADLINE) + KILL_DELAY,
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -38,6 +38,17 @@
     pub window: Micros,
 }
 
+/// A front node's attempts beyond each request's first, in any window of this length.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBudget {
+    /// Length of the window.
+    pub window: Micros,
+    /// Attempts that are always allowed.
+    pub free: f64,
+    /// Further ones for each request in the window.
+    pub share: f64,
+}
+
 /// Terms of the settings that the judge checks.
 #[derive(Clone, Debug)]
 pub struct Terms {
@@ -49,8 +60,8 @@
     pub drain_grace: Micros,
     /// Set-ups that a server handles after its start.
     pub cold: ColdTerms,
-    /// Limit of repeated attempts: window, free attempts in it, and a share of the requests in it.
-    pub budget: Option<(Micros, f64, f64)>,
+    /// Limit of repeated attempts.
+    pub budget: Option<RetryBudget>,
     /// Maximum number of descriptors of a front node.
     pub sockets: usize,
     /// Maximum resident memory of a front node, MB.
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -2,7 +2,7 @@
 
 use salttally_soak::judge::{judge, Rule};
 use salttally_soak::record::{
-    Answer, AttemptEnd, ClassTerms, ColdTerms, Effect, Event, Micros, Record, Terms,
+    Answer, AttemptEnd, ClassTerms, ColdTerms, Effect, Event, Micros, Record, RetryBudget, Terms,
 };
 
 const MS: Micros = 1_000;
@@ -21,7 +21,7 @@
             fall_multiple: 2.0,
             window: SECOND,
         },
-        budget: Some((2 * SECOND, 1.0, 0.0)),
+        budget: Some(RetryBudget { window: 2 * SECOND, free: 1.0, share: 0.0 }),
         sockets: 100,
         memory_mb: 64,
         kill_after: 2_200_000,
@@ -391,7 +391,7 @@
 fn budget_counts_a_request_with_its_first_copy_if_an_attempt_followed_it() {
     let with_share = |resent: Micros, first_attempt_at: Micros| {
         let mut record = valid_record();
-        record.terms.budget = Some((2 * SECOND, 0.0, 0.5));
+        record.terms.budget = Some(RetryBudget { window: 2 * SECOND, free: 0.0, share: 0.5 });
         for n in 0..3 {
             let (id, sent) = (50 + n, (300 + 20 * n) * MS);
             record.events.extend(retried_request(
